design: folders, core types and the design page

Cause: the project starts; the shape has to stand before code grows. Change: the design page, glossary and developers' page; ranked locks, tables and policies as generics; immutable configuration document; the stream and the admission ledger as aggregates; timer service; linter rules that keep decisions free of input and output. Before/after: nothing before; tests of these packages pass under the race detector and the lock order check.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# The two commands of the README are "make demo" and "make test"; the Go toolchain fetches what they need.
+
+GO ?= go
+LINT ?= $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: demo test golden lint format build spec bench
+
+# demo runs the main job on embedded stand-ins.
+demo:
+	$(GO) run ./cmd/mimosalb demo
+
+# test runs every test with the race detector and the lock order check.
+test:
+	$(GO) test -race -tags lockcheck ./...
+
+# golden rewrites the golden files after an intended change.
+golden:
+	$(GO) test $$(git ls-files '*/testdata/*.golden' | sed 's|/testdata/.*||; s|^|./|' | sort -u) -update
+
+lint:
+	$(LINT) run ./...
+
+format:
+	$(LINT) fmt ./...
+
+build:
+	$(GO) build -o bin/ ./cmd/...
--- /dev/null
+++ b/internal/configurator/configurator.go
@@ -0,0 +1,108 @@
+package configurator
+
+import (
+	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// Configurator holds the configuration that is in force at one node.
+//
+// Invariants: the revision only rises; a withdrawn key stays withdrawn. Lock rank: container.RankConfigurator.
+type Configurator struct {
+	lock      container.Lock[container.Configurator]
+	current   Document
+	withdrawn map[identifier.Caller]bool
+	changed   chan struct{}
+}
+
+// Adoption is the outcome of offering a document to a node.
+type Adoption int
+
+const (
+	// Adopted means that the document is now in force.
+	Adopted Adoption = iota + 1
+	// Stale means that the node already has this revision or a later one.
+	Stale
+	// Invalid means that the document has faults and was not adopted.
+	Invalid
+)
+
+// Adopt puts d in force if its revision is above the present one and it has no faults.
+func (c *Configurator) Adopt(d Document) Adoption {
+	if len(d.Check()) > 0 {
+		return Invalid
+	}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if d.revision <= c.current.revision {
+		return Stale
+	}
+	c.current = c.keepWithdrawn(d)
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+	return Adopted
+}
+
+// Current returns the configuration in force.
+func (c *Configurator) Current() Document {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.current
+}
+
+// Watch returns the configuration in force and a channel that is closed when a later one is.
+func (c *Configurator) Watch() (Document, <-chan struct{}) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.current, c.changed
+}
+
+// keepWithdrawn returns d with every key withdrawn that was withdrawn in a document adopted earlier, so that an edit
+// made from an old copy can't bring a key back.
+func (c *Configurator) keepWithdrawn(d Document) Document {
+	if c.withdrawn == nil {
+		c.withdrawn = make(map[identifier.Caller]bool)
+	}
+	keys := d.Keys()
+	for i, k := range keys {
+		if k.Withdrawn {
+			c.withdrawn[k.Caller] = true
+		}
+		keys[i].Withdrawn = c.withdrawn[k.Caller]
+	}
+	return d.WithKeys(keys...)
+}
+
+// Edit is the outcome of proposing a change.
+type Edit int
+
+const (
+	// Accepted means that the edit may be written with the next revision.
+	Accepted Edit = iota + 1
+	// Conflicting means that the edit was made from an old revision.
+	Conflicting
+	// Faulty means that the edited document has faults.
+	Faulty
+)
+
+// Propose decides whether edited, which was made from revision base, may follow current. It returns the document to
+// write, with the next revision and with every withdrawal of current kept.
+func Propose(current, edited Document, base identifier.Revision) (Document, Edit, []Problem) {
+	if base != current.revision {
+		return current, Conflicting, nil
+	}
+	if ps := edited.Check(); len(ps) > 0 {
+		return current, Faulty, ps
+	}
+	for _, k := range current.keys {
+		if k.Withdrawn {
+			edited = edited.WithKey(k)
+		}
+	}
+	return edited.WithRevision(current.revision + 1), Accepted, nil
+}
--- /dev/null
+++ b/internal/container/order.go
@@ -0,0 +1,9 @@
+//go:build !lockcheck
+
+package container
+
+func beforeLock(Rank) {}
+
+func afterLock(Rank) {}
+
+func afterUnlock(Rank) {}
--- /dev/null
+++ b/internal/container/rank.go
@@ -0,0 +1,136 @@
+package container
+
+// Rank orders locks. A goroutine takes locks in rising rank only, which rules out lock cycles.
+type Rank int
+
+// Ranks of the aggregates' locks. docs/design.md lists the same order.
+const (
+	RankConfigurator  Rank = 10
+	RankAuthenticator Rank = 20
+	RankTracker       Rank = 30
+	RankDistributor   Rank = 40
+	RankLeaser        Rank = 50
+	RankAdmitter      Rank = 60
+	RankScheduler     Rank = 70
+	RankRouter        Rank = 80
+	RankRetrier       Rank = 90
+	RankIsolator      Rank = 100
+	RankGatekeeper    Rank = 110
+	RankStreamer      Rank = 120
+	RankCollector     Rank = 130
+	RankUpdater       Rank = 140
+	RankOrderer       Rank = 150
+	RankMeter         Rank = 160
+	RankReporter      Rank = 170
+	RankConnection    Rank = 180
+	RankTimer         Rank = 190
+	RankLogger        Rank = 200
+)
+
+// Ranked gives the rank of a lock by its type, so that the zero value of a lock knows its rank.
+type Ranked interface {
+	Rank() Rank
+}
+
+type (
+	// Configurator ranks the lock of the configuration.
+	Configurator struct{}
+	// Authenticator ranks the lock of the key table.
+	Authenticator struct{}
+	// Tracker ranks the lock of the membership table.
+	Tracker struct{}
+	// Distributor ranks the lock of the relay state.
+	Distributor struct{}
+	// Leaser ranks the lock of the terms.
+	Leaser struct{}
+	// Admitter ranks the lock of the limits.
+	Admitter struct{}
+	// Scheduler ranks the lock of the fair queue.
+	Scheduler struct{}
+	// Router ranks the lock of the target view.
+	Router struct{}
+	// Retrier ranks the lock of the retry budget.
+	Retrier struct{}
+	// Isolator ranks the lock of the crash records.
+	Isolator struct{}
+	// Gatekeeper ranks the lock of the admission ledger.
+	Gatekeeper struct{}
+	// Streamer ranks the lock of one stream.
+	Streamer struct{}
+	// Collector ranks the lock of one training run.
+	Collector struct{}
+	// Updater ranks the lock of a weight roll-out.
+	Updater struct{}
+	// Orderer ranks the lock of the open orders.
+	Orderer struct{}
+	// Meter ranks the lock of the usage counts.
+	Meter struct{}
+	// Reporter ranks the lock of the windows.
+	Reporter struct{}
+	// Connection ranks the lock of a connection table.
+	Connection struct{}
+	// Timer ranks the lock of the timer service.
+	Timer struct{}
+	// Logger ranks the lock of the event log.
+	Logger struct{}
+)
+
+// Rank returns RankConfigurator.
+func (Configurator) Rank() Rank { return RankConfigurator }
+
+// Rank returns RankAuthenticator.
+func (Authenticator) Rank() Rank { return RankAuthenticator }
+
+// Rank returns RankTracker.
+func (Tracker) Rank() Rank { return RankTracker }
+
+// Rank returns RankDistributor.
+func (Distributor) Rank() Rank { return RankDistributor }
+
+// Rank returns RankLeaser.
+func (Leaser) Rank() Rank { return RankLeaser }
+
+// Rank returns RankAdmitter.
+func (Admitter) Rank() Rank { return RankAdmitter }
+
+// Rank returns RankScheduler.
+func (Scheduler) Rank() Rank { return RankScheduler }
+
+// Rank returns RankRouter.
+func (Router) Rank() Rank { return RankRouter }
+
+// Rank returns RankRetrier.
+func (Retrier) Rank() Rank { return RankRetrier }
+
+// Rank returns RankIsolator.
+func (Isolator) Rank() Rank { return RankIsolator }
+
+// Rank returns RankGatekeeper.
+func (Gatekeeper) Rank() Rank { return RankGatekeeper }
+
+// Rank returns RankStreamer.
+func (Streamer) Rank() Rank { return RankStreamer }
+
+// Rank returns RankCollector.
+func (Collector) Rank() Rank { return RankCollector }
+
+// Rank returns RankUpdater.
+func (Updater) Rank() Rank { return RankUpdater }
+
+// Rank returns RankOrderer.
+func (Orderer) Rank() Rank { return RankOrderer }
+
+// Rank returns RankMeter.
+func (Meter) Rank() Rank { return RankMeter }
+
+// Rank returns RankReporter.
+func (Reporter) Rank() Rank { return RankReporter }
+
+// Rank returns RankConnection.
+func (Connection) Rank() Rank { return RankConnection }
+
+// Rank returns RankTimer.
+func (Timer) Rank() Rank { return RankTimer }
+
+// Rank returns RankLogger.
+func (Logger) Rank() Rank { return RankLogger }
--- /dev/null
+++ b/internal/gatekeeper/gatekeeper.go
@@ -0,0 +1,239 @@
+// Package gatekeeper is the last gate before a target: it admits each attempt at most once and can rule one out for
+// good.
+package gatekeeper
+
+import (
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
+)
+
+// Verdict is the outcome of offering an attempt to the gate.
+type Verdict int
+
+const (
+	// Admitted means that the attempt may run now. It is given at most once for each attempt.
+	Admitted Verdict = iota + 1
+	// Repeated means that the attempt was admitted before.
+	Repeated
+	// Barred means that the attempt was ruled out before.
+	Barred
+	// Forgotten means that the attempt was meant for another incarnation of this process.
+	Forgotten
+	// Draining means that the target takes no new work. The attempt is ruled out.
+	Draining
+	// Full means that the ledger or the target has no room. The attempt is ruled out.
+	Full
+	// Expired means that the attempt is older than the ledger remembers.
+	Expired
+)
+
+// Settlement is what the gate knows about an attempt whose answer was lost.
+type Settlement int
+
+const (
+	// Running means that the attempt was admitted and has not ended.
+	Running Settlement = iota + 1
+	// Ran means that the attempt was admitted and has ended.
+	Ran
+	// NeverRuns means that the attempt was not admitted and never will be.
+	NeverRuns
+	// Unknown means that the attempt was meant for another incarnation, which may have run it.
+	Unknown
+)
+
+const (
+	// DefaultRetention is how long the ledger remembers an attempt after it ended or was barred.
+	DefaultRetention = 15 * time.Minute
+	// DefaultCapacity bounds the attempts in the ledger.
+	DefaultCapacity = 65536
+)
+
+// Offer is an attempt as it comes to the gate.
+type Offer struct {
+	Attempt     identifier.Attempt
+	Incarnation identifier.Incarnation
+	// Issued is the entry's wall clock when it made the attempt. An offer older than half the retention is refused,
+	// because its record may have been dropped; this allows the clocks to differ by the other half.
+	Issued time.Time
+}
+
+// record is what the ledger keeps about an attempt. A nil stream marks a barred attempt.
+type record struct {
+	stream *streamer.Stream
+	ended  bool
+	drop   time.Time
+}
+
+// Gatekeeper is the admission ledger of one incarnation of an agent. The zero value refuses every offer, since no
+// offer is meant for incarnation zero; use NewGatekeeper.
+//
+// Invariants: each attempt is admitted at most once; a barred attempt is never admitted; offers for another
+// incarnation are never admitted. Lock rank: container.RankGatekeeper.
+type Gatekeeper struct {
+	lock        container.Lock[container.Gatekeeper]
+	incarnation identifier.Incarnation
+	retention   time.Duration
+	capacity    int
+	concurrency int
+	running     int
+	draining    bool
+	records     map[identifier.Attempt]*record
+	idle        chan struct{}
+}
+
+// Option sets a property of a Gatekeeper.
+type Option func(*Gatekeeper)
+
+// WithRetention sets how long ended and barred attempts are remembered.
+func WithRetention(d time.Duration) Option { return func(g *Gatekeeper) { g.retention = d } }
+
+// WithCapacity bounds the number of attempts in the ledger.
+func WithCapacity(n int) Option { return func(g *Gatekeeper) { g.capacity = n } }
+
+// WithConcurrency bounds the attempts that run at a time; zero is no bound.
+func WithConcurrency(n int) Option { return func(g *Gatekeeper) { g.concurrency = n } }
+
+// NewGatekeeper returns an empty ledger of the given incarnation.
+func NewGatekeeper(incarnation identifier.Incarnation, opts ...Option) *Gatekeeper {
+	g := &Gatekeeper{
+		incarnation: incarnation,
+		retention:   DefaultRetention,
+		capacity:    DefaultCapacity,
+		records:     make(map[identifier.Attempt]*record),
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	return g
+}
+
+// Incarnation returns the incarnation whose offers the gate admits.
+func (g *Gatekeeper) Incarnation() identifier.Incarnation { return g.incarnation }
+
+// Admit decides on an offer. On Admitted the caller runs the attempt into the returned stream and calls End; on
+// Repeated it gets the stream of the first admission.
+func (g *Gatekeeper) Admit(o Offer, now time.Time) (Verdict, *streamer.Stream) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if o.Incarnation != g.incarnation {
+		return Forgotten, nil
+	}
+	if r, ok := g.records[o.Attempt]; ok {
+		if r.stream == nil {
+			return Barred, nil
+		}
+		return Repeated, r.stream
+	}
+	if now.Sub(o.Issued) > g.retention/2 {
+		return Expired, nil
+	}
+	if g.draining {
+		g.bar(o.Attempt, now)
+		return Draining, nil
+	}
+	if g.full(now) {
+		g.bar(o.Attempt, now)
+		return Full, nil
+	}
+	r := &record{stream: &streamer.Stream{}}
+	g.records[o.Attempt] = r
+	g.running++
+	return Admitted, r.stream
+}
+
+// End records that an admitted attempt has ended.
+func (g *Gatekeeper) End(a identifier.Attempt, now time.Time) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	r, ok := g.records[a]
+	if !ok || r.stream == nil || r.ended {
+		panic("invariant at-most-once: only a running attempt ends: " + a.String())
+	}
+	r.ended, r.drop = true, now.Add(g.retention)
+	g.running--
+	if g.running == 0 && g.idle != nil {
+		close(g.idle)
+		g.idle = nil
+	}
+}
+
+// Settle tells what became of an attempt and rules it out when it was not admitted.
+func (g *Gatekeeper) Settle(a identifier.Attempt, incarnation identifier.Incarnation, now time.Time) (Settlement, *streamer.Stream) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if incarnation != g.incarnation {
+		return Unknown, nil
+	}
+	r, ok := g.records[a]
+	switch {
+	case !ok:
+		g.bar(a, now)
+		return NeverRuns, nil
+	case r.stream == nil:
+		return NeverRuns, nil
+	case r.ended:
+		return Ran, r.stream
+	default:
+		return Running, r.stream
+	}
+}
+
+// Stream returns the stream of an admitted attempt.
+func (g *Gatekeeper) Stream(a identifier.Attempt) (*streamer.Stream, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	r, ok := g.records[a]
+	if !ok || r.stream == nil {
+		return nil, false
+	}
+	return r.stream, true
+}
+
+// Drain refuses new work from now on. The returned channel is closed when no attempt is running.
+func (g *Gatekeeper) Drain() <-chan struct{} {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.draining = true
+	idle := g.idle
+	if idle == nil {
+		idle = make(chan struct{})
+		g.idle = idle
+	}
+	if g.running == 0 {
+		close(idle)
+		g.idle = nil
+	}
+	return idle
+}
+
+// Load returns the number of running attempts and whether the gate is draining.
+func (g *Gatekeeper) Load() (running int, draining bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.running, g.draining
+}
+
+// bar rules out an attempt. A barred record outlives every offer of its attempt, because offers older than half the
+// retention are refused.
+func (g *Gatekeeper) bar(a identifier.Attempt, now time.Time) {
+	g.records[a] = &record{drop: now.Add(g.retention)}
+}
+
+// full reports whether there is no room for one more attempt, after dropping records past their retention.
+func (g *Gatekeeper) full(now time.Time) bool {
+	if g.concurrency > 0 && g.running >= g.concurrency {
+		return true
+	}
+	if len(g.records) < g.capacity {
+		return false
+	}
+	for a, r := range g.records {
+		if !r.drop.IsZero() && now.After(r.drop) {
+			delete(g.records, a)
+		}
+	}
+	return len(g.records) >= g.capacity
+}
--- /dev/null
+++ b/internal/streamer/streamer.go
@@ -0,0 +1,142 @@
+// Package streamer holds the answer of one attempt as it grows: pieces in order, then one final record.
+package streamer
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// Piece is a part of an answer: the text of some tokens, or bytes of a plain service's body.
+type Piece struct {
+	Data   []byte
+	Tokens identifier.Tokens
+	// Version is the weight version that made the tokens, as the engine reported it; zero when it did not.
+	Version identifier.Version
+}
+
+// End tells how an answer ended.
+type End int
+
+const (
+	// Complete means that the target finished the answer.
+	Complete End = iota + 1
+	// Failed means that the target or the way to it failed; the answer is not whole.
+	Failed
+	// Cancelled means that the caller or the system gave the answer up.
+	Cancelled
+	// Crashed means that the target died while it ran the request.
+	Crashed
+)
+
+// String returns the name of the end.
+func (e End) String() string {
+	names := map[End]string{Complete: "complete", Failed: "failed", Cancelled: "cancelled", Crashed: "crashed"}
+	if n, ok := names[e]; ok {
+		return n
+	}
+	return "open"
+}
+
+// Final is the last record of an answer. The zero value means that the answer is still open.
+type Final struct {
+	End End
+	// Reason is the finish reason of the engine or a short cause of failure.
+	Reason string
+	// Status and Header are those of a plain service's answer.
+	Status int
+	Header map[string]string
+	// Pieces and Tokens count the whole answer; a reader that has fewer does not have it whole.
+	Pieces int
+	Tokens identifier.Tokens
+	// Prompt and Cached count the tokens read and those of them found in the engine's cache.
+	Prompt identifier.Tokens
+	Cached identifier.Tokens
+}
+
+// WithEnd returns a copy of f with the given end and reason.
+func (f Final) WithEnd(e End, reason string) Final {
+	f.End, f.Reason = e, reason
+	return f
+}
+
+// WithHeader returns a copy of f with the status and header of a plain service's answer.
+func (f Final) WithHeader(status int, header map[string]string) Final {
+	f.Status, f.Header = status, maps.Clone(header)
+	return f
+}
+
+// Chunk is what a reader gets: the pieces from its position on and, at the end, the final record.
+type Chunk struct {
+	Pieces []Piece
+	Final  Final
+}
+
+// Done reports whether the answer has ended.
+func (c Chunk) Done() bool { return c.Final.End != 0 }
+
+// Stream is an answer that one writer extends and any number of readers follow. The zero value is an open stream.
+//
+// Invariants: pieces are only appended; nothing follows the final record. Lock rank: container.RankStreamer.
+type Stream struct {
+	lock    container.Lock[container.Streamer]
+	pieces  []Piece
+	tokens  identifier.Tokens
+	final   Final
+	changed chan struct{}
+}
+
+// Append adds a piece. It reports false when the stream has ended.
+func (s *Stream) Append(p Piece) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.final.End != 0 {
+		return false
+	}
+	p.Data = slices.Clone(p.Data)
+	s.pieces = append(s.pieces, p)
+	s.tokens += p.Tokens
+	s.notify()
+	return true
+}
+
+// Finish ends the stream; the counts of f are set from the pieces. It reports false when the stream has ended before.
+func (s *Stream) Finish(f Final) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.final.End != 0 {
+		return false
+	}
+	f.Pieces, f.Tokens = len(s.pieces), s.tokens
+	s.final = f
+	s.notify()
+	return true
+}
+
+// Read returns the pieces from position from on, the final record if the stream has ended, and a channel that is
+// closed at the next change.
+func (s *Stream) Read(from int) (Chunk, <-chan struct{}) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	from = min(max(from, 0), len(s.pieces))
+	return Chunk{Pieces: slices.Clone(s.pieces[from:]), Final: s.final}, s.changed
+}
+
+// Len returns the number of pieces so far.
+func (s *Stream) Len() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return len(s.pieces)
+}
+
+func (s *Stream) notify() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
