--- /dev/null
+++ b/cmd/mimosalb/main.go
@@ -0,0 +1,77 @@
+// Command mimosalb is the daemon of the rollout service. Its subcommands are the roles of a process.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/mimosalb/mimosalb"
+	"github.com/mimosalb/mimosalb/internal/demonstrator"
+	"github.com/mimosalb/mimosalb/pkg/loader"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("mimosalb", "Rollout service for reinforcement learning.")
+	files := make(map[string]*string)
+	for role, help := range map[loader.Role]string{
+		loader.RoleEntry:   "Run an entry: the interface to callers, trainers and operators.",
+		loader.RoleAgent:   "Run the agent beside one target.",
+		loader.RoleStandin: "Run stand-ins of the platform and the back ends.",
+	} {
+		cmd := app.Command(string(role), help)
+		files[string(role)] = cmd.Flag("config", "Settings file.").Short('c').Required().String()
+	}
+	check := app.Command("check", "Check a settings file and start nothing.")
+	checkFile := check.Flag("config", "Settings file.").Short('c').Required().String()
+	checkRole := check.Flag("role", "Role that the settings are for.").Default("entry").Enum("entry", "agent", "standin")
+	demo := app.Command("demo", "Run every role in this process on loopback and do the main job.")
+	verbose := demo.Flag("verbose", "Write events to the standard error output.").Bool()
+
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	switch cmd := kingpin.MustParse(app.Parse(os.Args[1:])); cmd {
+	case check.FullCommand():
+		load(*checkFile, loader.Role(*checkRole))
+	case demo.FullCommand():
+		log := os.Stderr
+		if !*verbose {
+			log, _ = os.Open(os.DevNull)
+		}
+		exit(demonstrator.Run(ctx, os.Stdout, log))
+	default:
+		settings := load(*files[cmd], loader.Role(cmd))
+		exit(mimosalb.New(loader.Role(cmd), settings).Run(ctx))
+	}
+}
+
+// load reads settings and ends the process when they have faults.
+func load(file string, role loader.Role) loader.Settings {
+	settings, problems, err := loader.Load(file, role)
+	exit(err)
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	if len(problems) > 0 {
+		os.Exit(exitSettings)
+	}
+	return settings
+}
+
+// exit ends the process when err is set.
+func exit(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mimosalb:", err)
+		os.Exit(exitFailed)
+	}
+}
--- /dev/null
+++ b/internal/adapter/engineclient/engine.go
@@ -0,0 +1,161 @@
+package engineclient
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
+)
+
+// lineLimit bounds one event of an engine's stream in bytes.
+const lineLimit = 1 << 20
+
+// Engine is a model engine behind its HTTP address.
+type Engine struct {
+	address string
+	client  *http.Client
+	version atomic.Uint64
+}
+
+// NewEngine returns the engine at address, such as http://127.0.0.1:30000.
+func NewEngine(address string) *Engine {
+	return &Engine{address: address, client: newHTTPClient()}
+}
+
+// Version returns the weight version that the engine reported last; zero before its first report.
+func (e *Engine) Version() identifier.Version { return identifier.Version(e.version.Load()) }
+
+type generateRequest struct {
+	RID      string         `json:"rid"`
+	Text     string         `json:"text"`
+	Stream   bool           `json:"stream"`
+	Priority int            `json:"priority,omitempty"`
+	Sampling samplingParams `json:"sampling_params"`
+}
+
+type samplingParams struct {
+	MaxNewTokens identifier.Tokens `json:"max_new_tokens"`
+}
+
+type generateEvent struct {
+	Text string `json:"text"`
+	IDs  []int  `json:"output_ids"`
+	Meta struct {
+		ID            string            `json:"id"`
+		WeightVersion string            `json:"weight_version"`
+		Prompt        identifier.Tokens `json:"prompt_tokens"`
+		Cached        identifier.Tokens `json:"cached_tokens"`
+		Completion    identifier.Tokens `json:"completion_tokens"`
+		Finish        *struct {
+			Type string `json:"type"`
+		} `json:"finish_reason"`
+	} `json:"meta_info"`
+}
+
+// Run generates the answer to a call.
+func (e *Engine) Run(ctx context.Context, id identifier.Attempt, call executor.Call, emit func(streamer.Piece)) streamer.Final {
+	body, err := json.Marshal(generateRequest{
+		RID:      id.String(),
+		Text:     call.Prompt,
+		Stream:   true,
+		Priority: call.Priority,
+		Sampling: samplingParams{MaxNewTokens: call.Limit},
+	})
+	if err != nil {
+		return streamer.Final{}.WithEnd(streamer.Failed, "request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.address+"/generate", bytes.NewReader(body))
+	if err != nil {
+		return streamer.Final{}.WithEnd(streamer.Failed, "request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return broken(ctx)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, lineLimit))
+		return streamer.Final{}.WithEnd(streamer.Failed, "status-"+strconv.Itoa(resp.StatusCode))
+	}
+	return e.follow(ctx, id, resp.Body, emit)
+}
+
+// follow reads the events of an answer until its end.
+func (e *Engine) follow(ctx context.Context, id identifier.Attempt, body io.Reader, emit func(streamer.Piece)) streamer.Final {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, lineLimit)
+	var last generateEvent
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		if !ok {
+			continue
+		}
+		if data = strings.TrimSpace(data); data == "[DONE]" {
+			return finish(last)
+		}
+		event, err := decode(data, id)
+		if err != nil {
+			return streamer.Final{}.WithEnd(streamer.Failed, "event")
+		}
+		last = event
+		version := parseVersion(event.Meta.WeightVersion)
+		e.version.Store(uint64(version))
+		if len(event.IDs) > 0 {
+			emit(streamer.Piece{Data: []byte(event.Text), Tokens: identifier.Tokens(len(event.IDs)), Version: version})
+		}
+	}
+	return broken(ctx)
+}
+
+// decode reads an event and checks that it belongs to the attempt.
+func decode(data string, id identifier.Attempt) (generateEvent, error) {
+	var event generateEvent
+	if err := json.Unmarshal([]byte(data), &event); err != nil {
+		return event, fmt.Errorf("decode event: %w", err)
+	}
+	if event.Meta.ID != id.String() {
+		return event, fmt.Errorf("event of another request")
+	}
+	return event, nil
+}
+
+// finish maps the last event of a stream that ended in order. An answer without a finish reason is not whole.
+func finish(last generateEvent) streamer.Final {
+	f := streamer.Final{Prompt: last.Meta.Prompt, Cached: last.Meta.Cached}
+	switch {
+	case last.Meta.Finish == nil:
+		return f.WithEnd(streamer.Failed, "no-finish")
+	case last.Meta.Finish.Type == "abort":
+		return f.WithEnd(streamer.Cancelled, "abort")
+	default:
+		return f.WithEnd(streamer.Complete, last.Meta.Finish.Type)
+	}
+}
+
+// broken is the end of an answer whose connection failed: by cancellation or by the death of the engine.
+func broken(ctx context.Context) streamer.Final {
+	if ctx.Err() != nil {
+		return streamer.Final{}.WithEnd(streamer.Cancelled, "cancelled")
+	}
+	return streamer.Final{}.WithEnd(streamer.Crashed, "connection")
+}
+
+// parseVersion reads a version such as "12" or "v12"; anything else is an unknown version.
+func parseVersion(s string) identifier.Version {
+	n, err := strconv.ParseUint(strings.TrimPrefix(s, "v"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return identifier.Version(n)
+}
--- /dev/null
+++ b/internal/adapter/engineclient/service.go
@@ -0,0 +1,69 @@
+package engineclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
+)
+
+// Service is a plain service behind its HTTP address.
+type Service struct {
+	address string
+	client  *http.Client
+}
+
+// NewService returns the plain service at address, such as http://127.0.0.1:7000.
+func NewService(address string) *Service {
+	client := newHTTPClient()
+	if t, ok := client.Transport.(*http.Transport); ok {
+		// net/http sends a call again when a reused connection breaks; a call that may not be repeated must not be.
+		t.DisableKeepAlives = true
+	}
+	return &Service{address: address, client: client}
+}
+
+// Version returns zero: a plain service has no weights.
+func (s *Service) Version() identifier.Version { return 0 }
+
+// Run passes the call to the service. The body of the answer becomes one piece.
+func (s *Service) Run(ctx context.Context, id identifier.Attempt, call executor.Call, emit func(streamer.Piece)) streamer.Final {
+	req, err := http.NewRequestWithContext(ctx, call.Method, s.address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return streamer.Final{}.WithEnd(streamer.Failed, "request")
+	}
+	for k, v := range call.Header {
+		req.Header.Set(k, v)
+	}
+	req.Header.Set("X-Request-Id", string(id.Request))
+	req.Header.Set("X-Team", string(call.Team))
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return broken(ctx)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
+	switch {
+	case err != nil:
+		return broken(ctx)
+	case len(body) > answerLimit:
+		return streamer.Final{}.WithEnd(streamer.Failed, "answer-too-large")
+	}
+	emit(streamer.Piece{Data: body})
+	return streamer.Final{}.WithHeader(resp.StatusCode, answerHeader(resp.Header)).WithEnd(streamer.Complete, "answered")
+}
+
+// answerHeader keeps the headers of an answer that concern its content.
+func answerHeader(h http.Header) map[string]string {
+	kept := make(map[string]string)
+	for _, name := range []string{"Content-Type", "Content-Language", "Etag", "Last-Modified", "Location", "Cache-Control"} {
+		if v := h.Get(name); v != "" {
+			kept[name] = v
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/adapter/httpserver/completion.go
@@ -0,0 +1,173 @@
+package httpserver
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
+)
+
+const (
+	// defaultMaxTokens is the length of an answer whose request sets none.
+	defaultMaxTokens = 16
+	// maxTokensLimit bounds the length of an answer in tokens.
+	maxTokensLimit = 1 << 17
+)
+
+// completionRequest is the usual JSON request for a completion.
+type completionRequest struct {
+	Model     identifier.Service `json:"model"`
+	Prompt    string             `json:"prompt"`
+	Messages  []chatMessage      `json:"messages"`
+	MaxTokens identifier.Tokens  `json:"max_tokens"`
+	Stream    bool               `json:"stream"`
+	// Version pins the answer to a weight version; zero accepts any.
+	Version identifier.Version `json:"weight_version"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// complete answers a completion request.
+func (cs *Callers) complete(c echo.Context) error { return cs.generate(c, textForm{}) }
+
+// chat answers a chat completion request.
+func (cs *Callers) chat(c echo.Context) error { return cs.generate(c, chatForm{}) }
+
+func (cs *Callers) generate(c echo.Context, form completionForm) error {
+	var q completionRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&q); err != nil {
+		return refused(http.StatusBadRequest, "bad-json", "the body is not the JSON of a completion request").write(c, 0)
+	}
+	prompt, detail := form.prompt(q)
+	if detail == "" && (q.MaxTokens < 0 || q.MaxTokens > maxTokensLimit) {
+		detail = fmt.Sprintf("max_tokens: want a number from 1 to %d", maxTokensLimit)
+	}
+	if detail != "" {
+		return refused(http.StatusBadRequest, "bad-field", detail).write(c, 0)
+	}
+	if q.MaxTokens == 0 {
+		q.MaxTokens = defaultMaxTokens
+	}
+	x, problem, ok := cs.open(c, q.Model, configurator.Model)
+	if !ok {
+		return problem.write(c, 0)
+	}
+	defer x.end()
+	x.request.Call = executor.Call{
+		Service: q.Model, Team: x.request.Identity.Team, Prompt: prompt, Limit: q.MaxTokens, Version: q.Version,
+	}
+	x.request.Expected = q.MaxTokens
+	answer, refusal := cs.submit.Submit(x.ctx, x.request)
+	if refusal.Refused() {
+		return refused(http.StatusTooManyRequests, refusal.Reason, "").write(c, refusal.RetryAfter)
+	}
+	w := &completionWriter{c: c, form: form, model: q.Model, id: x.request.ID, created: time.Now()}
+	if q.Stream {
+		return w.stream(answer)
+	}
+	return w.whole(answer)
+}
+
+// completionWriter writes one answer in a form.
+type completionWriter struct {
+	c       echo.Context
+	form    completionForm
+	model   identifier.Service
+	id      identifier.Request
+	created time.Time
+}
+
+// whole waits for the end and writes the answer as one JSON object.
+func (w *completionWriter) whole(answer *dispatcher.Answer) error {
+	<-answer.Done()
+	result := answer.Result()
+	if result.Reason != "" {
+		return ofResult(result, string(w.id)).write(w.c, result.RetryAfter)
+	}
+	chunk, _ := answer.Read(0)
+	var text strings.Builder
+	for _, p := range chunk.Pieces {
+		text.Write(p.Data)
+	}
+	body := w.body(w.form.whole(text.String(), result.Final.Reason))
+	body.Usage = usageOf(chunk.Final)
+	body.Versions = versionsOf(chunk.Pieces)
+	return w.c.JSON(http.StatusOK, body)
+}
+
+// stream writes the pieces as server-sent events as they come. A failure before the first piece is a plain problem; a
+// later one is an error event, and the closing [DONE] is left out.
+func (w *completionWriter) stream(answer *dispatcher.Answer) error {
+	at, tokens := 0, identifier.Tokens(0)
+	for {
+		chunk, changed := answer.Read(at)
+		if at == 0 && len(chunk.Pieces) == 0 && chunk.Done() {
+			if result := answer.Result(); result.Reason != "" {
+				return ofResult(result, string(w.id)).write(w.c, result.RetryAfter)
+			}
+		}
+		if at == 0 && (len(chunk.Pieces) > 0 || chunk.Done()) {
+			w.c.Response().Header().Set("Content-Type", "text/event-stream")
+			w.c.Response().Header().Set("Cache-Control", "no-cache")
+			w.c.Response().WriteHeader(http.StatusOK)
+		}
+		for _, p := range chunk.Pieces {
+			body := w.body(w.form.piece(string(p.Data)))
+			body.Versions = versionsFrom(tokens, []streamer.Piece{p})
+			w.event("", body)
+			at++
+			tokens += p.Tokens
+		}
+		if chunk.Done() {
+			w.finish(answer, chunk.Final)
+			return nil
+		}
+		if at > 0 {
+			w.c.Response().Flush()
+		}
+		<-changed
+	}
+}
+
+func (w *completionWriter) finish(answer *dispatcher.Answer, final streamer.Final) {
+	result := answer.Result()
+	if result.Reason != "" {
+		w.event("error", ofResult(result, string(w.id)))
+	} else {
+		body := w.body(w.form.end(result.Final.Reason))
+		body.Usage = usageOf(final)
+		w.event("", body)
+		_, _ = fmt.Fprint(w.c.Response(), "data: [DONE]\n\n")
+	}
+	w.c.Response().Flush()
+}
+
+// event writes one server-sent event. A caller that has gone away is noticed by the request's context.
+func (w *completionWriter) event(name string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("invariant event-form: an event can be encoded")
+	}
+	if name != "" {
+		_, _ = fmt.Fprintf(w.c.Response(), "event: %s\n", name)
+	}
+	_, _ = fmt.Fprintf(w.c.Response(), "data: %s\n\n", data)
+}
+
+func (w *completionWriter) body(choice any) completionBody {
+	return completionBody{
+		ID: string(w.id), Object: w.form.object(), Created: w.created.Unix(), Model: w.model, Choices: []any{choice},
+	}
+}
--- /dev/null
+++ b/internal/adapter/httpserver/health.go
@@ -0,0 +1,36 @@
+package httpserver
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// storeRetry is the retry hint while the key-value service is not available.
+const storeRetry = 5 * time.Second
+
+// Health serves /healthz, /readyz and /metrics.
+type Health struct {
+	ready   func() bool
+	metrics prometheus.Gatherer
+}
+
+// NewHealth returns the health routes. ready tells whether the process takes new work.
+func NewHealth(ready func() bool, metrics prometheus.Gatherer) *Health {
+	return &Health{ready: ready, metrics: metrics}
+}
+
+// Register adds the health routes.
+func (h *Health) Register(e *echo.Echo) {
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c echo.Context) error {
+		if !h.ready() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(h.metrics, promhttp.HandlerOpts{})))
+}
--- /dev/null
+++ b/internal/adapter/httpserver/problem.go
@@ -0,0 +1,104 @@
+package httpserver
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+)
+
+// Problem is an error body in the form of RFC 9457. Type says whether the request ran.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	// Reason is a short fixed word for programs.
+	Reason string `json:"reason"`
+	Detail string `json:"detail,omitempty"`
+	// Request is the identity of the request, if it has one.
+	Request string `json:"request,omitempty"`
+}
+
+// Types of problems.
+const (
+	TypeNotRun  = "urn:mimosalb:problem:not-run"
+	TypeUnknown = "urn:mimosalb:problem:unknown"
+	TypeRan     = "urn:mimosalb:problem:ran"
+)
+
+// problemContentType is the media type of problems.
+const problemContentType = "application/problem+json"
+
+// refused is a problem of a request that was not taken.
+func refused(status int, reason, detail string) Problem {
+	return Problem{Type: TypeNotRun, Title: "The request did not run", Status: status, Reason: reason, Detail: detail}
+}
+
+// ofResult is the problem of a request that ended without a whole answer.
+func ofResult(r dispatcher.Result, request string) Problem {
+	p := Problem{Reason: r.Reason, Request: request}
+	switch r.Ran {
+	case dispatcher.NotRun:
+		p.Type, p.Title, p.Status = TypeNotRun, "The request did not run", http.StatusServiceUnavailable
+	case dispatcher.RanYes:
+		p.Type, p.Title, p.Status = TypeRan, "The request ran and failed", http.StatusBadGateway
+	default:
+		p.Type, p.Title, p.Status = TypeUnknown, "The request may have run", http.StatusGatewayTimeout
+	}
+	if r.Reason == dispatcher.ReasonWithdrawn {
+		p.Status = http.StatusUnauthorized
+	}
+	return p
+}
+
+// write sends the problem. A positive retryAfter is rounded up to whole seconds.
+func (p Problem) write(c echo.Context, retryAfter time.Duration) error {
+	if retryAfter > 0 {
+		c.Response().Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	return c.Blob(p.Status, problemContentType, p.encode())
+}
+
+func (p Problem) encode() []byte {
+	data, err := json.Marshal(p)
+	if err != nil {
+		panic("invariant problem-form: a problem can be encoded")
+	}
+	return data
+}
+
+// handleError answers errors that no handler turned into a problem: unknown routes, wrong methods, large bodies.
+func handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status := http.StatusInternalServerError
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		status = he.Code
+	}
+	p := refused(status, reasonOf(status), http.StatusText(status))
+	if status == http.StatusInternalServerError {
+		p.Type, p.Title = TypeUnknown, "The request may have run"
+	}
+	_ = p.write(c, 0)
+}
+
+func reasonOf(status int) string {
+	switch status {
+	case http.StatusNotFound:
+		return "no-such-route"
+	case http.StatusMethodNotAllowed:
+		return "wrong-method"
+	case http.StatusRequestEntityTooLarge:
+		return "body-too-large"
+	default:
+		return "internal"
+	}
+}
--- /dev/null
+++ b/internal/adapter/httpserver/server.go
@@ -0,0 +1,87 @@
+// Package httpserver is the HTTP front end: callers and trainers on one listener, operators on another.
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+const (
+	// headerTimeout bounds the time that a client may take for its request header.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds the time that a client may take for its whole request.
+	bodyTimeout = 60 * time.Second
+	// idleTimeout closes connections without requests.
+	idleTimeout = 2 * time.Minute
+	// bodyLimit is the largest request body.
+	bodyLimit = "8M"
+)
+
+// Server serves one echo router on one listener.
+type Server struct {
+	http *http.Server
+	done sync.WaitGroup
+}
+
+// Route adds the routes of one part of the interface.
+type Route interface {
+	Register(e *echo.Echo)
+}
+
+// NewServer returns a server with the given routes.
+func NewServer(routes ...Route) *Server {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = handleError
+	e.Use(middleware.Recover(), middleware.BodyLimit(bodyLimit), traceContext)
+	for _, r := range routes {
+		r.Register(e)
+	}
+	return &Server{http: &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+	}}
+}
+
+// Start serves connections of l until Stop.
+func (s *Server) Start(l net.Listener) {
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		_ = s.http.Serve(l)
+	}()
+}
+
+// Stop refuses new connections, waits until open requests have ended or ctx ends, and closes the rest.
+func (s *Server) Stop(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		err = errors.Join(err, s.http.Close())
+	}
+	s.done.Wait()
+	if err != nil {
+		return fmt.Errorf("stop HTTP server: %w", err)
+	}
+	return nil
+}
+
+// traceContext takes the trace context of the caller into the request.
+func traceContext(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		c.SetRequest(r.WithContext(ctx))
+		return next(c)
+	}
+}
--- /dev/null
+++ b/internal/adapter/kvclient/message.go
@@ -0,0 +1,77 @@
+package kvclient
+
+import "github.com/mimosalb/mimosalb/internal/storer"
+
+// The messages of the etcd v3 JSON protocol, as far as they are used. Bytes are base64 and 64-bit numbers are strings.
+
+type rangeRequest struct {
+	Key []byte `json:"key"`
+	End []byte `json:"range_end,omitempty"`
+}
+
+type keyValue struct {
+	Key     []byte `json:"key"`
+	Value   []byte `json:"value"`
+	Changed int64  `json:"mod_revision,string"`
+}
+
+func (kv keyValue) entry() storer.Entry {
+	return storer.Entry{Key: string(kv.Key), Value: kv.Value, Changed: kv.Changed}
+}
+
+type rangeReply struct {
+	KVs []keyValue `json:"kvs"`
+}
+
+type compare struct {
+	Key     []byte `json:"key"`
+	Target  string `json:"target"`
+	Result  string `json:"result"`
+	Changed int64  `json:"mod_revision,string"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string"`
+}
+
+type operation struct {
+	Put    *putRequest   `json:"request_put,omitempty"`
+	Delete *rangeRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []operation `json:"success"`
+}
+
+type txnReply struct {
+	Succeeded bool `json:"succeeded"`
+}
+
+type leaseRequest struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+type leaseReply struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+type watchCreate struct {
+	Key []byte `json:"key"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchReply struct {
+	Result struct {
+		Events []struct {
+			KV keyValue `json:"kv"`
+		} `json:"events"`
+	} `json:"result"`
+}
--- /dev/null
+++ b/internal/adapter/messenger/messenger.go
@@ -0,0 +1,115 @@
+// Package messenger defines the net/rpc messages between the system's own processes.
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/gatekeeper"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
+)
+
+// Envelope is part of every request and every reply. A reply repeats the identity of its request.
+type Envelope struct {
+	// ID identifies the exchange; a reply with another ID closes the connection.
+	ID string
+	// Trace is the trace context in W3C form.
+	Trace map[string]string
+}
+
+// Identity returns the identity of the exchange.
+func (e Envelope) Identity() string { return e.ID }
+
+// NewEnvelope returns an envelope with the trace context of ctx.
+func NewEnvelope(ctx context.Context, id string) Envelope {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return Envelope{ID: id, Trace: carrier}
+}
+
+// Context returns a context with the trace context of the envelope.
+func (e Envelope) Context() context.Context {
+	return propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier(e.Trace))
+}
+
+// StartRequest offers an attempt to an agent.
+type StartRequest struct {
+	Envelope
+
+	Attempt     identifier.Attempt
+	Incarnation identifier.Incarnation
+	Issued      time.Time
+	Timeout     time.Duration
+	Call        executor.Call
+}
+
+// StartReply is the verdict of the agent's gate.
+type StartReply struct {
+	Envelope
+
+	Verdict gatekeeper.Verdict
+}
+
+// ReadRequest asks for the pieces of an answer after the first From. The agent waits up to Wait for one.
+type ReadRequest struct {
+	Envelope
+
+	Attempt     identifier.Attempt
+	Incarnation identifier.Incarnation
+	From        int
+	Wait        time.Duration
+}
+
+// ReadReply holds pieces of an answer. Known is false when the agent does not know the attempt.
+type ReadReply struct {
+	Envelope
+
+	Known bool
+	Chunk streamer.Chunk
+}
+
+// SettleRequest asks what became of an attempt.
+type SettleRequest struct {
+	Envelope
+
+	Attempt     identifier.Attempt
+	Incarnation identifier.Incarnation
+}
+
+// SettleReply tells what became of an attempt.
+type SettleReply struct {
+	Envelope
+
+	Settlement gatekeeper.Settlement
+}
+
+// CancelRequest stops an attempt.
+type CancelRequest struct {
+	Envelope
+
+	Attempt identifier.Attempt
+}
+
+// CancelReply confirms a CancelRequest.
+type CancelReply struct {
+	Envelope
+}
+
+// ReportRequest asks an agent for its report. It also serves as the connection's probe.
+type ReportRequest struct {
+	Envelope
+}
+
+// ReportReply is the report of an agent.
+type ReportReply struct {
+	Envelope
+
+	Incarnation identifier.Incarnation
+	Running     int
+	Draining    bool
+	Version     identifier.Version
+}
--- /dev/null
+++ b/internal/adapter/platformclient/platformclient.go
@@ -0,0 +1,87 @@
+// Package platformclient speaks to the platform's operational interfaces over HTTP: the VM list, target orders and
+// usage reports.
+package platformclient
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+const (
+	// callTimeout bounds one call to the platform.
+	callTimeout = 5 * time.Second
+	// replyLimit bounds a reply in bytes; a list of 4,000 VMs takes about one megabyte.
+	replyLimit = 16 << 20
+)
+
+// VM is one row of the platform's VM list.
+type VM struct {
+	Name    identifier.Node    `json:"name"`
+	Role    Role               `json:"role"`
+	Zone    identifier.Zone    `json:"zone"`
+	Region  identifier.Region  `json:"region"`
+	State   State              `json:"state"`
+	Address string             `json:"address"`
+	Service identifier.Service `json:"service"`
+	Target  identifier.Target  `json:"target"`
+}
+
+// Role tells what runs on a VM.
+type Role string
+
+// Roles of VMs.
+const (
+	RoleEntry  Role = "entry"
+	RoleTarget Role = "target"
+)
+
+// State tells how far a VM is through its life.
+type State string
+
+// States of VMs.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Client calls the platform.
+type Client struct {
+	address string
+	clock   timer.Service
+	http    *http.Client
+}
+
+// NewClient returns the client of the platform at address, such as http://127.0.0.1:2380.
+func NewClient(address string, clock timer.Service) *Client {
+	return &Client{address: address, clock: clock, http: &http.Client{}}
+}
+
+// VMs returns the VM list.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	ctx, cancel := timer.WithTimeout(ctx, c.clock, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.address+"/v1/vms", nil)
+	if err != nil {
+		return nil, fmt.Errorf("list VMs: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("list VMs: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list VMs: status %d", resp.StatusCode)
+	}
+	var vms []VM
+	if err := json.NewDecoder(io.LimitReader(resp.Body, replyLimit)).Decode(&vms); err != nil {
+		return nil, fmt.Errorf("list VMs: %w", err)
+	}
+	return vms, nil
+}
--- /dev/null
+++ b/internal/adapter/rpcclient/agents.go
@@ -0,0 +1,105 @@
+package rpcclient
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/gatekeeper"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/streamer"
+)
+
+const (
+	// callTimeout bounds calls that the agent answers at once.
+	callTimeout = 2 * time.Second
+	// readWait is how long an agent may wait for the next piece.
+	readWait = 5 * time.Second
+)
+
+// agents reaches agents over net/rpc.
+type agents struct {
+	client *Client
+}
+
+// NewAgents returns the dispatcher's way to the agents over c.
+func NewAgents(c *Client) dispatcher.Agents { return agents{client: c} }
+
+func (a agents) Start(ctx context.Context, t router.Target, s dispatcher.Start) (gatekeeper.Verdict, dispatcher.Delivery) {
+	args := &messenger.StartRequest{
+		Envelope:    messenger.NewEnvelope(ctx, s.Attempt.String()),
+		Attempt:     s.Attempt,
+		Incarnation: t.Incarnation,
+		Issued:      s.Issued,
+		Timeout:     s.Timeout,
+		Call:        s.Call,
+	}
+	reply, err := call[messenger.StartReply](ctx, a.client, t.Address, "Agent.Start", args, callTimeout)
+	return reply.Verdict, delivery(err)
+}
+
+func (a agents) Read(ctx context.Context, t router.Target, id identifier.Attempt, from int) (streamer.Chunk, bool, dispatcher.Delivery) {
+	args := &messenger.ReadRequest{
+		Envelope:    messenger.NewEnvelope(ctx, id.String()),
+		Attempt:     id,
+		Incarnation: t.Incarnation,
+		From:        from,
+		Wait:        readWait,
+	}
+	reply, err := call[messenger.ReadReply](ctx, a.client, t.Address, "Agent.Read", args, readWait+callTimeout)
+	return reply.Chunk, reply.Known, delivery(err)
+}
+
+func (a agents) Settle(ctx context.Context, t router.Target, id identifier.Attempt) (gatekeeper.Settlement, dispatcher.Delivery) {
+	args := &messenger.SettleRequest{
+		Envelope:    messenger.NewEnvelope(ctx, id.String()),
+		Attempt:     id,
+		Incarnation: t.Incarnation,
+	}
+	reply, err := call[messenger.SettleReply](ctx, a.client, t.Address, "Agent.Settle", args, callTimeout)
+	return reply.Settlement, delivery(err)
+}
+
+func (a agents) Cancel(ctx context.Context, t router.Target, id identifier.Attempt) {
+	args := &messenger.CancelRequest{Envelope: messenger.NewEnvelope(ctx, id.String()), Attempt: id}
+	// An attempt whose cancellation is lost ends at its own deadline.
+	_, _ = call[messenger.CancelReply](ctx, a.client, t.Address, "Agent.Cancel", args, callTimeout)
+}
+
+// Report asks the agent at address for its report, as the probe of the connection. A failed probe closes it.
+func (c *Client) Report(ctx context.Context, address string) (messenger.ReportReply, error) {
+	args := &messenger.ReportRequest{Envelope: messenger.NewEnvelope(ctx, address)}
+	reply, err := call[messenger.ReportReply](ctx, c, address, "Agent.Report", args, callTimeout)
+	if err != nil {
+		c.Drop(address)
+	}
+	return reply, err
+}
+
+// call calls a method and returns its reply. After an error the reply is zero: net/rpc may still be writing to the one
+// that it was given.
+func call[R any, P interface {
+	*R
+	Identified
+}](ctx context.Context, c *Client, address, method string, args Identified, timeout time.Duration) (R, error) {
+	reply := P(new(R))
+	if err := c.Call(ctx, address, method, args, reply, timeout); err != nil {
+		var none R
+		return none, err
+	}
+	return *reply, nil
+}
+
+func delivery(err error) dispatcher.Delivery {
+	switch {
+	case err == nil:
+		return dispatcher.Delivered
+	case errors.Is(err, ErrUnsent):
+		return dispatcher.Unsent
+	default:
+		return dispatcher.Unclear
+	}
+}
--- /dev/null
+++ b/internal/adapter/rpcclient/rpcclient.go
@@ -0,0 +1,134 @@
+// Package rpcclient calls the system's own processes over net/rpc. It keeps one connection per address, probes it and
+// replaces it when it goes silent.
+package rpcclient
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+var (
+	// ErrUnsent means that no byte of the call left this process.
+	ErrUnsent = errors.New("call not sent")
+	// ErrLost means that the call may have arrived and its reply did not.
+	ErrLost = errors.New("reply lost")
+	// ErrMismatch means that a reply had the identity of another call. The connection was closed.
+	ErrMismatch = errors.New("reply has the identity of another call")
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = 2 * time.Second
+	// DefaultInFlight bounds the calls of one connection that wait for their reply.
+	DefaultInFlight = 1024
+)
+
+// Identified is a message with the identity of its exchange.
+type Identified interface {
+	Identity() string
+}
+
+// Client calls other processes by address.
+type Client struct {
+	clock    timer.Service
+	tls      *tls.Config
+	inFlight int
+	lanes    container.Table[container.Connection, string, *lane]
+}
+
+// Option sets a property of a Client.
+type Option func(*Client)
+
+// WithTLS connects over TLS. Without it the client speaks plain text.
+func WithTLS(c *tls.Config) Option { return func(cl *Client) { cl.tls = c } }
+
+// NewClient returns a Client without connections.
+func NewClient(clock timer.Service, opts ...Option) *Client {
+	c := &Client{clock: clock, inFlight: DefaultInFlight}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Call calls method at address and waits for the reply until ctx ends or timeout has passed. The error wraps
+// ErrUnsent, ErrLost or ErrMismatch, or is the error that the method returned.
+func (c *Client) Call(ctx context.Context, address, method string, args Identified, reply Identified, timeout time.Duration) error {
+	l, _ := c.lanes.PutAbsent(address, newLane(c.inFlight))
+	release, ok := l.enter(ctx)
+	if !ok {
+		return fmt.Errorf("call %s: %w: %w", method, ErrUnsent, ctx.Err())
+	}
+	defer release()
+	conn, err := l.connect(ctx, func(ctx context.Context) (net.Conn, error) { return c.dial(ctx, address) })
+	if err != nil {
+		return fmt.Errorf("call %s: %w: %w", method, ErrUnsent, err)
+	}
+	return c.exchange(ctx, l, conn, method, args, reply, timeout)
+}
+
+// Drop closes the connection to address; its open calls fail with ErrLost.
+func (c *Client) Drop(address string) {
+	if l, ok := c.lanes.Delete(address); ok {
+		l.drop(nil)
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	for _, l := range c.lanes.Values() {
+		l.drop(nil)
+	}
+}
+
+func (c *Client) exchange(ctx context.Context, l *lane, conn *rpc.Client, method string, args, reply Identified, timeout time.Duration) error {
+	alarm := c.clock.After(timeout)
+	defer alarm.Stop()
+	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		return fmt.Errorf("call %s: %w: %w", method, ErrLost, ctx.Err())
+	case <-alarm.C():
+		return fmt.Errorf("call %s: %w: no reply in %v", method, ErrLost, timeout)
+	}
+	var remote rpc.ServerError
+	switch {
+	case call.Error == nil:
+	case errors.As(call.Error, &remote):
+		return fmt.Errorf("call %s: %w", method, call.Error)
+	default:
+		l.drop(conn)
+		return fmt.Errorf("call %s: %w: %w", method, ErrLost, call.Error)
+	}
+	if reply.Identity() != args.Identity() {
+		l.drop(conn)
+		return fmt.Errorf("call %s: %w", method, ErrMismatch)
+	}
+	return nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := timer.WithTimeout(ctx, c.clock, dialTimeout)
+	defer cancel()
+	if c.tls == nil {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("dial %s: %w", address, err)
+		}
+		return conn, nil
+	}
+	conn, err := (&tls.Dialer{Config: c.tls}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/adapter/rpcclient/rpcclient_test.go
@@ -0,0 +1,88 @@
+package rpcclient_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// slowAgent answers a read when it is told to, and a settlement with a foreign identity.
+type slowAgent struct{ release chan struct{} }
+
+// Read waits for the release.
+func (a *slowAgent) Read(args messenger.ReadRequest, reply *messenger.ReadReply) error {
+	<-a.release
+	reply.Envelope, reply.Known = args.Envelope, true
+	return nil
+}
+
+// Settle answers with the identity of another exchange.
+func (*slowAgent) Settle(_ messenger.SettleRequest, reply *messenger.SettleReply) error {
+	reply.Envelope = messenger.Envelope{ID: "other/0"}
+	return nil
+}
+
+func serve(c *qt.C, receiver any) string {
+	s := rpcserver.NewServer()
+	c.Assert(s.Register("Agent", receiver), qt.IsNil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	s.Start(l)
+	c.Cleanup(func() { c.Check(s.Close(), qt.IsNil) })
+	return l.Addr().String()
+}
+
+func newClient(c *qt.C) *rpcclient.Client {
+	clock := timer.NewSystem()
+	client := rpcclient.NewClient(clock)
+	c.Cleanup(clock.Close)
+	c.Cleanup(client.Close)
+	return client
+}
+
+// Guards against a data race: a reply that arrives after its call was given up must not touch what the caller reads.
+func TestLateReplyIsNotShared(t *testing.T) {
+	c := qt.New(t)
+	agent := &slowAgent{release: make(chan struct{})}
+	address := serve(c, agent)
+	agents := rpcclient.NewAgents(newClient(c))
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, known, delivery := agents.Read(ctx, router.Target{Address: address}, identifier.Attempt{Request: "a"}, 0)
+	close(agent.release)
+	c.Assert(delivery, qt.Equals, dispatcher.Unclear)
+	c.Assert(known, qt.IsFalse)
+}
+
+// Guards against an answer that is handed to the wrong request.
+func TestReplyOfAnotherCallIsRefused(t *testing.T) {
+	c := qt.New(t)
+	address := serve(c, &slowAgent{})
+	client := newClient(c)
+	args := &messenger.SettleRequest{Envelope: messenger.Envelope{ID: "a/0"}}
+	err := client.Call(context.Background(), address, "Agent.Settle", args, &messenger.SettleReply{}, time.Second)
+	c.Assert(errors.Is(err, rpcclient.ErrMismatch), qt.IsTrue)
+}
+
+// Guards against a call that is reported as possibly run although nothing was sent.
+func TestRefusedConnectionIsUnsent(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := l.Addr().String()
+	c.Assert(l.Close(), qt.IsNil)
+	_, delivery := rpcclient.NewAgents(newClient(c)).Start(context.Background(), router.Target{Address: address}, dispatcher.Start{})
+	c.Assert(delivery, qt.Equals, dispatcher.Unsent)
+}
--- /dev/null
+++ b/internal/adapter/rpcserver/rpcserver.go
@@ -0,0 +1,95 @@
+// Package rpcserver serves net/rpc to the system's own processes.
+package rpcserver
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/mimosalb/mimosalb/internal/container"
+)
+
+// DefaultInFlight bounds the calls of one connection that run at a time. Further calls wait in the socket.
+const DefaultInFlight = 1024
+
+// Server accepts connections and serves the registered receivers on them.
+type Server struct {
+	rpc      *rpc.Server
+	tls      *tls.Config
+	inFlight int
+	listener net.Listener
+	conns    container.Table[container.Connection, net.Conn, struct{}]
+	done     sync.WaitGroup
+}
+
+// Option sets a property of a Server.
+type Option func(*Server)
+
+// WithTLS serves over TLS. Without it the server speaks plain text.
+func WithTLS(c *tls.Config) Option { return func(s *Server) { s.tls = c } }
+
+// WithInFlight bounds the calls of one connection that run at a time.
+func WithInFlight(n int) Option { return func(s *Server) { s.inFlight = n } }
+
+// NewServer returns a Server without receivers.
+func NewServer(opts ...Option) *Server {
+	s := &Server{rpc: rpc.NewServer(), inFlight: DefaultInFlight}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// Register adds the methods of receiver under name.
+func (s *Server) Register(name string, receiver any) error {
+	if err := s.rpc.RegisterName(name, receiver); err != nil {
+		return fmt.Errorf("register %s: %w", name, err)
+	}
+	return nil
+}
+
+// Start serves connections of l until Close.
+func (s *Server) Start(l net.Listener) {
+	if s.tls != nil {
+		l = tls.NewListener(l, s.tls)
+	}
+	s.listener = l
+	s.done.Add(1)
+	go s.accept(l)
+}
+
+// Close stops the listener, closes all connections and waits for their goroutines.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	s.conns.Each(func(c net.Conn, _ struct{}) bool {
+		_ = c.Close()
+		return true
+	})
+	s.done.Wait()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) accept(l net.Listener) {
+	defer s.done.Done()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.conns.Put(c, struct{}{})
+		s.done.Add(1)
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer s.done.Done()
+	defer s.conns.Delete(c)
+	s.rpc.ServeCodec(newCodec(c, s.inFlight))
+}
--- /dev/null
+++ b/internal/demonstrator/step.go
@@ -0,0 +1,209 @@
+package demonstrator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/standin/engine"
+	"github.com/mimosalb/mimosalb/internal/standin/service"
+)
+
+// withdrawalLimit is how long a withdrawn key may go on working.
+const withdrawalLimit = 3 * time.Second
+
+// configure applies the configuration and makes the keys.
+type configure struct{}
+
+func (configure) Name() string { return "configuration applied, keys created" }
+
+func (configure) Run(ctx context.Context, s *Session) (string, error) {
+	doc := codec.Document{
+		Preset: configurator.Ordinary,
+		Zones:  []codec.Zone{{Name: "lagos-ikeja", Region: "lagos"}, {Name: "kano-nassarawa", Region: "kano"}},
+		Teams:  []codec.Team{{Name: "routing", Weight: 2}, {Name: "billing"}},
+		Services: []codec.Service{
+			{Name: "sortmind", Kind: configurator.Model},
+			{Name: "manifest", Kind: configurator.Plain, Once: true},
+		},
+		Presets: []codec.Rule{{Name: configurator.Ordinary}, {Name: configurator.Peak, Training: true}, {Name: configurator.Maintenance}},
+	}
+	r, err := s.Client.Operator(ctx, http.MethodPut, "/v1/config", map[string]string{"If-Match": "0"}, doc)
+	if err := expect(r, err, http.StatusOK); err != nil {
+		return "", err
+	}
+	for name, team := range map[string]string{"driver": "routing", "clerk": "billing", "guest": "routing"} {
+		r, err := s.Client.Operator(ctx, http.MethodPost, "/v1/keys", nil, map[string]string{"name": name, "team": team})
+		if err := expect(r, err, http.StatusCreated); err != nil {
+			return "", err
+		}
+		var made struct {
+			Key string `json:"key"`
+		}
+		if err := json.Unmarshal(r.Body, &made); err != nil {
+			return "", fmt.Errorf("read key: %w", err)
+		}
+		s.Keys[name] = made.Key
+	}
+	err = s.Client.Await(ctx, 10*time.Second, func() bool {
+		r, err := s.Client.Caller(ctx, http.MethodPost, "/v1/completions", s.Keys["driver"], completion("ready", 1, false))
+		if err != nil || r.Status != http.StatusOK {
+			return false
+		}
+		r, err = s.Client.Caller(ctx, http.MethodPost, "/v1/services/manifest/ready", s.Keys["clerk"], nil)
+		return err == nil && r.Status == http.StatusOK
+	})
+	if err != nil {
+		return "", fmt.Errorf("targets serve: %w", err)
+	}
+	return fmt.Sprintf("%d services, %d keys", len(doc.Services), len(s.Keys)), nil
+}
+
+// streamAnswer streams an answer and compares every token with what the engine must say.
+type streamAnswer struct{}
+
+func (streamAnswer) Name() string { return "everyday caller streams an answer" }
+
+func (streamAnswer) Run(ctx context.Context, s *Session) (string, error) {
+	const length = 100
+	var text strings.Builder
+	done := false
+	err := s.Client.Events(ctx, "/v1/completions", s.Keys["driver"], completion("quote for depot", length, true), func(data string) bool {
+		if data == "[DONE]" {
+			done = true
+			return false
+		}
+		var body struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &body) == nil && len(body.Choices) == 1 {
+			text.WriteString(body.Choices[0].Text)
+		}
+		return true
+	})
+	if err != nil {
+		return "", err
+	}
+	want := expectedText("quote for depot", length)
+	if !done || text.String() != want {
+		return "", errors.New("the answer is not whole")
+	}
+	return fmt.Sprintf("%d tokens, all as the engine made them", length), nil
+}
+
+// callOnce makes a call that may not be repeated and asks the back end how often it ran.
+type callOnce struct{}
+
+func (callOnce) Name() string { return "non-repeatable call runs once" }
+
+func (callOnce) Run(ctx context.Context, s *Session) (string, error) {
+	r, err := s.Client.Caller(ctx, http.MethodPost, "/v1/services/manifest/check", s.Keys["clerk"], map[string]string{"manifest": "17"})
+	if err := expect(r, err, http.StatusOK); err != nil {
+		return "", err
+	}
+	var a service.Answer
+	if err := json.Unmarshal(r.Body, &a); err != nil {
+		return "", fmt.Errorf("read answer: %w", err)
+	}
+	back := s.Deployment.Standin.Services["manifest-1"]
+	if _, runs := back.Calls(r.Header.Get("X-Request-Id")); runs != 1 || a.Team != "billing" {
+		return "", fmt.Errorf("ran %d times for team %q", runs, a.Team)
+	}
+	if back.KeysSeen() != 0 {
+		return "", errors.New("the back end saw a key")
+	}
+	return "ran 1 time for its team, back end saw 0 keys", nil
+}
+
+// withdrawKey withdraws the key of an open stream.
+type withdrawKey struct{}
+
+func (withdrawKey) Name() string { return "withdrawn key refused, its open stream cut" }
+
+func (withdrawKey) Run(ctx context.Context, s *Session) (string, error) {
+	var withdrawn time.Time
+	var cut string
+	err := s.Client.Events(ctx, "/v1/completions", s.Keys["guest"], completion("long answer", 100000, true), func(data string) bool {
+		if withdrawn.IsZero() {
+			withdrawn = time.Now()
+			r, err := s.Client.Operator(ctx, http.MethodDelete, "/v1/keys/guest", nil, nil)
+			if expect(r, err, http.StatusOK) != nil {
+				return false
+			}
+		}
+		if strings.Contains(data, "key-withdrawn") {
+			cut = data
+		}
+		return cut == ""
+	})
+	took := time.Since(withdrawn)
+	if err != nil || cut == "" || took > withdrawalLimit {
+		return "", fmt.Errorf("stream not cut in %v: %w", withdrawalLimit, err)
+	}
+	r, err := s.Client.Caller(ctx, http.MethodPost, "/v1/completions", s.Keys["guest"], completion("again", 1, false))
+	if err := expect(r, err, http.StatusUnauthorized); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("cut after %v", took.Round(time.Millisecond)), nil
+}
+
+// switchPreset puts another preset in force.
+type switchPreset struct{}
+
+func (switchPreset) Name() string { return "preset switched" }
+
+func (switchPreset) Run(ctx context.Context, s *Session) (string, error) {
+	r, err := s.Client.Operator(ctx, http.MethodPut, "/v1/preset/peak", nil, nil)
+	if err := expect(r, err, http.StatusOK); err != nil {
+		return "", err
+	}
+	var doc codec.Document
+	r, err = s.Client.Operator(ctx, http.MethodGet, "/v1/config", nil, nil)
+	if err := expect(r, err, http.StatusOK); err != nil {
+		return "", err
+	}
+	if err := json.Unmarshal(r.Body, &doc); err != nil || doc.Preset != configurator.Peak {
+		return "", fmt.Errorf("preset %q in force: %w", doc.Preset, err)
+	}
+	return fmt.Sprintf("peak in force at revision %d", doc.Revision), nil
+}
+
+type completionBody struct {
+	Model     identifier.Service `json:"model"`
+	Prompt    string             `json:"prompt"`
+	MaxTokens int                `json:"max_tokens"`
+	Stream    bool               `json:"stream"`
+}
+
+func completion(prompt string, tokens int, stream bool) completionBody {
+	return completionBody{Model: "sortmind", Prompt: prompt, MaxTokens: tokens, Stream: stream}
+}
+
+// expectedText is the answer of the stand-in engine to a prompt.
+func expectedText(prompt string, tokens int) string {
+	words := strings.Fields(prompt)
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(" " + engine.Token(words, len(words)+i))
+	}
+	return text.String()
+}
+
+func expect(r Reply, err error, status int) error {
+	if err != nil {
+		return err
+	}
+	if r.Status != status {
+		return fmt.Errorf("status %d, want %d: %s", r.Status, status, r.Body)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatcher/answer.go
@@ -0,0 +1,86 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
+)
+
+// Ran tells whether a request ran.
+type Ran int
+
+const (
+	// NotRun means that the request did not run and will not.
+	NotRun Ran = iota
+	// RanUnknown means that the request may have run.
+	RanUnknown
+	// RanYes means that the request ran.
+	RanYes
+)
+
+// Reasons of refusals and failures that the dispatcher itself gives.
+const (
+	ReasonQueueFull = "queue-full"
+	ReasonNoTarget  = "no-target"
+	ReasonTimeout   = "timeout"
+	ReasonWithdrawn = "key-withdrawn"
+	ReasonCaller    = "caller-gone"
+	ReasonStopping  = "stopping"
+	ReasonTarget    = "target-failed"
+	ReasonCrashed   = "target-crashed"
+	ReasonLost      = "answer-lost"
+	ReasonRefused   = "targets-busy"
+)
+
+// Refusal says why a request was not taken. The zero value is no refusal.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Refused reports whether the request was not taken.
+func (r Refusal) Refused() bool { return r.Reason != "" }
+
+// Result is the truth about a request that has ended.
+type Result struct {
+	Ran    Ran
+	Final  streamer.Final
+	Reason string
+	// RetryAfter is a hint for a request that did not run.
+	RetryAfter time.Duration
+	Target     identifier.Target
+	Attempts   int
+	Queued     time.Duration
+	Took       time.Duration
+}
+
+// Answer is the answer to one request: its pieces as they come and its result at the end.
+type Answer struct {
+	streamer.Stream
+
+	result Result
+	done   chan struct{}
+}
+
+func newAnswer() *Answer { return &Answer{done: make(chan struct{})} }
+
+// Done returns a channel that is closed when the result is there.
+func (a *Answer) Done() <-chan struct{} { return a.done }
+
+// Result returns the result. It must be called only after Done is closed.
+func (a *Answer) Result() Result {
+	select {
+	case <-a.done:
+		return a.result
+	default:
+		panic("invariant answer-result: the result is read after the end")
+	}
+}
+
+// finish sets the result, then ends the stream, so that a reader that sees the end also sees the result.
+func (a *Answer) finish(r Result) {
+	a.result = r
+	close(a.done)
+	a.Finish(r.Final)
+}
--- /dev/null
+++ b/internal/standin/store/message.go
@@ -0,0 +1,64 @@
+package store
+
+// The messages of the etcd v3 JSON protocol, as far as the stand-in serves them.
+
+type rangeRequest struct {
+	Key []byte `json:"key"`
+	End []byte `json:"range_end"`
+}
+
+type keyValue struct {
+	Key     []byte `json:"key"`
+	Value   []byte `json:"value"`
+	Changed int64  `json:"mod_revision,string"`
+}
+
+type rangeReply struct {
+	KVs []keyValue `json:"kvs"`
+}
+
+type txnRequest struct {
+	Compare []struct {
+		Key     []byte `json:"key"`
+		Changed int64  `json:"mod_revision,string"`
+	} `json:"compare"`
+	Success []struct {
+		Put *struct {
+			Key   []byte `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease,string"`
+		} `json:"request_put"`
+		Delete *rangeRequest `json:"request_delete_range"`
+	} `json:"success"`
+}
+
+type txnReply struct {
+	Succeeded bool `json:"succeeded"`
+}
+
+type leaseMessage struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+type keepAliveReply struct {
+	Result leaseMessage `json:"result"`
+}
+
+type watchRequest struct {
+	Create struct {
+		Key []byte `json:"key"`
+	} `json:"create_request"`
+}
+
+type watchEvent struct {
+	KV keyValue `json:"kv"`
+}
+
+type watchResult struct {
+	Events []watchEvent `json:"events"`
+}
+
+type watchReply struct {
+	Result watchResult `json:"result"`
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,162 @@
+// Package store is the stand-in for the platform's key-value service. It speaks the part of the etcd v3 JSON protocol
+// that the system uses: range, txn, leases and watch.
+package store
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/standin/switcher"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// valueLimit is the largest value in bytes.
+const valueLimit = 1 << 20
+
+// requestLimit bounds a request in bytes: a transaction of values in base64.
+const requestLimit = 8 << 20
+
+// Store keeps keys in memory.
+type Store struct {
+	// Switches are the failures that the store shows.
+	Switches switcher.Switcher
+
+	clock    timer.Service
+	mu       sync.Mutex
+	revision int64
+	keys     map[string]record
+	leases   map[int64]*lease
+	watchers map[chan event]string
+	reads    atomic.Int64
+	writes   atomic.Int64
+}
+
+type record struct {
+	value   []byte
+	changed int64
+	lease   int64
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Duration
+}
+
+type event struct {
+	key    string
+	record record
+}
+
+// NewStore returns an empty store.
+func NewStore(clock timer.Service) *Store {
+	return &Store{clock: clock, keys: map[string]record{}, leases: map[int64]*lease{}, watchers: map[chan event]string{}}
+}
+
+// Calls returns how many reads and writes the store has served.
+func (s *Store) Calls() (reads, writes int64) { return s.reads.Load(), s.writes.Load() }
+
+// Handler serves the protocol, and the switches under /switches.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v3/kv/range", handle(&s.reads, s.get))
+	mux.Handle("POST /v3/kv/txn", handle(&s.writes, s.commit))
+	mux.Handle("POST /v3/lease/grant", handle(&s.writes, s.grant))
+	mux.Handle("POST /v3/lease/keepalive", handle(&s.writes, s.keepAlive))
+	mux.Handle("POST /v3/lease/revoke", handle(&s.writes, s.revoke))
+	mux.HandleFunc("POST /v3/watch", s.watch)
+	outer := http.NewServeMux()
+	outer.Handle("/switches", s.Switches.Handler())
+	outer.Handle("/", s.Switches.Wrap(mux))
+	return outer
+}
+
+// handle decodes a request, counts it and encodes the reply. A false second result of f is a lease that is gone.
+func handle[Q, R any](count *atomic.Int64, f func(Q) (R, bool)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		var q Q
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, requestLimit)).Decode(&q); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		reply, ok := f(q)
+		if !ok {
+			http.Error(w, "etcdserver: requested lease not found", http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(reply)
+	})
+}
+
+func (s *Store) get(q rangeRequest) (rangeReply, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var reply rangeReply
+	for k, r := range s.keys {
+		if k == string(q.Key) || len(q.End) > 0 && k >= string(q.Key) && k < string(q.End) {
+			reply.KVs = append(reply.KVs, keyValue{Key: []byte(k), Value: r.value, Changed: r.changed})
+		}
+	}
+	slices.SortFunc(reply.KVs, func(a, b keyValue) int { return cmp.Compare(string(a.Key), string(b.Key)) })
+	return reply, true
+}
+
+func (s *Store) commit(q txnRequest) (txnReply, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, c := range q.Compare {
+		if s.keys[string(c.Key)].changed != c.Changed {
+			return txnReply{}, true
+		}
+	}
+	for _, op := range q.Success {
+		if op.Put != nil && (len(op.Put.Value) > valueLimit || op.Put.Lease != 0 && s.leases[op.Put.Lease] == nil) {
+			return txnReply{}, false
+		}
+	}
+	s.revision++
+	for _, op := range q.Success {
+		if op.Put != nil {
+			s.set(string(op.Put.Key), record{value: op.Put.Value, changed: s.revision, lease: op.Put.Lease})
+		}
+		if op.Delete != nil {
+			s.remove(string(op.Delete.Key))
+		}
+	}
+	return txnReply{Succeeded: true}, true
+}
+
+func (s *Store) set(key string, r record) {
+	s.keys[key] = r
+	s.publish(event{key: key, record: r})
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.keys[key]; ok {
+		delete(s.keys, key)
+		s.publish(event{key: key})
+	}
+}
+
+// publish hands an event to the watchers of its key. A watcher that does not keep up is cut and watches anew.
+func (s *Store) publish(e event) {
+	for c, key := range s.watchers {
+		if key != e.key {
+			continue
+		}
+		select {
+		case c <- e:
+		default:
+			delete(s.watchers, c)
+			close(c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tracer/tracer.go
@@ -0,0 +1,72 @@
+// Package tracer sets up the export of trace spans.
+package tracer
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+)
+
+// Settings choose where spans go. With neither field set they are dropped.
+type Settings struct {
+	// File gets one JSON object per span.
+	File string `yaml:"file"`
+	// OTLP is the URL of an OTLP receiver over HTTP.
+	OTLP string `yaml:"otlp"`
+}
+
+// Start sets the process's span export. The returned function flushes and ends it.
+func Start(ctx context.Context, process string, s Settings) (func(context.Context) error, error) {
+	exporter, file, err := open(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	if exporter == nil {
+		return func(context.Context) error { return nil }, nil
+	}
+	provider := trace.NewTracerProvider(
+		trace.WithBatcher(exporter),
+		trace.WithResource(resource.NewSchemaless(attribute.String("service.name", process))),
+	)
+	otel.SetTracerProvider(provider)
+	return func(ctx context.Context) error {
+		err := provider.Shutdown(ctx)
+		if file != nil {
+			_ = file.Close()
+		}
+		if err != nil {
+			return fmt.Errorf("flush spans: %w", err)
+		}
+		return nil
+	}, nil
+}
+
+func open(ctx context.Context, s Settings) (trace.SpanExporter, *os.File, error) {
+	switch {
+	case s.OTLP != "":
+		e, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(s.OTLP))
+		if err != nil {
+			return nil, nil, fmt.Errorf("open OTLP export: %w", err)
+		}
+		return e, nil, nil
+	case s.File != "":
+		f, err := os.OpenFile(s.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, nil, fmt.Errorf("open span file: %w", err)
+		}
+		e, err := stdouttrace.New(stdouttrace.WithWriter(f))
+		if err != nil {
+			return nil, nil, fmt.Errorf("open span export: %w", err)
+		}
+		return e, f, nil
+	default:
+		return nil, nil, nil
+	}
+}
--- /dev/null
+++ b/pkg/loader/settings.go
@@ -0,0 +1,94 @@
+// Package loader reads the YAML settings of the daemons and checks them whole before anything starts.
+package loader
+
+import "time"
+
+// Settings are the settings of one process. Which fields are required depends on the role.
+type Settings struct {
+	// Name identifies the process; it is unique in the deployment.
+	Name   string `yaml:"name"`
+	Zone   string `yaml:"zone"`
+	Region string `yaml:"region"`
+	// Callers, Operators and Peers are the addresses that an entry listens on, such as 127.0.0.1:8080. An agent listens
+	// on Peers and, for its health routes, on Operators.
+	Callers   string `yaml:"callers"`
+	Operators string `yaml:"operators"`
+	Peers     string `yaml:"peers"`
+	// Store and Platform are the base URLs of the key-value service and of the platform's interfaces.
+	Store    string `yaml:"store"`
+	Platform string `yaml:"platform"`
+	// Pepper is the file with the secret under which keys are hashed.
+	Pepper string `yaml:"pepper"`
+	// Data is the folder for bulk data; empty means that the VM has no disk.
+	Data string `yaml:"data"`
+	// Log is the lowest level that is logged: debug, info, warn or error.
+	Log string `yaml:"log"`
+	// Period is the time between two probes of a peer; zero means DefaultPeriod.
+	Period Duration `yaml:"period"`
+	// Workers bounds the requests that run at a time.
+	Workers int      `yaml:"workers"`
+	TLS     TLS      `yaml:"tls"`
+	Trace   Trace    `yaml:"trace"`
+	Target  Target   `yaml:"target"`
+	Standin *Standin `yaml:"standin"`
+}
+
+// DefaultPeriod is the time between two probes when the settings give none.
+const DefaultPeriod = time.Second
+
+// TLS holds the files for mutual TLS between the system's own processes. Plain must be set to do without.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+	Plain       bool   `yaml:"plain"`
+}
+
+// Trace chooses where spans go.
+type Trace struct {
+	File string `yaml:"file"`
+	OTLP string `yaml:"otlp"`
+}
+
+// Target describes the back end beside an agent.
+type Target struct {
+	Name    string `yaml:"name"`
+	Service string `yaml:"service"`
+	// Kind is model or plain.
+	Kind string `yaml:"kind"`
+	// Address is the base URL of the back end.
+	Address string `yaml:"address"`
+	// Concurrency bounds the attempts that run on the target at a time.
+	Concurrency int `yaml:"concurrency"`
+	// Fenced says that the back end refuses orders with an old fencing number.
+	Fenced bool `yaml:"fenced"`
+}
+
+// Standin lists the stand-ins that one process serves.
+type Standin struct {
+	Store    string          `yaml:"store"`
+	Platform string          `yaml:"platform"`
+	VMs      []VM            `yaml:"vms"`
+	Engines  []StandinTarget `yaml:"engines"`
+	Services []StandinTarget `yaml:"services"`
+}
+
+// StandinTarget is a stand-in back end and the address that it listens on.
+type StandinTarget struct {
+	Name    string `yaml:"name"`
+	Address string `yaml:"address"`
+	// Token is the time that an engine takes for one token.
+	Token Duration `yaml:"token"`
+}
+
+// VM is one row of the stand-in's VM list.
+type VM struct {
+	Name    string `yaml:"name"`
+	Role    string `yaml:"role"`
+	Zone    string `yaml:"zone"`
+	Region  string `yaml:"region"`
+	State   string `yaml:"state"`
+	Address string `yaml:"address"`
+	Service string `yaml:"service"`
+	Target  string `yaml:"target"`
+}
