--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -43,16 +43,45 @@
 }
 
 // Swap writes value to key if the key was last changed at changed (zero: is absent). The value must be unlike any
-// other value written to the key, because a lost answer is settled by comparing it. The outcome is Unknown only when
-// the key-value service could not be asked either.
+// other value written to the key, because a lost answer is settled by comparing it.
 func (s *Storer) Swap(ctx context.Context, key string, changed int64, value []byte, lease Lease) Outcome {
+	return s.Commit(ctx, Transaction{}.WithGuard(key, changed).WithPut(key, value, lease))
+}
+
+// Commit applies a transaction whose first guard and first write are of the same key. That write must be unlike any
+// other to its key: a lost answer is settled by reading it back. The outcome is Unknown only when that failed too.
+func (s *Storer) Commit(ctx context.Context, t Transaction) Outcome {
+	if len(t.Guards) == 0 || len(t.Puts) == 0 || t.Guards[0].Key != t.Puts[0].Key {
+		panic("invariant write-identity: a transaction begins with a guarded write of one key")
+	}
 	callCtx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
-	out := s.driver.Commit(callCtx, Transaction{}.WithGuard(key, changed).WithPut(key, value, lease))
+	out := s.driver.Commit(callCtx, t)
 	cancel()
 	if out != Unknown {
 		return out
 	}
-	return s.settle(ctx, key, changed, value)
+	return s.settle(ctx, t.Puts[0].Key, t.Guards[0].Changed, t.Puts[0].Value)
+}
+
+// Grant makes a lease that lapses ttl after its last renewal.
+func (s *Storer) Grant(ctx context.Context, ttl time.Duration) (Lease, Outcome) {
+	ctx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
+	defer cancel()
+	return s.driver.Grant(ctx, ttl)
+}
+
+// KeepAlive renews a lease. Conflict means that it has lapsed.
+func (s *Storer) KeepAlive(ctx context.Context, l Lease) Outcome {
+	ctx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
+	defer cancel()
+	return s.driver.KeepAlive(ctx, l)
+}
+
+// Revoke ends a lease and deletes its keys.
+func (s *Storer) Revoke(ctx context.Context, l Lease) Outcome {
+	ctx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
+	defer cancel()
+	return s.driver.Revoke(ctx, l)
 }
 
 // Watch calls changed for each change of key until ctx ends or the connection fails.
