--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 
 build:
 	$(GO) build -o bin/ ./cmd/...
+
+# bench runs every benchmark that a document quotes.
+bench:
+	$(GO) run ./bench
--- /dev/null
+++ b/internal/bencher/bencher_test.go
@@ -0,0 +1,25 @@
+package bencher_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mimosalb/mimosalb/internal/bencher"
+)
+
+// Guards against a figure that misses its target and is printed as met.
+func TestTableShowsMissedTargets(t *testing.T) {
+	figures := []bencher.Figure{
+		{Name: "a/within", Unit: "ns", Value: 140, Baseline: 100, Target: bencher.AtMostTimes(1.5)},
+		{Name: "a/over", Unit: "ns", Value: 160, Baseline: 100, Target: bencher.AtMostTimes(1.5)},
+		{Name: "a/under", Unit: "req/s", Value: 90, Baseline: 100, Target: bencher.AtLeastTimes(0.95)},
+		{Name: "a/value", Unit: "bytes/s", Value: 22000, Target: bencher.AtMost(21000)},
+		{Name: "a/slope", Unit: "ns/node", Value: 3},
+	}
+	var out strings.Builder
+	qt.Assert(t, bencher.WriteTable(&out, figures), qt.IsNil)
+	goldie.New(t).Assert(t, "table", []byte(out.String()))
+}
