--- a/bench/main.go
+++ b/bench/main.go
@@ -18,8 +18,9 @@
 	out := kingpin.Flag("out", "File for the JSON form; none when empty.").String()
 	kingpin.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if err := run(ctx, *only, *out); err != nil {
+	err := run(ctx, *only, *out)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
--- a/internal/bencher/bencher.go
+++ b/internal/bencher/bencher.go
@@ -76,8 +76,8 @@
 // benches holds the registered benchmarks. It is written only while the program initialises.
 var benches []Bench
 
-// register adds a benchmark. Each file of this package registers its own.
-func register(name string, run func(ctx context.Context) ([]Figure, error)) bool {
+// Register adds a benchmark. Each file of this package registers its own when the program starts.
+func Register(name string, run func(ctx context.Context) ([]Figure, error)) bool {
 	benches = append(benches, Bench{Name: name, Run: run})
 	return true
 }
