spec: models of lease, configuration, report, hand-over and gate

Cause: the invariants depend on lost answers, pauses and restarts in orders that tests do not reach by chance.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,7 @@
 # bench runs every benchmark that a document quotes.
 bench:
 	$(GO) run ./bench
+
+# spec checks the models of the core protocol with spin; each seeded fault must be caught.
+spec:
+	spec/check
