scheduler: fair shares on three levels, and early refusal

Cause: the first queue shared between teams only and charged what was asked, not what was used; it took work that could not start in time. Change: start-time fair queueing between calls and rollouts, between teams and between callers, in heaps; charges are corrected by the work done; an item whose estimated wait passes its deadline is refused with that estimate.

--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -21,7 +21,6 @@
 
 // Reasons of refusals and failures that the dispatcher itself gives.
 const (
-	ReasonQueueFull = "queue-full"
 	ReasonNoTarget  = "no-target"
 	ReasonTimeout   = "timeout"
 	ReasonWithdrawn = "key-withdrawn"
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -28,7 +28,9 @@
 	Service  configurator.Service
 	Call     executor.Call
 	// Class orders the request in the queue; lower classes go first.
-	Class int
+	Class scheduler.Class
+	// Rollout marks work for a trainer.
+	Rollout bool
 	// Expected is the expected engine work, for limits and fairness.
 	Expected identifier.Tokens
 }
@@ -121,20 +123,24 @@
 		answer:  newAnswer(),
 		latest:  d.clock.Boot() + timeout,
 	}
-	item := scheduler.Item[*job]{
-		Team:   r.Identity.Team,
-		Weight: team.Weight,
-		Cost:   r.Expected,
-		Class:  r.Class,
-		Work:   j,
+	j.item = scheduler.Item[*job]{
+		Class:   r.Class,
+		Rollout: r.Rollout,
+		Share:   d.config.Current().Rule().Share(),
+		Team:    r.Identity.Team,
+		Caller:  r.Identity.Caller,
+		Weight:  team.Weight,
+		Cost:    r.Expected,
+		Latest:  j.latest,
+		Work:    j,
 	}
-	if !d.queue.Offer(item) {
+	if v := d.queue.Offer(j.item, d.clock.Boot()); v.Refused {
 		d.admitter.Release(ask, 0)
 		cancel()
-		return nil, Refusal{Reason: ReasonQueueFull, RetryAfter: queueRetry}
+		return nil, Refusal{Reason: v.Reason, RetryAfter: max(v.RetryAfter, queueRetry)}
 	}
 	return j.answer, Refusal{}
 }
 
-// queueRetry is the retry hint when the queue is full.
+// queueRetry is the least retry hint when the queue refuses.
 const queueRetry = time.Second
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -14,6 +14,7 @@
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/retrier"
 	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/scheduler"
 	"github.com/mimosalb/mimosalb/internal/streamer"
 )
 
@@ -25,6 +26,7 @@
 	ask     admitter.Ask
 	answer  *Answer
 	latest  time.Duration
+	item    scheduler.Item[*job]
 
 	attempts int
 	ran      bool
@@ -48,6 +50,7 @@
 	result.Attempts = j.attempts
 	result.Took = d.clock.Boot() - start
 	d.admitter.Release(j.ask, j.tokens)
+	d.queue.Settle(j.item, j.tokens, d.clock.Boot())
 	j.answer.finish(result)
 	for _, f := range d.ended {
 		f(Ended{Request: j.request, Result: result})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,76 +1,98 @@
-// Package scheduler shares the entry's workers among teams by start-time fair queueing.
+// Package scheduler shares the entry's workers among teams by hierarchical start-time fair queueing: first between
+// everyday calls and rollouts, then between teams, then between the callers of a team.
 package scheduler
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
+// Class orders work before fairness does: a lower class is served first.
+type Class int
+
+// Classes of work.
+const (
+	// ClassScoring is for scoring rollouts in training windows.
+	ClassScoring Class = -1
+	// ClassNormal is for all other work.
+	ClassNormal Class = 0
+)
+
 // Item is queued work with what the scheduler needs to order it.
 type Item[T any] struct {
-	Team identifier.Team
+	Class Class
+	// Rollout marks work for trainers; Share is the part of the work that all rollouts get next to everyday calls.
+	Rollout bool
+	Share   float64
+	Team    identifier.Team
+	Caller  identifier.Caller
 	// Weight is the team's share; zero counts as one.
 	Weight float64
 	// Cost is the expected engine work in tokens; less than one counts as one.
 	Cost identifier.Tokens
-	// Class orders work before fairness does: a lower class is served first.
-	Class int
-	// Latest is the last moment at which starting still makes sense; zero is no bound.
-	Latest time.Time
+	// Latest is the boot clock time after which starting makes no sense; zero is no bound.
+	Latest time.Duration
 	Work   T
 }
 
+// Verdict is the outcome of offering an item.
+type Verdict struct {
+	Refused bool
+	Reason  string
+	// RetryAfter estimates when the queue will have room for such an item.
+	RetryAfter time.Duration
+}
+
+// Reasons of a refusal.
+const (
+	ReasonFull = "queue-full"
+	ReasonLate = "queue-too-long"
+)
+
 // DefaultCapacity bounds the items that wait in a scheduler of capacity zero.
 const DefaultCapacity = 4096
 
 // Scheduler is a bounded fair queue. The zero value is an empty queue of DefaultCapacity.
 //
-// Invariants: within a class the team with the least weighted work goes first; an idle team gains no credit. Lock
+// Invariants: within a class the flow with the least weighted work goes first; an idle flow gains no credit. Lock
 // rank: container.RankScheduler.
 type Scheduler[T any] struct {
 	Capacity int
 
 	lock    container.Lock[container.Scheduler]
-	flows   map[flowKey]*flow[T]
-	virtual float64
+	classes []classRoot[T]
 	size    int
+	backlog float64
+	rate    drainRate
 	wake    chan struct{}
 }
 
-type flowKey struct {
-	class int
-	team  identifier.Team
-}
-
-// flow is the backlog of one team in one class. start is the virtual time at which its first item starts.
-type flow[T any] struct {
-	items container.Queue[Item[T]]
-	start float64
-	end   float64
+// classRoot is the fair queue of one class.
+type classRoot[T any] struct {
+	class Class
+	root  *node[T]
 }
 
-// Offer queues an item. It reports false when the queue is full.
-func (s *Scheduler[T]) Offer(item Item[T]) bool {
+// Offer queues an item unless the queue is full or the item could not start before its latest time.
+func (s *Scheduler[T]) Offer(item Item[T], now time.Duration) Verdict {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	capacity := s.Capacity
-	if capacity <= 0 {
-		capacity = DefaultCapacity
-	}
-	if s.size >= capacity {
-		return false
+	if s.size >= s.capacity() {
+		return Verdict{Refused: true, Reason: ReasonFull, RetryAfter: s.rate.wait(s.backlog / float64(s.size))}
 	}
-	f := s.flow(flowKey{class: item.Class, team: item.Team})
-	if f.items.Len() == 0 {
-		f.start = max(s.virtual, f.end)
+	wait := s.estimate(item)
+	if item.Latest > 0 && now+wait > item.Latest {
+		return Verdict{Refused: true, Reason: ReasonLate, RetryAfter: now + wait - item.Latest}
 	}
-	f.items.Push(item)
+	s.root(item.Class).push(item, item.path())
 	s.size++
+	s.backlog += item.cost()
 	s.notify()
-	return true
+	return Verdict{}
 }
 
 // Next waits for the item that is due next until ctx ends.
@@ -89,6 +111,15 @@
 	}
 }
 
+// Settle corrects what the flows of an item were charged, once the work that was really done is known, and counts it
+// towards the drain rate.
+func (s *Scheduler[T]) Settle(item Item[T], used identifier.Tokens, now time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.rate.add(float64(max(used, 0)), now)
+	s.root(item.Class).charge(item.path(), float64(used)-item.cost())
+}
+
 // Len returns the number of waiting items.
 func (s *Scheduler[T]) Len() int {
 	s.lock.Lock()
@@ -96,60 +127,57 @@
 	return s.size
 }
 
+// Wait estimates how long an item would wait if it were queued now.
+func (s *Scheduler[T]) Wait(item Item[T]) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.estimate(item)
+}
+
+func (s *Scheduler[T]) capacity() int {
+	if s.Capacity <= 0 {
+		return DefaultCapacity
+	}
+	return s.Capacity
+}
+
 func (s *Scheduler[T]) take() (Item[T], bool, <-chan struct{}) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	f, ok := s.first()
-	if !ok {
-		if s.wake == nil {
-			s.wake = make(chan struct{})
+	for _, c := range s.classes {
+		if item, ok := c.root.pop(); ok {
+			s.size--
+			s.backlog -= item.cost()
+			return item, true, nil
 		}
-		return Item[T]{}, false, s.wake
 	}
-	item, _ := f.items.Pop()
-	s.size--
-	s.virtual = max(s.virtual, f.start)
-	f.end = f.start + float64(max(item.Cost, 1))/weight(item.Weight)
-	f.start = f.end
-	return item, true, nil
-}
-
-// first returns the backlogged flow of the lowest class that has the earliest start.
-func (s *Scheduler[T]) first() (*flow[T], bool) {
-	var best *flow[T]
-	var bestKey flowKey
-	for k, f := range s.flows {
-		if f.items.Len() == 0 {
-			if f.end <= s.virtual {
-				delete(s.flows, k)
-			}
-			continue
-		}
-		if best == nil || k.class < bestKey.class || k.class == bestKey.class && before(f.start, k, best.start, bestKey) {
-			best, bestKey = f, k
-		}
+	if s.wake == nil {
+		s.wake = make(chan struct{})
 	}
-	return best, best != nil
+	return Item[T]{}, false, s.wake
 }
 
-// before orders flows by start; the name breaks ties so that the order does not depend on the map.
-func before(start float64, k flowKey, otherStart float64, other flowKey) bool {
-	if start != otherStart {
-		return start < otherStart
+// estimate returns how long an item would wait: the work of earlier classes and of its own flow's part of its class,
+// at the present drain rate. Without a known rate it is zero.
+func (s *Scheduler[T]) estimate(item Item[T]) time.Duration {
+	ahead := 0.0
+	for _, c := range s.classes {
+		if c.class < item.Class {
+			ahead += c.root.backlog
+		}
+		if c.class == item.Class {
+			ahead += c.root.ahead(item.path())
+		}
 	}
-	return k.team < other.team
+	return s.rate.wait(ahead)
 }
 
-func (s *Scheduler[T]) flow(k flowKey) *flow[T] {
-	if s.flows == nil {
-		s.flows = make(map[flowKey]*flow[T])
-	}
-	f, ok := s.flows[k]
+func (s *Scheduler[T]) root(class Class) *node[T] {
+	i, ok := slices.BinarySearchFunc(s.classes, class, func(c classRoot[T], class Class) int { return int(c.class - class) })
 	if !ok {
-		f = &flow[T]{}
-		s.flows[k] = f
+		s.classes = slices.Insert(s.classes, i, classRoot[T]{class: class, root: &node[T]{}})
 	}
-	return f
+	return s.classes[i].root
 }
 
 func (s *Scheduler[T]) notify() {
@@ -159,9 +187,22 @@
 	}
 }
 
-func weight(w float64) float64 {
-	if w <= 0 {
-		return 1
+// cost returns the expected work, at least one token.
+func (i Item[T]) cost() float64 { return float64(max(i.Cost, 1)) }
+
+// path returns the flows of the item from the root down.
+func (i Item[T]) path() [depth]flow {
+	kind := flow{name: "calls", weight: 1 - i.share()}
+	if i.Rollout {
+		kind = flow{name: "rollouts", weight: i.share()}
+	}
+	return [depth]flow{kind, {name: string(i.Team), weight: i.Weight}, {name: string(i.Caller), weight: 1}}
+}
+
+// share returns the part of the work that rollouts get; a half unless the item sets it.
+func (i Item[T]) share() float64 {
+	if i.Share <= 0 || i.Share >= 1 {
+		return 0.5
 	}
-	return w
+	return i.Share
 }
