scheduler: keep time for the run when work is refused early

The queue filled up to the deadline less the mean run, so every answer longer than the mean came late. Change: the estimated wait may take at most half of the time to the deadline, and less when the smoothed mean and four mean deviations of the run need more.

--- a/internal/bencher/fairness.go
+++ b/internal/bencher/fairness.go
@@ -63,7 +63,7 @@
 func (f *fair) item(j queueJob) scheduler.Item[queueJob] {
 	item := scheduler.Item[queueJob]{Team: identifier.Team(fmt.Sprint(j.team)), Cost: meanTokens, Work: j}
 	if f.deadline > 0 {
-		item.Latest = j.arrived + f.deadline - meanTokens*tokenTime
+		item.Deadline = j.arrived + f.deadline
 	}
 	return item
 }
@@ -79,7 +79,9 @@
 	return f.queue.Next(context.Background())
 }
 
-func (f *fair) done(j queueJob, now time.Duration) { f.queue.Settle(f.item(j), j.tokens, now) }
+func (f *fair) done(j queueJob, now time.Duration) {
+	f.queue.Settle(f.item(j), j.tokens, j.took(), now)
+}
 
 // queueEvent is an arrival or, with a job, the end of one.
 type queueEvent struct {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -125,15 +125,15 @@
 		prefix:  router.NewPrefix(r.Call.Prompt),
 	}
 	j.item = scheduler.Item[*job]{
-		Class:   r.Class,
-		Rollout: r.Rollout,
-		Share:   d.config.Current().Rule().Share(),
-		Team:    r.Identity.Team,
-		Caller:  r.Identity.Caller,
-		Weight:  team.Weight,
-		Cost:    r.Expected,
-		Latest:  j.latest,
-		Work:    j,
+		Class:    r.Class,
+		Rollout:  r.Rollout,
+		Share:    d.config.Current().Rule().Share(),
+		Team:     r.Identity.Team,
+		Caller:   r.Identity.Caller,
+		Weight:   team.Weight,
+		Cost:     r.Expected,
+		Deadline: j.latest,
+		Work:     j,
 	}
 	if v := d.queue.Offer(j.item, d.clock.Boot()); v.Refused {
 		d.admitter.Release(ask, 0)
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -51,7 +51,7 @@
 	result.Attempts = j.attempts
 	result.Took = d.clock.Boot() - start
 	d.admitter.Release(j.ask, j.tokens)
-	d.queue.Settle(j.item, j.tokens, d.clock.Boot())
+	d.queue.Settle(j.item, j.tokens, result.Took, d.clock.Boot())
 	j.answer.finish(result)
 	for _, f := range d.ended {
 		f(Ended{Request: j.request, Result: result})
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -52,3 +52,32 @@
 	}
 	return min(time.Duration(work/r.perSecond*float64(time.Second)), longestWait)
 }
+
+const (
+	// runShare is the least part of the time to a deadline that is kept for the run itself. A queue that used all of it
+	// would start most work too late: at twice the capacity a third of the tokens came after their deadline.
+	runShare = 0.5
+	// runGain and runDeviations follow the retransmission timer of RFC 6298.
+	runGain       = 1.0 / 8
+	runDeviations = 4
+)
+
+// runTime estimates how long a unit of expected work takes, as a smoothed mean and mean deviation in seconds.
+type runTime struct {
+	mean, deviation float64
+}
+
+// add counts one run.
+func (r *runTime) add(perUnit float64) {
+	if r.mean == 0 {
+		r.mean, r.deviation = perUnit, perUnit/2
+		return
+	}
+	r.deviation += runGain * (math.Abs(perUnit-r.mean) - r.deviation)
+	r.mean += runGain * (perUnit - r.mean)
+}
+
+// reserve returns the time to keep for a run of the given expected work.
+func (r *runTime) reserve(work float64) time.Duration {
+	return time.Duration(work * (r.mean + runDeviations*r.deviation) * float64(time.Second))
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -34,9 +34,9 @@
 	Weight float64
 	// Cost is the expected engine work in tokens; less than one counts as one.
 	Cost identifier.Tokens
-	// Latest is the boot clock time after which starting makes no sense; zero is no bound.
-	Latest time.Duration
-	Work   T
+	// Deadline is the boot clock time by which the work must have ended; zero is no bound.
+	Deadline time.Duration
+	Work     T
 }
 
 // Verdict is the outcome of offering an item.
@@ -68,6 +68,7 @@
 	size    int
 	backlog float64
 	rate    drainRate
+	runs    runTime
 	wake    chan struct{}
 }
 
@@ -77,7 +78,7 @@
 	root  *node[T]
 }
 
-// Offer queues an item unless the queue is full or the item could not start before its latest time.
+// Offer queues an item unless the queue is full or the item would probably miss its deadline.
 func (s *Scheduler[T]) Offer(item Item[T], now time.Duration) Verdict {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -85,8 +86,12 @@
 		return Verdict{Refused: true, Reason: ReasonFull, RetryAfter: s.rate.wait(s.backlog / float64(s.size))}
 	}
 	wait := s.estimate(item)
-	if item.Latest > 0 && now+wait > item.Latest {
-		return Verdict{Refused: true, Reason: ReasonLate, RetryAfter: now + wait - item.Latest}
+	if item.Deadline > 0 {
+		allowed := item.Deadline - now
+		allowed -= max(s.runs.reserve(item.cost()), time.Duration(float64(allowed)*runShare))
+		if wait > max(allowed, 0) {
+			return Verdict{Refused: true, Reason: ReasonLate, RetryAfter: wait - max(allowed, 0)}
+		}
 	}
 	s.root(item.Class).push(item, item.path())
 	s.size++
@@ -112,11 +117,12 @@
 }
 
 // Settle corrects what the flows of an item were charged, once the work that was really done is known, and counts it
-// towards the drain rate.
-func (s *Scheduler[T]) Settle(item Item[T], used identifier.Tokens, now time.Duration) {
+// towards the drain rate. took is how long the work ran.
+func (s *Scheduler[T]) Settle(item Item[T], used identifier.Tokens, took, now time.Duration) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.rate.add(float64(max(used, 0)), now)
+	s.runs.add(took.Seconds() / item.cost())
 	s.root(item.Class).charge(item.path(), float64(used)-item.cost())
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -95,30 +95,31 @@
 		work := next(c, &s)
 		counts[work]++
 		if work == "greedy" {
-			s.Settle(greedy, 10, 0)
+			s.Settle(greedy, 10, time.Second, 0)
 		}
 	}
 	c.Assert(counts["modest"] >= 19, qt.IsTrue, qt.Commentf("%v", counts))
 }
 
-// Guards against work that is queued although it can't start in time, and against a retry hint that is not the wait.
+// Guards against work that is queued although it can't end in time, and against a retry hint that is not the wait.
 func TestOfferRefusesLateWork(t *testing.T) {
 	c := qt.New(t)
 	var s scheduler.Scheduler[string]
 	one := item{Team: "a", Cost: 100, Work: "x"}
 	for i := range 51 {
-		s.Settle(one, 10, time.Duration(i)*100*time.Millisecond)
+		s.Settle(one, 10, time.Second, time.Duration(i)*100*time.Millisecond)
 	}
 	// 100 tokens a second; ten items of 100 tokens take ten seconds.
 	for range 10 {
 		c.Assert(s.Offer(one, 0).Refused, qt.IsFalse)
 	}
 	late := one
-	late.Latest = 4 * time.Second
+	late.Deadline = 8 * time.Second
 	v := s.Offer(late, 0)
 	c.Assert(v.Reason, qt.Equals, scheduler.ReasonLate)
+	// Half of the eight seconds are kept for the run.
 	c.Assert(math.Abs(v.RetryAfter.Seconds()-6) < 0.5, qt.IsTrue, qt.Commentf("%v", v.RetryAfter))
-	late.Latest = 11 * time.Second
+	late.Deadline = 22 * time.Second
 	c.Assert(s.Offer(late, 0).Refused, qt.IsFalse)
 }
 
