admitter: no linter finding

Cause: the lender landed with 1 finding about an append to another slice. Change: the kept grants are extended in place.

--- a/internal/admitter/lender.go
+++ b/internal/admitter/lender.go
@@ -57,7 +57,8 @@
 			kept = append(kept, old)
 		}
 	}
-	l.grants = append(kept, g)
+	kept = append(kept, g)
+	l.grants = kept
 	return l
 }
 
