loader: every fault names its field, in plain words

Cause: a bad duration was reported for a field called "value" and a wrong type in the words of the YAML library. The operators' listener was open to everybody. Change: loader.Decode compares a file with the type that it is read into and names the path of each fault; duplicate fields, second documents and stand-ins of one name are faults too. A new setting `operator` names the file with the operators' bearer token, which the operators' listener compares in constant time; health and metrics stay open. Before/after: "entry.yaml:12: value: want a duration" is now "entry.yaml:13: period: want a duration".

--- a/internal/adapter/httpserver/health.go
+++ b/internal/adapter/httpserver/health.go
@@ -12,6 +12,13 @@
 // storeRetry is the retry hint while the key-value service is not available.
 const storeRetry = 5 * time.Second
 
+// Paths of the health routes.
+const (
+	pathHealth  = "/healthz"
+	pathReady   = "/readyz"
+	pathMetrics = "/metrics"
+)
+
 // Health serves /healthz, /readyz and /metrics.
 type Health struct {
 	ready   func() bool
@@ -25,12 +32,12 @@
 
 // Register adds the health routes.
 func (h *Health) Register(e *echo.Echo) {
-	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", func(c echo.Context) error {
+	e.GET(pathHealth, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET(pathReady, func(c echo.Context) error {
 		if !h.ready() {
 			return c.String(http.StatusServiceUnavailable, "not ready\n")
 		}
 		return c.String(http.StatusOK, "ready\n")
 	})
-	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(h.metrics, promhttp.HandlerOpts{})))
+	e.GET(pathMetrics, echo.WrapHandler(promhttp.HandlerFor(h.metrics, promhttp.HandlerOpts{})))
 }
--- a/internal/demonstrator/client.go
+++ b/internal/demonstrator/client.go
@@ -16,6 +16,7 @@
 type Client struct {
 	callers   string
 	operators string
+	token     string
 	http      *http.Client
 }
 
@@ -24,6 +25,7 @@
 	return &Client{
 		callers:   "http://" + d.Entries[0].Callers,
 		operators: "http://" + d.Entries[0].Operators,
+		token:     d.Token,
 		http:      &http.Client{},
 	}
 }
@@ -42,7 +44,7 @@
 
 // Operator sends an operator's request.
 func (c *Client) Operator(ctx context.Context, method, path string, header map[string]string, body any) (Reply, error) {
-	return c.whole(ctx, method, c.operators+path, "", header, body)
+	return c.whole(ctx, method, c.operators+path, c.token, header, body)
 }
 
 // Events sends a caller's request and calls event with the data of each server-sent event until it returns false or the
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -53,6 +53,8 @@
 	Standin *runner.Standin
 	Agents  map[string]*runner.Agent
 	Entries []*runner.Entry
+	// Token is the operators' bearer token.
+	Token string
 
 	folder string
 }
@@ -77,6 +79,11 @@
 	if err := os.WriteFile(pepper, []byte(rand.Text()), 0o600); err != nil {
 		return fmt.Errorf("write pepper: %w", err)
 	}
+	d.Token = rand.Text()
+	operator := filepath.Join(folder, "operator")
+	if err := os.WriteFile(operator, []byte(d.Token), 0o600); err != nil {
+		return fmt.Errorf("write operator token: %w", err)
+	}
 	if err := d.startStandin(p, log); err != nil {
 		return err
 	}
@@ -90,7 +97,7 @@
 			Name: "entry-" + strconv.Itoa(i+1), Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
+			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -54,6 +54,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("read pepper: %w", err)
 	}
+	token, err := operatorToken(s.Operator)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{log: log, clock: timer.NewSystem(), cancel: cancel}
 	e.peers = rpcclient.NewClient(e.clock)
@@ -78,7 +82,7 @@
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	health := httpserver.NewHealth(e.ready.Load, metrics)
 	e.callers = httpserver.NewServer(health, httpserver.NewCallers(e.dispatcher, auth, config))
-	e.operators = httpserver.NewServer(health, httpserver.NewOperators(publish, config, pepper))
+	e.operators = httpserver.NewServer(health, httpserver.NewGuard(token), httpserver.NewOperators(publish, config, pepper))
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
 	}
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -4,20 +4,20 @@
 	"net"
 	"net/url"
 	"strconv"
-
-	"go.yaml.in/yaml/v3"
 )
 
 // checker collects the faults of settings, with the lines of their fields.
 type checker struct {
-	file     string
-	root     *yaml.Node
+	lines    Lines
 	problems []Problem
 }
 
 // check adds the faults of settings for a role.
 func (c *checker) check(s Settings, role Role) {
 	c.oneOf("log", s.Log, "", "debug", "info", "warn", "error")
+	if u, err := url.Parse(s.Trace.OTLP); s.Trace.OTLP != "" && (err != nil || u.Host == "") {
+		c.add("trace.otlp", "a URL such as http://127.0.0.1:4318")
+	}
 	if s.Workers < 0 {
 		c.add("workers", "a number of zero or more")
 	}
@@ -32,6 +32,7 @@
 		c.url("store", s.Store)
 		c.url("platform", s.Platform)
 		c.required("pepper", s.Pepper, "the file with the secret under which keys are hashed")
+		c.required("operator", s.Operator, "the file with the bearer token of the operators")
 	case RoleAgent:
 		c.checkNode(s)
 		c.checkTarget(s.Target)
@@ -70,24 +71,47 @@
 		c.add("standin", "the list of stand-ins")
 		return
 	}
+	c.optionalAddress("standin.store", s.Store)
+	c.optionalAddress("standin.platform", s.Platform)
 	names := make(map[string]bool)
 	for i, vm := range s.VMs {
-		field := "standin.vms[" + strconv.Itoa(i) + "]"
-		c.required(field+".name", vm.Name, "the name of the VM")
-		if names[vm.Name] {
-			c.add(field+".name", "a name that occurs once")
-		}
-		names[vm.Name] = true
+		field := index("standin.vms", i)
+		c.unique(field+".name", vm.Name, "the name of the VM", names)
 		c.required(field+".zone", vm.Zone, "the availability zone of the VM")
 		c.required(field+".region", vm.Region, "the region of the availability zone")
 		c.oneOf(field+".role", vm.Role, "entry", "target")
 		c.oneOf(field+".state", vm.State, "live", "leaving", "stopped")
 		c.address(field+".address", vm.Address)
 	}
+	backs := make(map[string]bool)
+	c.checkStandinTargets("standin.engines", s.Engines, backs)
+	c.checkStandinTargets("standin.services", s.Services, backs)
+}
+
+func (c *checker) checkStandinTargets(list string, targets []StandinTarget, names map[string]bool) {
+	for i, t := range targets {
+		field := index(list, i)
+		c.unique(field+".name", t.Name, "the name of the back end", names)
+		c.address(field+".address", t.Address)
+		if t.Token < 0 {
+			c.add(field+".token", "a duration of zero or more")
+		}
+	}
+}
+
+func index(list string, i int) string { return list + "[" + strconv.Itoa(i) + "]" }
+
+// unique adds a fault for a name that is empty or in names, to which it adds the name.
+func (c *checker) unique(field, name, want string, names map[string]bool) {
+	c.required(field, name, want)
+	if name != "" && names[name] {
+		c.add(field, "a name that occurs once")
+	}
+	names[name] = true
 }
 
 func (c *checker) add(field, want string) {
-	c.problems = append(c.problems, Problem{File: c.file, Line: lineOf(c.root, field), Field: field, Want: want})
+	c.problems = append(c.problems, c.lines.Problem(field, want))
 }
 
 func (c *checker) required(field, value, want string) {
@@ -116,6 +140,12 @@
 	}
 }
 
+func (c *checker) optionalAddress(field, value string) {
+	if value != "" {
+		c.address(field, value)
+	}
+}
+
 func (c *checker) url(field, value string) {
 	u, err := url.Parse(value)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
--- a/pkg/loader/duration.go
+++ b/pkg/loader/duration.go
@@ -7,6 +7,9 @@
 	"go.yaml.in/yaml/v3"
 )
 
+// wantDuration is what a duration field expects.
+const wantDuration = "a duration such as 250ms or 8s"
+
 // Duration is a time.Duration that is written like 250ms or 8s.
 type Duration time.Duration
 
@@ -14,7 +17,7 @@
 func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
 	v, err := time.ParseDuration(node.Value)
 	if err != nil {
-		return &fieldError{line: node.Line, want: "a duration such as 250ms or 8s"}
+		return &fieldError{line: node.Line, want: wantDuration}
 	}
 	*d = Duration(v)
 	return nil
--- a/pkg/loader/loader.go
+++ b/pkg/loader/loader.go
@@ -1,10 +1,8 @@
 package loader
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"regexp"
 	"strconv"
@@ -49,31 +47,20 @@
 
 // Parse reads settings from data. file is used in problems only.
 func Parse(file string, data []byte, role Role) (Settings, []Problem) {
-	var s Settings
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
-	if err := dec.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
-		return s, decodeProblems(file, err)
+	s, lines, problems := Decode[Settings](file, data)
+	if len(problems) > 0 {
+		return s, problems
 	}
-	var root yaml.Node
-	_ = yaml.Unmarshal(data, &root)
-	c := &checker{file: file, root: &root}
+	c := &checker{lines: lines}
 	c.check(s, role)
 	return s, c.problems
 }
 
-// decodeLine matches the messages of the YAML library that name a line.
-var decodeLine = regexp.MustCompile(`line (\d+): (.*)`)
+// syntaxLine matches the messages of the YAML library that name a line.
+var syntaxLine = regexp.MustCompile(`line (\d+): (.*)`)
 
-// unknownField matches its message for a field that the settings do not have.
-var unknownField = regexp.MustCompile(`field (\S+) not found`)
-
-// decodeProblems turns the errors of the YAML library into problems.
-func decodeProblems(file string, err error) []Problem {
-	var field *fieldError
-	if errors.As(err, &field) {
-		return []Problem{{File: file, Line: field.line, Field: "value", Want: field.want}}
-	}
+// syntaxProblems turns the errors of the YAML library into problems.
+func syntaxProblems(file string, err error) []Problem {
 	messages := []string{err.Error()}
 	var typeErr *yaml.TypeError
 	if errors.As(err, &typeErr) {
@@ -81,19 +68,12 @@
 	}
 	problems := make([]Problem, 0, len(messages))
 	for _, m := range messages {
-		problems = append(problems, decodeProblem(file, m))
+		p := Problem{File: file, Line: 1, Field: "YAML", Want: "valid YAML: " + strings.TrimPrefix(m, "yaml: ")}
+		if found := syntaxLine.FindStringSubmatch(m); found != nil {
+			p.Line, _ = strconv.Atoi(found[1])
+			p.Want = "valid YAML: " + found[2]
+		}
+		problems = append(problems, p)
 	}
 	return problems
 }
-
-func decodeProblem(file, message string) Problem {
-	p := Problem{File: file, Field: "YAML", Want: strings.TrimPrefix(message, "yaml: ")}
-	if m := decodeLine.FindStringSubmatch(message); m != nil {
-		p.Line, _ = strconv.Atoi(m[1])
-		p.Want = m[2]
-	}
-	if m := unknownField.FindStringSubmatch(message); m != nil {
-		p.Field, p.Want = m[1], "a field that the settings have"
-	}
-	return p
-}
--- a/pkg/loader/loader_test.go
+++ b/pkg/loader/loader_test.go
@@ -20,6 +20,7 @@
 store: http://127.0.0.1:2379
 platform: http://127.0.0.1:2380
 pepper: pepper.txt
+operator: operator.txt
 tls:
   plain: true
 `
@@ -38,6 +39,12 @@
 		{"unknown field", entry + "colour: blue\n"},
 		{"bad duration", entry + "period: soon\n"},
 		{"wrong type", entry + "workers: many\n"},
+		{"list for a text", strings.Replace(entry, "zone: macon", "zone: [macon]", 1)},
+		{"text for a group", entry + "trace: yes\n"},
+		{"field twice", entry + "zone: beaufort\n"},
+		{"unknown field in a group", entry + "target:\n  colour: blue\n"},
+		{"two documents", entry + "---\n" + entry},
+		{"bad trace receiver", entry + "trace: {otlp: nowhere}\n"},
 		{"not YAML", "name: [\n"},
 		{"zone without region", strings.Replace(entry, "region: south\n", "", 1)},
 		{"bad address", strings.Replace(entry, "127.0.0.1:8080", "8080", 1)},
@@ -56,6 +63,54 @@
 	goldie.New(t).Assert(t, "faults", []byte(out.String()))
 }
 
+// Guards against faults of the other roles that name no line and field.
+func TestParseNamesFaultsOfEachRole(t *testing.T) {
+	cases := []struct {
+		name, text string
+		role       loader.Role
+	}{
+		{"agent without target", "name: a\nzone: macon\nregion: south\npeers: 127.0.0.1:1\ntls: {plain: true}\n", loader.RoleAgent},
+		{"agent with a bad target", "target:\n  name: m\n  kind: other\n  concurrency: -1\n", loader.RoleAgent},
+		{"stand-in without list", "name: s\n", loader.RoleStandin},
+		{
+			"stand-in with one back end twice",
+			"standin:\n  engines:\n    - {name: m, address: \"127.0.0.1:1\", token: 1ms}\n    - {name: m, address: x}\n",
+			loader.RoleStandin,
+		},
+		{
+			"stand-in with a name in both lists",
+			"standin:\n  engines: [{name: m, address: \"127.0.0.1:1\"}]\n  services: [{name: m, address: \"127.0.0.1:2\"}]\n",
+			loader.RoleStandin,
+		},
+	}
+	var out strings.Builder
+	for _, tc := range cases {
+		fmt.Fprintf(&out, "# %s\n", tc.name)
+		_, problems := loader.Parse("settings.yaml", []byte(tc.text), tc.role)
+		for _, p := range problems {
+			fmt.Fprintln(&out, p)
+		}
+	}
+	goldie.New(t).Assert(t, "roles", []byte(out.String()))
+}
+
+// Guards against a panic or an endless walk on settings that nobody checked before.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{entry, "a: &x [*x]", "standin: &s\n  vms: [*s]\n", "target: {name: [", "period: 1", "\xff", "<<: 1"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, role := range []loader.Role{loader.RoleEntry, loader.RoleAgent, loader.RoleStandin} {
+			_, problems := loader.Parse("f.yaml", data, role)
+			for _, p := range problems {
+				if p.Line < 1 || p.Field == "" || p.Want == "" {
+					t.Errorf("problem %+v names no line, field or expectation", p)
+				}
+			}
+		}
+	})
+}
+
 // Guards against a VM list with one name twice.
 func TestParseNamesDuplicateVM(t *testing.T) {
 	const text = `standin:
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -19,6 +19,8 @@
 	Platform string `yaml:"platform"`
 	// Pepper is the file with the secret under which keys are hashed.
 	Pepper string `yaml:"pepper"`
+	// Operator is the file with the bearer token that operators present.
+	Operator string `yaml:"operator"`
 	// Data is the folder for bulk data; empty means that the VM has no disk.
 	Data string `yaml:"data"`
 	// Log is the lowest level that is logged: debug, info, warn or error.
