codec: configuration files are checked like settings

Cause: a configuration file had no check before it was sent; an edit from revision 0 could overwrite another first edit; a refused key edit still took a revision. Change: codec.Parse names file, line, field and expectation of each fault; configurator.Diff compares two documents without showing a hash. The operators' route takes If-Match 0 as the empty configuration only, and refused key edits are not stored. Before/after: creating a key of a taken name and withdrawing an unknown key took one revision each, now none.

--- /dev/null
+++ b/internal/adapter/codec/codec_test.go
@@ -0,0 +1,47 @@
+package codec_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+)
+
+// Guards against a document that changes on its way through the store, and against a panic on one that nobody checked.
+func FuzzDocument(f *testing.F) {
+	key := configurator.Key{Caller: "driver", Team: "routing", Withdrawn: true}
+	doc := configurator.Document{}.WithPreset(configurator.Peak).WithRevision(3).
+		WithTeams(configurator.Team{Name: "routing", Weight: 2}).WithKeys(key).
+		WithServices(configurator.Service{Name: "matcher", Kind: configurator.Model, Timeout: 3})
+	f.Add(codec.Encode(doc))
+	for _, seed := range []string{`{`, `null`, `{"services":[{"timeout":"x"}]}`, `{"keys":[{"hash":"AA=="}]}`, "preset: \xff", "zones: [{name: a}]"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, problems := codec.Parse("f.yaml", data)
+		for _, p := range problems {
+			if p.Line < 1 || p.Field == "" || p.Want == "" {
+				t.Errorf("problem %+v names no line, field or expectation", p)
+			}
+		}
+		d, err := codec.Decode(data)
+		if err != nil || len(d.Check()) > 0 {
+			return
+		}
+		again, err := codec.Decode(codec.Encode(d))
+		if err != nil || len(configurator.Diff(d, again)) > 0 || d.Revision() != again.Revision() {
+			t.Errorf("document changed: %v %v", configurator.Diff(d, again), err)
+		}
+	})
+}
+
+// Guards against a comparison that hides that a key was replaced, or shows its hash.
+func TestDiffNamesReplacedKey(t *testing.T) {
+	before := configurator.Document{}.WithKeys(configurator.Key{Caller: "driver", Team: "routing"})
+	after := configurator.Document{}.WithKeys(configurator.Key{Caller: "driver", Team: "routing", Hash: [32]byte{1}})
+	qt.Assert(t, configurator.Diff(before, after), qt.DeepEquals, []configurator.Change{{
+		Field: "keys[driver]", Before: "team=routing withdrawn=false", After: "team=routing withdrawn=false secret=changed",
+	}})
+}
--- /dev/null
+++ b/internal/adapter/codec/parse.go
@@ -0,0 +1,50 @@
+package codec
+
+import (
+	"encoding/base64"
+	"fmt"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/pkg/loader"
+)
+
+// Parse reads a configuration file in YAML or JSON. Each fault names the file, the line, the field and what is
+// expected there.
+func Parse(file string, data []byte) (configurator.Document, []loader.Problem) {
+	form, lines, problems := loader.Decode[Document](file, data)
+	if len(problems) > 0 {
+		return configurator.Document{}, problems
+	}
+	faults := form.Check()
+	var doc configurator.Document
+	if len(faults) == 0 {
+		var err error
+		if doc, err = form.Document(); err != nil {
+			faults = append(faults, configurator.Problem{Field: "YAML", Want: err.Error()})
+		}
+		faults = append(faults, doc.Check()...)
+	}
+	for _, f := range faults {
+		problems = append(problems, lines.Problem(f.Field, f.Want))
+	}
+	return doc, problems
+}
+
+// Check returns the faults of the form that a document cannot hold: hashes and durations that can't be read.
+func (f Document) Check() []configurator.Problem {
+	var ps []configurator.Problem
+	for i, k := range f.Keys {
+		if sum, err := base64.StdEncoding.DecodeString(k.Hash); err != nil || len(sum) != configurator.HashSize {
+			ps = append(ps, configurator.Problem{
+				Field: fmt.Sprintf("keys[%d].hash", i), Want: fmt.Sprintf("%d bytes in base64", configurator.HashSize),
+			})
+		}
+	}
+	for i, s := range f.Services {
+		if _, err := time.ParseDuration(s.Timeout); s.Timeout != "" && err != nil {
+			ps = append(ps, configurator.Problem{Field: fmt.Sprintf("services[%d].timeout", i), Want: "a duration such as 30s"})
+		}
+	}
+	return ps
+}
--- a/internal/adapter/httpserver/operator.go
+++ b/internal/adapter/httpserver/operator.go
@@ -65,8 +65,26 @@
 	if err != nil {
 		return refused(http.StatusBadRequest, "bad-field", err.Error()).write(c, 0)
 	}
-	result := o.editor.Edit(c.Request().Context(), identifier.Revision(base), func(configurator.Document) configurator.Document { return doc })
-	return o.answer(c, result)
+	return o.answer(c, o.replaceFrom(c.Request().Context(), identifier.Revision(base), doc))
+}
+
+// unchecked is a preset that no check accepts: a change that returns it is not stored and takes no revision.
+const unchecked configurator.Preset = "unchecked"
+
+// replaceFrom stores doc, which was made from revision base. The editor takes base zero for any revision; here it
+// stands for the empty configuration, so that a first edit can't overwrite another first edit.
+func (o *Operators) replaceFrom(ctx context.Context, base identifier.Revision, doc configurator.Document) publisher.Result {
+	raced := false
+	result := o.editor.Edit(ctx, base, func(d configurator.Document) configurator.Document {
+		if raced = d.Revision() != base; raced {
+			return d.WithPreset(unchecked)
+		}
+		return doc
+	})
+	if raced {
+		result.Edit = configurator.Conflicting
+	}
+	return result
 }
 
 func (o *Operators) switchPreset(c echo.Context) error {
@@ -108,7 +126,7 @@
 			taken = taken || k.Caller == q.Name
 		}
 		if taken {
-			return d
+			return d.WithPreset(unchecked)
 		}
 		return d.WithKey(entry)
 	})
@@ -128,12 +146,12 @@
 		for _, k := range d.Keys() {
 			if k.Caller == name {
 				found, k.Withdrawn = true, true
-				d = d.WithKey(k)
+				return d.WithKey(k)
 			}
 		}
-		return d
+		return d.WithPreset(unchecked)
 	})
-	if !found && result.Outcome == storer.Applied {
+	if !found && result.Edit == configurator.Faulty {
 		return refused(http.StatusNotFound, "no-such-key", "").write(c, 0)
 	}
 	return o.answer(c, result)
