commander: mimosactl with golden output for every command

Cause: operators had only raw HTTP. A lost race prints what changed since the operator looked. A file without keys keeps the keys in force, since their hashes do not belong under version control. The routes for targets, plan and usage are shown generically; a server without them is named as such.

--- /dev/null
+++ b/internal/commander/server_test.go
@@ -0,0 +1,111 @@
+package commander_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/publisher"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+const token = "0123456789abcdef"
+
+// memoryStore is a key-value service with one key. down is the outcome of every call while it is set; lost is the
+// outcome of the next swap, which takes effect all the same.
+type memoryStore struct {
+	mu    sync.Mutex
+	entry storer.Entry
+	down  storer.Outcome
+	lost  bool
+	// race runs before the next swap.
+	race func()
+}
+
+func (m *memoryStore) Get(context.Context, string) (storer.Entry, storer.Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down != 0 {
+		return storer.Entry{}, m.down
+	}
+	return m.entry, storer.Applied
+}
+
+func (m *memoryStore) Swap(_ context.Context, key string, changed int64, value []byte, _ storer.Lease) storer.Outcome {
+	m.mu.Lock()
+	race := m.race
+	m.race = nil
+	m.mu.Unlock()
+	if race != nil {
+		race()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if changed != m.entry.Changed {
+		return storer.Conflict
+	}
+	m.entry = storer.Entry{Key: key, Value: value, Changed: changed + 1}
+	if m.lost {
+		m.lost = false
+		return storer.Unknown
+	}
+	return storer.Applied
+}
+
+func (*memoryStore) Watch(context.Context, string, func(storer.Entry)) storer.Outcome {
+	return storer.Unavailable
+}
+
+// fixedRoutes are the routes whose objects mimosactl does not know.
+type fixedRoutes struct{}
+
+func (fixedRoutes) Register(e *echo.Echo) {
+	e.GET("/v1/targets", func(c echo.Context) error {
+		return c.JSONBlob(http.StatusOK, []byte(`[
+			{"zone":"macon","target":"m-1","running":3,"labels":["a"]},
+			{"zone":"beaufort","target":"m-2","running":0,"draining":true}]`))
+	})
+	e.GET("/v1/targets/plan", func(c echo.Context) error { return c.JSONBlob(http.StatusOK, []byte(`[]`)) })
+	e.POST("/v1/targets/:target/drain", func(c echo.Context) error { return c.NoContent(http.StatusAccepted) })
+	e.GET("/v1/usage", func(c echo.Context) error {
+		return c.JSONBlob(http.StatusOK, []byte(`[{"team":"routing","window":7,"output":1234567}]`))
+	})
+}
+
+// server is an operators' interface over a memoryStore.
+type server struct {
+	store   *memoryStore
+	address string
+	token   string
+	editor  *publisher.Publisher
+}
+
+func newServer(c *qt.C, routes ...httpserver.Route) *server {
+	s := &server{store: &memoryStore{}, token: filepath.Join(c.TempDir(), "token")}
+	c.Assert(os.WriteFile(s.token, []byte(token+"\n"), 0o600), qt.IsNil)
+	config := &configurator.Configurator{}
+	s.editor = publisher.NewPublisher(s.store, codec.Form{}, config, &timer.Manual{})
+	all := append([]httpserver.Route{
+		httpserver.NewHealth(func() bool { return true }, prometheus.NewRegistry()),
+		httpserver.NewGuard(token),
+		httpserver.NewOperators(s.editor, config, []byte("pepper")),
+	}, routes...)
+	h := httpserver.NewServer(all...)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	h.Start(l)
+	c.Cleanup(func() { c.Check(h.Stop(context.Background()), qt.IsNil) })
+	s.address = "http://" + l.Addr().String()
+	return s
+}
--- /dev/null
+++ b/internal/commander/team.go
@@ -0,0 +1,102 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// limitFlags are the flags for limits of teams and services. A flag that is not given leaves the limit as it is.
+type limitFlags struct {
+	requests    float64
+	tokens      float64
+	concurrency int
+}
+
+// unchanged is the default of a flag that leaves its field as it is.
+const unchanged = "-1"
+
+func newLimitFlags(clause *kingpin.CmdClause) *limitFlags {
+	l := &limitFlags{}
+	clause.Flag("requests", "Limit in requests per second; 0 is no limit.").Default(unchanged).Float64Var(&l.requests)
+	clause.Flag("tokens", "Limit in tokens per second; 0 is no limit.").Default(unchanged).Float64Var(&l.tokens)
+	clause.Flag("concurrency", "Limit of requests that run at a time; 0 is no limit.").Default(unchanged).IntVar(&l.concurrency)
+	return l
+}
+
+func (l *limitFlags) apply(to configurator.Limits) configurator.Limits {
+	if l.requests >= 0 {
+		to.RequestRate = l.requests
+	}
+	if l.tokens >= 0 {
+		to.TokenRate = l.tokens
+	}
+	if l.concurrency >= 0 {
+		to.Concurrency = l.concurrency
+	}
+	return to
+}
+
+// teamVerbs are the commands for teams.
+func teamVerbs(app *kingpin.Application) []verb {
+	group := app.Command("team", "Teams: customers with their share and limits.")
+	list := group.Command("list", "List the teams.")
+	set := group.Command("set", "Add a team or change it.")
+	setName := set.Arg("team", "Name of the team.").Required().String()
+	weight := set.Flag("weight", "Share relative to other teams.").Default(unchanged).Float64()
+	limits := newLimitFlags(set)
+	remove := group.Command("remove", "Remove a team that never had a key.")
+	removeName := remove.Arg("team", "Name of the team.").Required().String()
+	return []verb{
+		{clause: list, run: listTeams},
+		{clause: set, run: func(ctx context.Context, c *client) (Listing, error) {
+			return c.edit(ctx, func(d configurator.Document) (configurator.Document, error) {
+				team, _ := d.Team(identifier.Team(*setName))
+				team.Name = identifier.Team(*setName)
+				if *weight >= 0 {
+					team.Weight = *weight
+				}
+				team.Limits = limits.apply(team.Limits)
+				return d.WithTeam(team), nil
+			})
+		}},
+		{clause: remove, run: func(ctx context.Context, c *client) (Listing, error) {
+			return c.edit(ctx, func(d configurator.Document) (configurator.Document, error) { return removeTeam(d, *removeName) })
+		}},
+	}
+}
+
+func listTeams(ctx context.Context, c *client) (Listing, error) {
+	doc, err := c.current(ctx)
+	if err != nil {
+		return Listing{}, err
+	}
+	return NewListing(codec.FromDocument(doc).Teams,
+		Column[codec.Team]{columnName, func(t codec.Team) string { return string(t.Name) }},
+		Column[codec.Team]{"weight", func(t codec.Team) string { return fmt.Sprint(t.Weight) }},
+		Column[codec.Team]{"requests", func(t codec.Team) string { return fmt.Sprint(t.Limits.Requests) }},
+		Column[codec.Team]{"tokens", func(t codec.Team) string { return fmt.Sprint(t.Limits.Tokens) }},
+		Column[codec.Team]{"concurrency", func(t codec.Team) string { return fmt.Sprint(t.Limits.Concurrency) }},
+	), nil
+}
+
+// removeTeam refuses to remove a team whose keys exist: a withdrawn key is kept for good and names its team.
+func removeTeam(d configurator.Document, name string) (configurator.Document, error) {
+	for _, k := range d.Keys() {
+		if string(k.Team) == name {
+			return d, &Failure{Code: BadInput, Text: fmt.Sprintf("team %s has the key %s; keys are kept, withdrawn ones too", name, k.Caller)}
+		}
+	}
+	teams := d.Teams()
+	i := slices.IndexFunc(teams, func(t configurator.Team) bool { return string(t.Name) == name })
+	if i < 0 {
+		return d, &Failure{Code: BadInput, Text: fmt.Sprintf("there is no team %s", name)}
+	}
+	return d.WithTeams(slices.Delete(teams, i, i+1)...), nil
+}
