certifier: mutual TLS between the system's own processes

Cause: the settings named certificate files and nothing used them; all connections were plain text. Change: entry and agent use TLS 1.3 with certificates on both sides unless tls.plain is set, which logs E1004. Replaced files are used from the next handshake on (E1005); files that do not fit together leave the last good ones in use (E1006). A certificate of another authority is refused on both sides (E1007). The handshake on the server has a time limit. Certificates are checked against the authority and not against addresses, since VMs are replaced with their addresses at any time.

--- /dev/null
+++ b/internal/adapter/certifier/certifier_test.go
@@ -0,0 +1,146 @@
+package certifier_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/certifier"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/runner"
+	"github.com/mimosalb/mimosalb/internal/timer"
+	"github.com/mimosalb/mimosalb/pkg/loader"
+)
+
+// events keeps the log of a process.
+type events struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (e *events) Write(p []byte) (int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.out.Write(p)
+}
+
+func (e *events) count(event string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return strings.Count(e.out.String(), event)
+}
+
+// startAgent starts an agent whose peers need certificates of the authority in files.
+func startAgent(c *qt.C, files certifier.Files) (string, *events) {
+	log := &events{}
+	agent, err := runner.StartAgent(loader.Settings{
+		Name: "agent", Zone: "macon", Region: "south", Peers: "127.0.0.1:0",
+		TLS:    loader.TLS{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority},
+		Target: loader.Target{Name: "m-1", Service: "matcher", Kind: "model", Address: "http://127.0.0.1:1"},
+	}, logger.NewLogger("agent", "info", log))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(agent.Stop(context.Background()), qt.IsNil) })
+	return agent.Peers, log
+}
+
+// report asks the agent for its report over a new connection.
+func report(address string, opts ...rpcclient.Option) error {
+	clock := timer.NewSystem()
+	defer clock.Close()
+	client := rpcclient.NewClient(clock, opts...)
+	defer client.Close()
+	_, err := client.Report(context.Background(), address)
+	return err
+}
+
+func over(c *qt.C, files certifier.Files) (rpcclient.Option, *events) {
+	log := &events{}
+	clock := timer.NewSystem()
+	c.Cleanup(clock.Close)
+	cert, err := certifier.NewCertifier(files, clock, logger.NewLogger("client", "info", log))
+	c.Assert(err, qt.IsNil)
+	return rpcclient.WithTLS(cert.Client()), log
+}
+
+// Guards against an agent that serves a peer which is not of the deployment, and against one refused without an event.
+func TestOnlyPeersOfTheAuthorityAreServed(t *testing.T) {
+	c := qt.New(t)
+	own, other := newAuthority(c, "own"), newAuthority(c, "other")
+	end := time.Now().Add(time.Hour)
+	address, log := startAgent(c, own.issue(c.TempDir(), "agent", end))
+
+	peer, _ := over(c, own.issue(c.TempDir(), "entry", end))
+	c.Assert(report(address, peer), qt.IsNil)
+	c.Assert(log.count("E1007"), qt.Equals, 0)
+
+	c.Assert(report(address), qt.IsNotNil, qt.Commentf("plain text"))
+
+	// The client trusts the agent, and the agent does not trust the client.
+	files := other.issue(c.TempDir(), "stranger", end)
+	files.Authority = own.issue(c.TempDir(), "unused", end).Authority
+	stranger, _ := over(c, files)
+	c.Assert(report(address, stranger), qt.IsNotNil)
+	c.Assert(log.count("E1007"), qt.Equals, 1)
+
+	expired, _ := over(c, own.issue(c.TempDir(), "expired", time.Now().Add(-time.Minute)))
+	c.Assert(report(address, expired), qt.IsNotNil)
+	c.Assert(log.count("E1007"), qt.Equals, 2)
+}
+
+// Guards against an entry that sends requests to an agent of another authority.
+func TestClientRefusesForeignAgent(t *testing.T) {
+	c := qt.New(t)
+	own, other := newAuthority(c, "own"), newAuthority(c, "other")
+	end := time.Now().Add(time.Hour)
+	address, _ := startAgent(c, other.issue(c.TempDir(), "agent", end))
+	peer, log := over(c, own.issue(c.TempDir(), "entry", end))
+	err := report(address, peer)
+	c.Assert(errors.Is(err, certifier.ErrAuthority), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, rpcclient.ErrUnsent), qt.IsTrue)
+	c.Assert(log.count("E1007"), qt.Equals, 1)
+}
+
+// Guards against replaced files that need a restart, and against half replaced ones that stop a running process.
+func TestFilesAreFollowed(t *testing.T) {
+	c := qt.New(t)
+	before, after := newAuthority(c, "before"), newAuthority(c, "after")
+	end := time.Now().Add(time.Hour)
+	folder := c.TempDir()
+	files := before.issue(folder, "agent", end)
+	address, log := startAgent(c, files)
+	old, _ := over(c, before.issue(c.TempDir(), "entry", end))
+	next, _ := over(c, after.issue(c.TempDir(), "entry", end))
+	c.Assert(report(address, old), qt.IsNil)
+
+	key, err := os.ReadFile(files.Key)
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.WriteFile(files.Key, []byte("half"), 0o600), qt.IsNil)
+	c.Assert(report(address, old), qt.IsNil)
+	c.Assert(report(address, old), qt.IsNil)
+	c.Assert(log.count("E1006"), qt.Equals, 1)
+	c.Assert(os.WriteFile(files.Key, key, 0o600), qt.IsNil)
+
+	after.issue(folder, "agent", end)
+	c.Assert(report(address, next), qt.IsNil)
+	c.Assert(log.count("E1005") >= 1, qt.IsTrue)
+	c.Assert(report(address, old), qt.IsNotNil)
+}
+
+// Guards against a process that starts in plain text when its certificate is missing.
+func TestMissingFilesStopTheStart(t *testing.T) {
+	c := qt.New(t)
+	files := newAuthority(c, "own").issue(c.TempDir(), "agent", time.Now().Add(time.Hour))
+	c.Assert(os.Remove(files.Authority), qt.IsNil)
+	_, err := runner.StartAgent(loader.Settings{
+		Peers: "127.0.0.1:0", TLS: loader.TLS{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority},
+	}, nil)
+	c.Assert(err, qt.ErrorMatches, "set up TLS: .*")
+}
--- a/internal/adapter/rpcserver/rpcserver.go
+++ b/internal/adapter/rpcserver/rpcserver.go
@@ -2,16 +2,22 @@
 package rpcserver
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
 )
 
+// handshakeTimeout bounds the TLS handshake of a connection. Without it a peer that sends nothing would hold its
+// connection for good.
+const handshakeTimeout = 5 * time.Second
+
 // DefaultInFlight bounds the calls of one connection that run at a time. Further calls wait in the socket.
 const DefaultInFlight = 1024
 
@@ -91,5 +97,21 @@
 func (s *Server) serve(c net.Conn) {
 	defer s.done.Done()
 	defer s.conns.Delete(c)
+	if !shakeHands(c) {
+		_ = c.Close()
+		return
+	}
 	s.rpc.ServeCodec(newCodec(c, s.inFlight))
 }
+
+// shakeHands completes the TLS handshake of c in time; a plain connection has none.
+func shakeHands(c net.Conn) bool {
+	t, ok := c.(*tls.Conn)
+	if !ok {
+		return true
+	}
+	if t.SetDeadline(time.Now().Add(handshakeTimeout)) != nil || t.HandshakeContext(context.Background()) != nil {
+		return false
+	}
+	return t.SetDeadline(time.Time{}) == nil
+}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -18,6 +18,20 @@
 	ProcessStopped = Event{Number: 1002, Level: hclog.Info, Text: "process stopped", Action: "none"}
 	DrainStarted   = Event{Number: 1003, Level: hclog.Info, Text: "drain started", Action: "none"}
 
+	PeersPlain = Event{
+		Number: 1004, Level: hclog.Warn, Text: "connections between own processes are not encrypted",
+		Action: "set tls.certificate, tls.key and tls.authority unless all processes are on loopback",
+	}
+	CertificateReloaded   = Event{Number: 1005, Level: hclog.Info, Text: "certificate files reloaded", Action: "none"}
+	CertificateUnreadable = Event{
+		Number: 1006, Level: hclog.Error, Text: "certificate files do not fit together",
+		Action: "replace certificate, key and authority together; the last good ones stay in use",
+	}
+	PeerRefused = Event{
+		Number: 1007, Level: hclog.Error, Text: "peer has a certificate of another authority",
+		Action: "give the peer a certificate of the deployment's authority, or find out who connects",
+	}
+
 	ConfigAdopted = Event{Number: 1101, Level: hclog.Info, Text: "configuration adopted", Action: "none"}
 
 	ListUnavailable = Event{
@@ -31,5 +45,8 @@
 
 // Events returns every event in order of its number.
 func Events() []Event {
-	return []Event{ProcessStarted, ProcessStopped, DrainStarted, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing}
+	return []Event{
+		ProcessStarted, ProcessStopped, DrainStarted, PeersPlain, CertificateReloaded, CertificateUnreadable, PeerRefused,
+		ConfigAdopted, ListUnavailable, TargetSilent, TargetServing,
+	}
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -37,7 +37,13 @@
 
 // StartAgent starts an agent. Stop ends it.
 func StartAgent(s loader.Settings, log *logger.Logger) (*Agent, error) {
-	a := &Agent{log: log, clock: timer.NewSystem()}
+	clock := timer.NewSystem()
+	peers, err := newPeerOptions(s.TLS, clock, log)
+	if err != nil {
+		clock.Close()
+		return nil, err
+	}
+	a := &Agent{log: log, clock: clock}
 	size := s.Target.Concurrency
 	if size == 0 {
 		size = defaultConcurrency
@@ -50,7 +56,7 @@
 		back = engineclient.NewService(s.Target.Address)
 	}
 	a.runs = executor.NewExecutor(a.gate, back, a.clock, size)
-	a.server = rpcserver.NewServer()
+	a.server = rpcserver.NewServer(peers.server...)
 	if err := a.server.Register("Agent", rpcserver.NewAgent(a.gate, a.runs, a.clock, back.Version)); err != nil {
 		a.close()
 		return nil, fmt.Errorf("serve agent: %w", err)
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -58,9 +58,15 @@
 	if err != nil {
 		return nil, err
 	}
+	clock := timer.NewSystem()
+	peers, err := newPeerOptions(s.TLS, clock, log)
+	if err != nil {
+		clock.Close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{log: log, clock: timer.NewSystem(), cancel: cancel}
-	e.peers = rpcclient.NewClient(e.clock)
+	e := &Entry{log: log, clock: clock, cancel: cancel}
+	e.peers = rpcclient.NewClient(e.clock, peers.client...)
 
 	config := &configurator.Configurator{}
 	auth := authenticator.NewAuthenticator(authenticator.WithPepper(pepper))
