httpserver: a clear problem for every malformed request

Cause: a large body without a length, bytes that are not UTF-8 and what followed a JSON value were misread or silently changed; requests that net/http can't parse got plain text; the escaped path of a plain service was forwarded unescaped, so that %3F became a query; an engine's finish reason without a type counted as complete (found by FuzzStream). Change: bodies are read whole and checked before they are decoded; protocol errors get a problem body on the connection; headers are bound to 64 KB; service paths keep their escapes and may not hold dot segments; a finish reason needs a type. A client that sends its header too slowly is cut without an answer, as net/http does.

--- a/internal/adapter/engineclient/engine.go
+++ b/internal/adapter/engineclient/engine.go
@@ -134,7 +134,7 @@
 func finish(last generateEvent) streamer.Final {
 	f := streamer.Final{Prompt: last.Meta.Prompt, Cached: last.Meta.Cached}
 	switch {
-	case last.Meta.Finish == nil:
+	case last.Meta.Finish == nil || last.Meta.Finish.Type == "":
 		return f.WithEnd(streamer.Failed, "no-finish")
 	case last.Meta.Finish.Type == "abort":
 		return f.WithEnd(streamer.Cancelled, "abort")
--- a/internal/adapter/httpserver/caller.go
+++ b/internal/adapter/httpserver/caller.go
@@ -33,12 +33,15 @@
 	return &Callers{submit: submit, auth: auth, config: config}
 }
 
+// servicePrefix is the path before the name of a plain service.
+const servicePrefix = "/v1/services/"
+
 // Register adds the callers' routes.
 func (cs *Callers) Register(e *echo.Echo) {
 	e.POST("/v1/completions", cs.complete)
 	e.POST("/v1/chat/completions", cs.chat)
-	e.Any("/v1/services/:service", cs.callService)
-	e.Any("/v1/services/:service/*", cs.callService)
+	e.Any(servicePrefix+":service", cs.callService)
+	e.Any(servicePrefix+":service/*", cs.callService)
 }
 
 // tracer makes the spans of the callers' edge.
--- a/internal/adapter/httpserver/completion.go
+++ b/internal/adapter/httpserver/completion.go
@@ -47,8 +47,8 @@
 
 func (cs *Callers) generate(c echo.Context, form completionForm) error {
 	var q completionRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&q); err != nil {
-		return refused(http.StatusBadRequest, "bad-json", "the body is not the JSON of a completion request").write(c, 0)
+	if p, ok := readJSON(c, &q, false); !ok {
+		return p.write(c, 0)
 	}
 	prompt, detail := form.prompt(q)
 	if detail == "" && (q.MaxTokens < 0 || q.MaxTokens > maxTokensLimit) {
--- a/internal/adapter/httpserver/operator.go
+++ b/internal/adapter/httpserver/operator.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/base64"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,10 +55,8 @@
 		return refused(http.StatusPreconditionRequired, "base-missing", "If-Match: want the revision that the edit was made from").write(c, 0)
 	}
 	var form codec.Document
-	dec := json.NewDecoder(c.Request().Body)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&form); err != nil {
-		return refused(http.StatusBadRequest, "bad-json", err.Error()).write(c, 0)
+	if p, ok := readJSON(c, &form, true); !ok {
+		return p.write(c, 0)
 	}
 	doc, err := form.Document()
 	if err != nil {
@@ -113,8 +110,8 @@
 // createKey makes a key and shows it this one time.
 func (o *Operators) createKey(c echo.Context) error {
 	var q keyRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&q); err != nil {
-		return refused(http.StatusBadRequest, "bad-json", err.Error()).write(c, 0)
+	if p, ok := readJSON(c, &q, true); !ok {
+		return p.write(c, 0)
 	}
 	var secret [keyBytes]byte
 	_, _ = rand.Read(secret[:])
--- a/internal/adapter/httpserver/plain.go
+++ b/internal/adapter/httpserver/plain.go
@@ -1,8 +1,8 @@
 package httpserver
 
 import (
-	"io"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -24,11 +24,15 @@
 		return problem.write(c, 0)
 	}
 	defer x.end()
-	body, err := io.ReadAll(c.Request().Body)
-	if err != nil {
-		return refused(http.StatusBadRequest, "body-unreadable", "the body could not be read whole").write(c, 0)
+	body, problem, ok := readBody(c)
+	if !ok {
+		return problem.write(c, 0)
 	}
-	x.request.Call = plainCall(c, name, body)
+	path, ok := servicePath(c.Request().URL)
+	if !ok {
+		return refused(http.StatusBadRequest, "bad-path", "want a path without . and .. as its parts").write(c, 0)
+	}
+	x.request.Call = plainCall(c, name, path, body)
 	x.request.Call.Team = x.request.Identity.Team
 	x.request.Expected = 1
 	answer, refusal := cs.submit.Submit(x.ctx, x.request)
@@ -43,12 +47,23 @@
 	return writePlain(c, answer, result)
 }
 
-func plainCall(c echo.Context, name identifier.Service, body []byte) executor.Call {
-	r := c.Request()
-	path := "/" + c.Param("*")
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+// servicePath returns the part of the path that is the service's own, escaped as the caller sent it. A path with dot
+// segments is refused: the service could resolve it to a path that the caller did not name.
+func servicePath(u *url.URL) (string, bool) {
+	_, path, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), servicePrefix), "/")
+	for segment := range strings.SplitSeq(path, "/") {
+		if plain, err := url.PathUnescape(segment); err != nil || plain == "." || plain == ".." {
+			return "", false
+		}
+	}
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
 	}
+	return "/" + path, true
+}
+
+func plainCall(c echo.Context, name identifier.Service, path string, body []byte) executor.Call {
+	r := c.Request()
 	header := make(map[string]string)
 	for _, h := range forwarded {
 		if v := r.Header.Get(h); v != "" {
--- a/internal/adapter/httpserver/problem.go
+++ b/internal/adapter/httpserver/problem.go
@@ -90,6 +90,9 @@
 	_ = p.write(c, 0)
 }
 
+// reasonTooLarge is the reason of a body above the limit.
+const reasonTooLarge = "body-too-large"
+
 func reasonOf(status int) string {
 	switch status {
 	case http.StatusNotFound:
@@ -97,7 +100,11 @@
 	case http.StatusMethodNotAllowed:
 		return "wrong-method"
 	case http.StatusRequestEntityTooLarge:
-		return "body-too-large"
+		return reasonTooLarge
+	case http.StatusRequestHeaderFieldsTooLarge:
+		return "header-too-large"
+	case http.StatusBadRequest, http.StatusNotImplemented, http.StatusHTTPVersionNotSupported:
+		return "bad-request"
 	default:
 		return "internal"
 	}
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -22,6 +22,8 @@
 	bodyTimeout = 60 * time.Second
 	// idleTimeout closes connections without requests.
 	idleTimeout = 2 * time.Minute
+	// headerLimit is the largest request header in bytes.
+	headerLimit = 64 << 10
 	// bodyLimit is the largest request body.
 	bodyLimit = "8M"
 )
@@ -50,6 +52,7 @@
 		Handler:           e,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
+		MaxHeaderBytes:    headerLimit,
 		IdleTimeout:       idleTimeout,
 	}}
 }
@@ -59,7 +62,7 @@
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
-		_ = s.http.Serve(l)
+		_ = s.http.Serve(problemListener{l})
 	}()
 }
 
