--- a/cmd/mimosalb/main.go
+++ b/cmd/mimosalb/main.go
@@ -27,7 +27,7 @@
 	for role, help := range map[loader.Role]string{
 		loader.RoleEntry:   "Run an entry: the interface to callers, trainers and operators.",
 		loader.RoleAgent:   "Run the agent beside one target.",
-		loader.RoleStandin: "Run stand-ins of the platform and the back ends.",
+		loader.RoleStandin: "Run stand-ins of the platform and the back ends; docs/standins.md lists their failure switches.",
 	} {
 		cmd := app.Command(string(role), help)
 		files[string(role)] = cmd.Flag("config", "Settings file.").Short('c').Required().String()
@@ -36,6 +36,7 @@
 	checkFile := check.Flag("config", "Settings file.").Short('c').Required().String()
 	checkRole := check.Flag("role", "Role that the settings are for.").Default("entry").Enum("entry", "agent", "standin")
 	demo := app.Command("demo", "Run every role in this process on loopback and do the main job.")
+	serve := demo.Flag("serve", "Keep the deployment up afterwards and print how to use it.").Bool()
 	verbose := demo.Flag("verbose", "Write events to the standard error output.").Bool()
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -48,7 +49,11 @@
 		if !*verbose {
 			log, _ = os.Open(os.DevNull)
 		}
-		exit(demonstrator.Run(ctx, os.Stdout, log))
+		run := demonstrator.Run
+		if *serve {
+			run = demonstrator.Serve
+		}
+		exit(run(ctx, os.Stdout, log))
 	default:
 		settings := load(*files[cmd], loader.Role(cmd))
 		exit(mimosalb.New(loader.Role(cmd), settings).Run(ctx))
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -27,12 +27,16 @@
 // Run does the main job on a fresh deployment, writes a table to out and events to log. It fails if any promise was
 // broken.
 func Run(ctx context.Context, out, log io.Writer) error {
+	return withDeployment(log, func(s *Session) error { return s.run(ctx, out, Steps()) })
+}
+
+// withDeployment runs f on a fresh deployment.
+func withDeployment(log io.Writer, f func(*Session) error) error {
 	d, err := NewDeployment(DefaultPlan(), log)
 	if err != nil {
 		return err
 	}
-	session := &Session{Deployment: d, Client: NewClient(d), Keys: make(map[string]string)}
-	err = session.run(ctx, out, Steps())
+	err = f(&Session{Deployment: d, Client: NewClient(d), Keys: make(map[string]string)})
 	if closeErr := d.Close(); err == nil && closeErr != nil {
 		err = fmt.Errorf("stop the deployment: %w", closeErr)
 	}
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -21,6 +21,9 @@
 // loopback lets the system choose a free port.
 const loopback = "127.0.0.1:0"
 
+// operatorFile is the file of the operators' token in the deployment's folder.
+const operatorFile = "operator"
+
 // Back is one back end of a deployment.
 type Back struct {
 	Name    string
@@ -80,7 +83,7 @@
 		return fmt.Errorf("write pepper: %w", err)
 	}
 	d.Token = rand.Text()
-	operator := filepath.Join(folder, "operator")
+	operator := filepath.Join(folder, operatorFile)
 	if err := os.WriteFile(operator, []byte(d.Token), 0o600); err != nil {
 		return fmt.Errorf("write operator token: %w", err)
 	}
