exporter: metrics and spans for each hop

Cause: entries exported only the metrics of the Go runtime and agents none; queue, engine and delivery had no span. Change: 15 metrics for requests, queue, attempts, configuration revision, membership and connections; agents serve their health routes and metrics on the setting `operators`. Spans for queue, engine and delivery join those of caller, attempt and agent. The dispatcher reports how long a request was queued. docs/metrics.md lists the metrics and a test compares both.

--- a/internal/adapter/engineclient/engine.go
+++ b/internal/adapter/engineclient/engine.go
@@ -64,6 +64,8 @@
 
 // Run generates the answer to a call.
 func (e *Engine) Run(ctx context.Context, id identifier.Attempt, call executor.Call, emit func(streamer.Piece)) streamer.Final {
+	ctx, span := startSpan(ctx, id)
+	defer span.End()
 	body, err := json.Marshal(generateRequest{
 		RID:      id.String(),
 		Text:     call.Prompt,
--- a/internal/adapter/engineclient/engineclient.go
+++ b/internal/adapter/engineclient/engineclient.go
@@ -3,8 +3,15 @@
 package engineclient
 
 import (
+	"context"
 	"net/http"
 	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
 const (
@@ -16,6 +23,14 @@
 	headerTimeout = 2 * time.Minute
 )
 
+// tracer makes the spans of the target.
+var tracer = otel.Tracer("github.com/mimosalb/mimosalb/internal/adapter/engineclient")
+
+// startSpan starts the span of one attempt on the target. The target gets no trace context: it is not ours.
+func startSpan(ctx context.Context, id identifier.Attempt) (context.Context, trace.Span) {
+	return tracer.Start(ctx, "engine", trace.WithAttributes(attribute.String("mimosalb.attempt", id.String())))
+}
+
 func newHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
--- a/internal/adapter/engineclient/service.go
+++ b/internal/adapter/engineclient/service.go
@@ -32,6 +32,8 @@
 
 // Run passes the call to the service. The body of the answer becomes one piece.
 func (s *Service) Run(ctx context.Context, id identifier.Attempt, call executor.Call, emit func(streamer.Piece)) streamer.Final {
+	ctx, span := startSpan(ctx, id)
+	defer span.End()
 	req, err := http.NewRequestWithContext(ctx, call.Method, s.address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return streamer.Final{}.WithEnd(streamer.Failed, "request")
--- /dev/null
+++ b/internal/adapter/exporter/entry.go
@@ -0,0 +1,94 @@
+package exporter
+
+import (
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// EntryState is read at each scrape.
+type EntryState struct {
+	Waiting     func() int
+	Revision    func() identifier.Revision
+	Listed      func() map[identifier.Zone]int
+	Serving     func() map[identifier.Zone]int
+	Connections func() int
+}
+
+// Entry holds the metrics of an entry.
+type Entry struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	attempts  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	wait      *prometheus.HistogramVec
+	responses *prometheus.CounterVec
+}
+
+// NewEntry returns the metrics of an entry.
+func NewEntry() *Entry {
+	r := newRegistry()
+	return &Entry{
+		registry: r, requests: newCounter(r, requests), attempts: newCounter(r, attempts),
+		duration: newHistogram(r, duration), wait: newHistogram(r, wait), responses: newCounter(r, responses),
+	}
+}
+
+// Observe adds the gauges that are read from s.
+func (e *Entry) Observe(s EntryState) {
+	newGauge(e.registry, waiting, func() float64 { return float64(s.Waiting()) })
+	newGauge(e.registry, revision, func() float64 { return float64(s.Revision()) })
+	newGauge(e.registry, connections, func() float64 { return float64(s.Connections()) })
+	e.registry.MustRegister(newCounts(listed, s.Listed), newCounts(serving, s.Serving))
+}
+
+// Gatherer returns the metrics for the health routes.
+func (e *Entry) Gatherer() prometheus.Gatherer { return e.registry }
+
+// Ended counts a request that has ended.
+func (e *Entry) Ended(x dispatcher.Ended) {
+	service, team := string(x.Request.Service.Name), string(x.Request.Identity.Team)
+	e.requests.WithLabelValues(service, team, outcome(x.Result)).Inc()
+	e.attempts.WithLabelValues(service).Add(float64(x.Result.Attempts))
+	e.duration.WithLabelValues(service, team).Observe(x.Result.Took.Seconds())
+	e.wait.WithLabelValues(service, team).Observe(x.Result.Queued.Seconds())
+}
+
+func outcome(r dispatcher.Result) string {
+	switch {
+	case r.Reason == "":
+		return "answered"
+	case r.Ran == dispatcher.NotRun:
+		return "not-run"
+	case r.Ran == dispatcher.RanYes:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Listener counts the responses of one listener. It is a route without paths.
+type Listener struct {
+	entry *Entry
+	name  string
+}
+
+// Listener returns the counter of the listener of the given name.
+func (e *Entry) Listener(name string) Listener { return Listener{entry: e, name: name} }
+
+// Register puts the counter in front of every route of the server.
+func (l Listener) Register(router *echo.Echo) {
+	router.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if err := next(c); err != nil {
+				c.Error(err)
+			}
+			l.entry.responses.WithLabelValues(l.name, strconv.Itoa(c.Response().Status)).Inc()
+			return nil
+		}
+	})
+}
--- /dev/null
+++ b/internal/adapter/exporter/exporter_test.go
@@ -0,0 +1,87 @@
+package exporter_test
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
+	"github.com/mimosalb/mimosalb/internal/authenticator"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
+)
+
+// processes returns the metrics of an entry and an agent after one request.
+func processes() []prometheus.Gatherer {
+	entry, agent := exporter.NewEntry(), exporter.NewAgent()
+	one := func() map[identifier.Zone]int { return map[identifier.Zone]int{"macon": 1} }
+	entry.Observe(exporter.EntryState{
+		Waiting: func() int { return 2 }, Revision: func() identifier.Revision { return 7 },
+		Listed: one, Serving: one, Connections: func() int { return 3 },
+	})
+	agent.Observe(exporter.AgentState{Load: func() (int, bool) { return 4, true }, Connections: func() int { return 5 }})
+	entry.Ended(dispatcher.Ended{
+		Request: dispatcher.Request{Service: configurator.Service{Name: "matcher"}, Identity: authenticator.Identity{Team: "routing"}},
+		Result:  dispatcher.Result{Attempts: 2, Ran: dispatcher.RanYes, Took: time.Second, Queued: time.Millisecond},
+	})
+	agent.Ended(executor.Ended{Call: executor.Call{Service: "matcher"}, Final: streamer.Final{}.WithEnd(streamer.Crashed, "connection")})
+	return []prometheus.Gatherer{entry.Gatherer(), agent.Gatherer()}
+}
+
+// Guards against a metric that docs/metrics.md does not list, or lists otherwise.
+func TestDocumentListsEveryMetric(t *testing.T) {
+	c := qt.New(t)
+	text, err := os.ReadFile("../../../docs/metrics.md")
+	c.Assert(err, qt.IsNil)
+	var rows strings.Builder
+	for _, d := range exporter.Definitions() {
+		fmt.Fprintf(&rows, "| `%s` | %s | %s | %s |\n", d.Name, d.Kind, d.Labels, d.Help)
+	}
+	_, listed, _ := strings.Cut(string(text), "| --- | --- | --- | --- |\n")
+	c.Assert(listed, qt.Equals, rows.String())
+}
+
+// Guards against a metric that no process exports, or that a process exports outside the list.
+func TestProcessesExportTheList(t *testing.T) {
+	c := qt.New(t)
+	exported := make(map[string]bool)
+	var out strings.Builder
+	for _, g := range processes() {
+		families, err := g.Gather()
+		c.Assert(err, qt.IsNil)
+		for _, f := range families {
+			if !strings.HasPrefix(f.GetName(), "mimosalb_") {
+				continue
+			}
+			exported[f.GetName()] = true
+			for _, m := range f.GetMetric() {
+				out.WriteString(f.GetName())
+				for _, l := range m.GetLabel() {
+					fmt.Fprintf(&out, " %s=%s", l.GetName(), l.GetValue())
+				}
+				fmt.Fprintf(&out, " counter=%v gauge=%v count=%v\n", m.GetCounter().GetValue(), m.GetGauge().GetValue(), m.GetHistogram().GetSampleCount())
+			}
+		}
+	}
+	shape := regexp.MustCompile(`^mimosalb(_[a-z]+){3,4}$`)
+	for _, d := range exporter.Definitions() {
+		c.Check(shape.MatchString(d.Name), qt.IsTrue, qt.Commentf(d.Name))
+		// Responses are counted per listener and appear with the first one.
+		if d.Name != "mimosalb_httpserver_responses_total" {
+			c.Check(exported[d.Name], qt.IsTrue, qt.Commentf(d.Name))
+		}
+		delete(exported, d.Name)
+	}
+	c.Check(exported, qt.HasLen, 0)
+	goldie.New(t).Assert(t, "values", []byte(out.String()))
+}
--- /dev/null
+++ b/internal/adapter/exporter/registry.go
@@ -0,0 +1,59 @@
+package exporter
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// firstBucket is the upper bound of the lowest histogram bucket in seconds; each further bound is twice the one before.
+// 17 buckets reach from 1 ms to 65 s, which spans a routing choice and a long answer.
+const (
+	firstBucket = 0.001
+	buckets     = 17
+)
+
+func newRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+func newCounter(r *prometheus.Registry, d Definition) *prometheus.CounterVec {
+	v := prometheus.NewCounterVec(prometheus.CounterOpts{Name: d.Name, Help: d.Help}, d.labels())
+	r.MustRegister(v)
+	return v
+}
+
+func newHistogram(r *prometheus.Registry, d Definition) *prometheus.HistogramVec {
+	v := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: d.Name, Help: d.Help, Buckets: prometheus.ExponentialBuckets(firstBucket, 2, buckets),
+	}, d.labels())
+	r.MustRegister(v)
+	return v
+}
+
+func newGauge(r *prometheus.Registry, d Definition, read func() float64) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: d.Name, Help: d.Help}, read))
+}
+
+// counts is a gauge with one value for each zone.
+type counts struct {
+	desc *prometheus.Desc
+	read func() map[identifier.Zone]int
+}
+
+func newCounts(d Definition, read func() map[identifier.Zone]int) counts {
+	return counts{desc: prometheus.NewDesc(d.Name, d.Help, d.labels(), nil), read: read}
+}
+
+// Describe sends the gauge's description.
+func (c counts) Describe(ch chan<- *prometheus.Desc) { ch <- c.desc }
+
+// Collect sends the gauge's values.
+func (c counts) Collect(ch chan<- prometheus.Metric) {
+	for zone, n := range c.read() {
+		ch <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(n), string(zone))
+	}
+}
--- a/internal/adapter/httpserver/completion.go
+++ b/internal/adapter/httpserver/completion.go
@@ -73,6 +73,8 @@
 	if refusal.Refused() {
 		return refused(http.StatusTooManyRequests, refusal.Reason, "").write(c, refusal.RetryAfter)
 	}
+	_, span := tracer.Start(x.ctx, "delivery")
+	defer span.End()
 	w := &completionWriter{c: c, form: form, model: q.Model, id: x.request.ID, created: time.Now()}
 	if q.Stream {
 		return w.stream(answer)
--- a/internal/adapter/httpserver/plain.go
+++ b/internal/adapter/httpserver/plain.go
@@ -39,6 +39,8 @@
 	if refusal.Refused() {
 		return refused(http.StatusTooManyRequests, refusal.Reason, "").write(c, refusal.RetryAfter)
 	}
+	_, span := tracer.Start(x.ctx, "delivery")
+	defer span.End()
 	<-answer.Done()
 	result := answer.Result()
 	if result.Reason != "" {
--- /dev/null
+++ b/internal/adapter/rpcserver/connections.go
@@ -0,0 +1,4 @@
+package rpcserver
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return s.conns.Len() }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -119,8 +119,10 @@
 		request: r,
 		ask:     ask,
 		answer:  newAnswer(),
+		queued:  d.clock.Boot(),
 		latest:  d.clock.Boot() + timeout,
 	}
+	_, j.waiting = tracer.Start(ctx, "queue")
 	item := scheduler.Item[*job]{
 		Team:   r.Identity.Team,
 		Weight: team.Weight,
@@ -130,6 +132,7 @@
 	}
 	if !d.queue.Offer(item) {
 		d.admitter.Release(ask, 0)
+		j.waiting.End()
 		cancel()
 		return nil, Refusal{Reason: ReasonQueueFull, RetryAfter: queueRetry}
 	}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -25,6 +25,9 @@
 	ask     admitter.Ask
 	answer  *Answer
 	latest  time.Duration
+	// queued is when the job was queued, and waiting the span of its wait.
+	queued  time.Duration
+	waiting trace.Span
 
 	attempts int
 	ran      bool
@@ -39,6 +42,7 @@
 // run leads a job to its result.
 func (d *Dispatcher) run(ctx context.Context, j *job) {
 	start := d.clock.Boot()
+	j.waiting.End()
 	stop := context.AfterFunc(ctx, j.cancel)
 	defer stop()
 	defer j.cancel()
@@ -46,6 +50,7 @@
 	d.budget.Earn()
 	result := d.attempt(j)
 	result.Attempts = j.attempts
+	result.Queued = start - j.queued
 	result.Took = d.clock.Boot() - start
 	d.admitter.Release(j.ask, j.tokens)
 	j.answer.finish(result)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -38,7 +38,7 @@
 	queue  *worker.Queue[job]
 	pool   *worker.Pool[job]
 	jobs   container.Table[container.Connection, identifier.Attempt, job]
-	ended  func(Ended)
+	ended  []func(Ended)
 }
 
 // Ended describes an attempt that has ended.
@@ -52,8 +52,8 @@
 // Option sets a property of an Executor.
 type Option func(*Executor)
 
-// WithEnded sets a function that is called after each attempt.
-func WithEnded(f func(Ended)) Option { return func(e *Executor) { e.ended = f } }
+// WithEnded adds a function that is called after each attempt.
+func WithEnded(f func(Ended)) Option { return func(e *Executor) { e.ended = append(e.ended, f) } }
 
 // NewExecutor starts size workers that run what gate admits on target.
 func NewExecutor(gate *gatekeeper.Gatekeeper, target Target, clock timer.Service, size int, opts ...Option) *Executor {
@@ -108,7 +108,7 @@
 	e.jobs.Delete(j.attempt)
 	e.gate.End(j.attempt, e.clock.Now())
 	j.stream.Finish(final)
-	if e.ended != nil {
-		e.ended(Ended{Attempt: j.attempt, Call: j.call, Final: final, Took: took})
+	for _, f := range e.ended {
+		f(Ended{Attempt: j.attempt, Call: j.call, Final: final, Took: took})
 	}
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/engineclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
+	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
@@ -21,12 +24,15 @@
 type Agent struct {
 	// Peers is the address that the agent listens on.
 	Peers string
+	// Health is the address of the health routes; empty when the settings name none.
+	Health string
 
 	log    *logger.Logger
 	clock  *timer.System
 	gate   *gatekeeper.Gatekeeper
 	runs   *executor.Executor
 	server *rpcserver.Server
+	health *httpserver.Server
 }
 
 // target is the back end beside an agent.
@@ -55,7 +61,8 @@
 	if s.Target.Kind == "plain" {
 		back = engineclient.NewService(s.Target.Address)
 	}
-	a.runs = executor.NewExecutor(a.gate, back, a.clock, size)
+	metrics := exporter.NewAgent()
+	a.runs = executor.NewExecutor(a.gate, back, a.clock, size, executor.WithEnded(metrics.Ended))
 	a.server = rpcserver.NewServer(peers.server...)
 	if err := a.server.Register("Agent", rpcserver.NewAgent(a.gate, a.runs, a.clock, back.Version)); err != nil {
 		a.close()
@@ -68,6 +75,11 @@
 	}
 	a.Peers = l.Addr().String()
 	a.server.Start(l)
+	if err := a.serveHealth(s.Operators, metrics); err != nil {
+		_ = a.server.Close()
+		a.close()
+		return nil, fmt.Errorf("listen for health: %w", err)
+	}
 	log.Emit(logger.ProcessStarted, "role", "agent", "name", s.Name, "target", s.Target.Name, "peers", a.Peers)
 	return a, nil
 }
@@ -80,6 +92,9 @@
 	case <-ctx.Done():
 	}
 	err := a.server.Close()
+	if a.health != nil {
+		err = errors.Join(err, a.health.Stop(ctx))
+	}
 	a.close()
 	a.log.Emit(logger.ProcessStopped)
 	return err
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -10,10 +10,8 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
 	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
@@ -74,7 +72,8 @@
 	store := storer.NewStorer(kvclient.NewDriver(s.Store), e.clock)
 	publish := publisher.NewPublisher(store, codec.Form{}, config, e.clock)
 	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
-	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route)
+	metrics := exporter.NewEntry()
+	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route, dispatcher.WithEnded(metrics.Ended))
 
 	m := &membership{
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
@@ -84,11 +83,10 @@
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
 
-	metrics := prometheus.NewRegistry()
-	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	health := httpserver.NewHealth(e.ready.Load, metrics)
-	e.callers = httpserver.NewServer(health, httpserver.NewCallers(e.dispatcher, auth, config))
-	e.operators = httpserver.NewServer(health, httpserver.NewGuard(token), httpserver.NewOperators(publish, config, pepper))
+	health := e.observe(metrics, config, m.tracker)
+	e.callers = httpserver.NewServer(metrics.Listener("callers"), health, httpserver.NewCallers(e.dispatcher, auth, config))
+	e.operators = httpserver.NewServer(
+		metrics.Listener("operators"), health, httpserver.NewGuard(token), httpserver.NewOperators(publish, config, pepper))
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
 	}
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -35,6 +35,7 @@
 		c.required("operator", s.Operator, "the file with the bearer token of the operators")
 	case RoleAgent:
 		c.checkNode(s)
+		c.optionalAddress("operators", s.Operators)
 		c.checkTarget(s.Target)
 	case RoleStandin:
 		c.checkStandin(s.Standin)
