--- a/internal/adapter/httpserver/completion.go
+++ b/internal/adapter/httpserver/completion.go
@@ -91,14 +91,25 @@
 	created time.Time
 }
 
+// readWhole waits for the end of the answer's stream. The result is there by then; the other way round, the final record
+// may still be missing.
+func readWhole(answer *dispatcher.Answer) streamer.Chunk {
+	for {
+		chunk, changed := answer.Read(0)
+		if chunk.Done() {
+			return chunk
+		}
+		<-changed
+	}
+}
+
 // whole waits for the end and writes the answer as one JSON object.
 func (w *completionWriter) whole(answer *dispatcher.Answer) error {
-	<-answer.Done()
+	chunk := readWhole(answer)
 	result := answer.Result()
 	if result.Reason != "" {
 		return ofResult(result, string(w.id)).write(w.c, result.RetryAfter)
 	}
-	chunk, _ := answer.Read(0)
 	var text strings.Builder
 	for _, p := range chunk.Pieces {
 		text.Write(p.Data)
--- a/internal/adapter/httpserver/export_test.go
+++ b/internal/adapter/httpserver/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/labstack/echo/v4"
 )
 
 // SetHeaderTimeout shortens the time limit for headers, so that a test need not wait for the real one.
@@ -10,3 +12,30 @@
 
 // Handler returns the server's router.
 func (s *Server) Handler() http.Handler { return s.http.Handler }
+
+// Routes returns the method and path of each route. A path that takes every method is listed once, as ANY, and without
+// the variant that lacks the rest of the path.
+func (s *Server) Routes() []string {
+	router, ok := s.http.Handler.(*echo.Echo)
+	if !ok {
+		return nil
+	}
+	methods := make(map[string][]string)
+	for _, r := range router.Routes() {
+		methods[r.Path] = append(methods[r.Path], r.Method)
+	}
+	var routes []string
+	for path, all := range methods {
+		_, longer := methods[path+"/*"]
+		switch {
+		case longer:
+		case len(all) > 5:
+			routes = append(routes, "ANY "+path)
+		default:
+			for _, m := range all {
+				routes = append(routes, m+" "+path)
+			}
+		}
+	}
+	return routes
+}
--- a/internal/adapter/httpserver/operator.go
+++ b/internal/adapter/httpserver/operator.go
@@ -160,7 +160,7 @@
 	case r.Accepted():
 		return c.JSON(http.StatusOK, codec.FromDocument(r.Document))
 	case r.Edit == configurator.Conflicting:
-		return c.JSON(http.StatusConflict, codec.FromDocument(r.Document))
+		return writeConflict(c, r.Document)
 	case r.Edit == configurator.Faulty:
 		details := make([]string, 0, len(r.Problems))
 		for _, p := range r.Problems {
--- a/internal/adapter/httpserver/plain.go
+++ b/internal/adapter/httpserver/plain.go
@@ -11,6 +11,7 @@
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
 )
 
 // forwarded lists the request headers that a plain service gets. The caller's key is never among them.
@@ -41,12 +42,12 @@
 	}
 	_, span := tracer.Start(x.ctx, "delivery")
 	defer span.End()
-	<-answer.Done()
+	chunk := readWhole(answer)
 	result := answer.Result()
 	if result.Reason != "" {
 		return ofResult(result, string(x.request.ID)).write(c, result.RetryAfter)
 	}
-	return writePlain(c, answer, result)
+	return writePlain(c, chunk, result)
 }
 
 // servicePath returns the part of the path that is the service's own, escaped as the caller sent it. A path with dot
@@ -75,7 +76,7 @@
 	return executor.Call{Service: name, Method: r.Method, Path: path, Header: header, Body: body}
 }
 
-func writePlain(c echo.Context, answer *dispatcher.Answer, result dispatcher.Result) error {
+func writePlain(c echo.Context, chunk streamer.Chunk, result dispatcher.Result) error {
 	contentType := "application/octet-stream"
 	for k, v := range result.Final.Header {
 		if strings.EqualFold(k, "Content-Type") {
@@ -84,7 +85,6 @@
 		}
 		c.Response().Header().Set(k, v)
 	}
-	chunk, _ := answer.Read(0)
 	var body []byte
 	for _, p := range chunk.Pieces {
 		body = append(body, p.Data...)
--- /dev/null
+++ b/internal/adapter/httpserver/usage_test.go
@@ -0,0 +1,49 @@
+package httpserver_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/demonstrator"
+)
+
+// Guards against a whole answer without its usage: the result of an answer was there before the final record of its
+// stream, and a reader between the two saw no tokens.
+func TestWholeAnswersHaveTheirUsage(t *testing.T) {
+	const callers, calls = 20, 50
+	c := qt.New(t)
+	d, err := demonstrator.NewDeployment(demonstrator.DefaultPlan(), io.Discard)
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Check(d.Close(), qt.IsNil) }()
+	s := &demonstrator.Session{Deployment: d, Client: demonstrator.NewClient(d), Keys: make(map[string]string)}
+	_, err = demonstrator.Steps()[0].Run(context.Background(), s)
+	c.Assert(err, qt.IsNil)
+
+	var wrong atomic.Int64
+	var all sync.WaitGroup
+	for range callers {
+		all.Go(func() {
+			for range calls {
+				r, err := s.Client.Caller(context.Background(), http.MethodPost, "/v1/completions", s.Keys["driver"],
+					map[string]any{"model": "sortmind", "prompt": "quote", "max_tokens": 2})
+				var body struct {
+					Usage struct {
+						Total int `json:"total_tokens"`
+					} `json:"usage"`
+				}
+				if err != nil || json.Unmarshal(r.Body, &body) != nil || body.Usage.Total != 3 {
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	c.Assert(wrong.Load(), qt.Equals, int64(0))
+}
--- a/internal/commander/edit.go
+++ b/internal/commander/edit.go
@@ -67,10 +67,16 @@
 
 // conflict tells what another edit changed since the operator looked.
 func (c *client) conflict(ctx context.Context, r reply, seen configurator.Document, base identifier.Revision) error {
-	force, err := r.document()
-	if err != nil {
+	var refusal struct {
+		Document codec.Document `json:"document"`
+	}
+	if err := r.decode(pathConfig, &refusal); err != nil {
 		return err
 	}
+	force, err := refusal.Document.Document()
+	if err != nil {
+		return &Failure{Code: Failed, Text: fmt.Sprintf("%s: %v", pathConfig, err)}
+	}
 	// The reply to a race within the store holds the document from before it; the entry may know a later one by now.
 	if later, err := c.current(ctx); err == nil && later.Revision() > force.Revision() {
 		force = later
