--- a/internal/adapter/engineclient/engine.go
+++ b/internal/adapter/engineclient/engine.go
@@ -64,6 +64,8 @@
 
 // Run generates the answer to a call.
 func (e *Engine) Run(ctx context.Context, id identifier.Attempt, call executor.Call, emit func(streamer.Piece)) streamer.Final {
+	ctx, span := startSpan(ctx, id)
+	defer span.End()
 	body, err := json.Marshal(generateRequest{
 		RID:      id.String(),
 		Text:     call.Prompt,
@@ -134,7 +136,7 @@
 func finish(last generateEvent) streamer.Final {
 	f := streamer.Final{Prompt: last.Meta.Prompt, Cached: last.Meta.Cached}
 	switch {
-	case last.Meta.Finish == nil:
+	case last.Meta.Finish == nil || last.Meta.Finish.Type == "":
 		return f.WithEnd(streamer.Failed, "no-finish")
 	case last.Meta.Finish.Type == "abort":
 		return f.WithEnd(streamer.Cancelled, "abort")
--- a/internal/adapter/httpserver/completion.go
+++ b/internal/adapter/httpserver/completion.go
@@ -47,8 +47,8 @@
 
 func (cs *Callers) generate(c echo.Context, form completionForm) error {
 	var q completionRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&q); err != nil {
-		return refused(http.StatusBadRequest, "bad-json", "the body is not the JSON of a completion request").write(c, 0)
+	if p, ok := readJSON(c, &q, false); !ok {
+		return p.write(c, 0)
 	}
 	prompt, detail := form.prompt(q)
 	if detail == "" && (q.MaxTokens < 0 || q.MaxTokens > maxTokensLimit) {
@@ -73,6 +73,8 @@
 	if refusal.Refused() {
 		return refused(http.StatusTooManyRequests, refusal.Reason, "").write(c, refusal.RetryAfter)
 	}
+	_, span := tracer.Start(x.ctx, "delivery")
+	defer span.End()
 	w := &completionWriter{c: c, form: form, model: q.Model, id: x.request.ID, created: time.Now()}
 	if q.Stream {
 		return w.stream(answer)
@@ -89,14 +91,25 @@
 	created time.Time
 }
 
+// readWhole waits for the end of the answer's stream. The result is there by then; the other way round, the final record
+// may still be missing.
+func readWhole(answer *dispatcher.Answer) streamer.Chunk {
+	for {
+		chunk, changed := answer.Read(0)
+		if chunk.Done() {
+			return chunk
+		}
+		<-changed
+	}
+}
+
 // whole waits for the end and writes the answer as one JSON object.
 func (w *completionWriter) whole(answer *dispatcher.Answer) error {
-	<-answer.Done()
+	chunk := readWhole(answer)
 	result := answer.Result()
 	if result.Reason != "" {
 		return ofResult(result, string(w.id)).write(w.c, result.RetryAfter)
 	}
-	chunk, _ := answer.Read(0)
 	var text strings.Builder
 	for _, p := range chunk.Pieces {
 		text.Write(p.Data)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -121,9 +121,11 @@
 		request: r,
 		ask:     ask,
 		answer:  newAnswer(),
+		queued:  d.clock.Boot(),
 		latest:  d.clock.Boot() + timeout,
 		prefix:  router.NewPrefix(r.Call.Prompt),
 	}
+	_, j.waiting = tracer.Start(ctx, "queue")
 	j.item = scheduler.Item[*job]{
 		Class:    r.Class,
 		Rollout:  r.Rollout,
@@ -137,6 +139,7 @@
 	}
 	if v := d.queue.Offer(j.item, d.clock.Boot()); v.Refused {
 		d.admitter.Release(ask, 0)
+		j.waiting.End()
 		cancel()
 		return nil, Refusal{Reason: v.Reason, RetryAfter: max(v.RetryAfter, queueRetry)}
 	}
