--- /dev/null
+++ b/internal/adapter/codec/claim.go
@@ -0,0 +1,29 @@
+package codec
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/mimosalb/mimosalb/internal/claimer"
+)
+
+// ClaimForm is the JSON form of claims in the key-value service.
+type ClaimForm struct{}
+
+// Encode returns the JSON form of a claim.
+func (ClaimForm) Encode(c claimer.Claim) []byte {
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic("invariant claim-form: a claim can be encoded")
+	}
+	return data
+}
+
+// Decode reads the JSON form of a claim.
+func (ClaimForm) Decode(data []byte) (claimer.Claim, error) {
+	var c claimer.Claim
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("decode claim: %w", err)
+	}
+	return c, nil
+}
--- a/internal/adapter/engineclient/engine.go
+++ b/internal/adapter/engineclient/engine.go
@@ -81,7 +81,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := e.client.Do(req)
 	if err != nil {
-		return broken(ctx)
+		return broken(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
@@ -96,13 +96,14 @@
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, lineLimit)
 	var last generateEvent
+	var count identifier.Tokens
 	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), "data:")
 		if !ok {
 			continue
 		}
 		if data = strings.TrimSpace(data); data == "[DONE]" {
-			return finish(last)
+			return finish(last, count)
 		}
 		event, err := decode(data, id)
 		if err != nil {
@@ -112,10 +113,11 @@
 		version := parseVersion(event.Meta.WeightVersion)
 		e.version.Store(uint64(version))
 		if len(event.IDs) > 0 {
+			count += identifier.Tokens(len(event.IDs))
 			emit(streamer.Piece{Data: []byte(event.Text), Tokens: identifier.Tokens(len(event.IDs)), Version: version})
 		}
 	}
-	return broken(ctx)
+	return broken(ctx, lines.Err())
 }
 
 // decode reads an event and checks that it belongs to the attempt.
@@ -130,27 +132,22 @@
 	return event, nil
 }
 
-// finish maps the last event of a stream that ended in order. An answer without a finish reason is not whole.
-func finish(last generateEvent) streamer.Final {
+// finish maps the last event of a stream that ended in order. An answer without a finish reason, or with fewer tokens
+// than the engine counted, is not whole.
+func finish(last generateEvent, count identifier.Tokens) streamer.Final {
 	f := streamer.Final{Prompt: last.Meta.Prompt, Cached: last.Meta.Cached}
 	switch {
 	case last.Meta.Finish == nil:
 		return f.WithEnd(streamer.Failed, "no-finish")
 	case last.Meta.Finish.Type == "abort":
 		return f.WithEnd(streamer.Cancelled, "abort")
+	case last.Meta.Completion != count:
+		return f.WithEnd(streamer.Failed, "token-count")
 	default:
 		return f.WithEnd(streamer.Complete, last.Meta.Finish.Type)
 	}
 }
 
-// broken is the end of an answer whose connection failed: by cancellation or by the death of the engine.
-func broken(ctx context.Context) streamer.Final {
-	if ctx.Err() != nil {
-		return streamer.Final{}.WithEnd(streamer.Cancelled, "cancelled")
-	}
-	return streamer.Final{}.WithEnd(streamer.Crashed, "connection")
-}
-
 // parseVersion reads a version such as "12" or "v12"; anything else is an unknown version.
 func parseVersion(s string) identifier.Version {
 	n, err := strconv.ParseUint(strings.TrimPrefix(s, "v"), 10, 64)
--- a/internal/adapter/engineclient/engineclient.go
+++ b/internal/adapter/engineclient/engineclient.go
@@ -3,8 +3,13 @@
 package engineclient
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
 	"time"
+
+	"github.com/mimosalb/mimosalb/internal/streamer"
 )
 
 const (
@@ -26,3 +31,20 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
+
+// broken is the end of an answer whose connection failed with err. A connection that was refused carried no byte:
+// net/http dials a second time only when nothing was written to the connection before.
+func broken(ctx context.Context, err error) streamer.Final {
+	var op *net.OpError
+	var wait net.Error
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return streamer.Final{}.WithEnd(streamer.Unreached, "connection-refused")
+	case ctx.Err() != nil:
+		return streamer.Final{}.WithEnd(streamer.Cancelled, "cancelled")
+	case errors.As(err, &wait) && wait.Timeout():
+		return streamer.Final{}.WithEnd(streamer.Unheard, "no-answer")
+	default:
+		return streamer.Final{}.WithEnd(streamer.Crashed, "connection")
+	}
+}
--- a/internal/adapter/engineclient/service.go
+++ b/internal/adapter/engineclient/service.go
@@ -43,13 +43,13 @@
 	req.Header.Set("X-Team", string(call.Team))
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return broken(ctx)
+		return broken(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
 	switch {
 	case err != nil:
-		return broken(ctx)
+		return broken(ctx, err)
 	case len(body) > answerLimit:
 		return streamer.Final{}.WithEnd(streamer.Failed, "answer-too-large")
 	}
--- a/internal/adapter/httpserver/completion.go
+++ b/internal/adapter/httpserver/completion.go
@@ -69,9 +69,10 @@
 		Service: q.Model, Team: x.request.Identity.Team, Prompt: prompt, Limit: q.MaxTokens, Version: q.Version,
 	}
 	x.request.Expected = q.MaxTokens
+	x.request.Key = c.Request().Header.Get("Idempotency-Key")
 	answer, refusal := cs.submit.Submit(x.ctx, x.request)
 	if refusal.Refused() {
-		return refused(http.StatusTooManyRequests, refusal.Reason, "").write(c, refusal.RetryAfter)
+		return ofRefusal(refusal).write(c, refusal.RetryAfter)
 	}
 	w := &completionWriter{c: c, form: form, model: q.Model, id: x.request.ID, created: time.Now()}
 	if q.Stream {
--- a/internal/adapter/httpserver/plain.go
+++ b/internal/adapter/httpserver/plain.go
@@ -31,12 +31,16 @@
 	x.request.Call = plainCall(c, name, body)
 	x.request.Call.Team = x.request.Identity.Team
 	x.request.Expected = 1
+	x.request.Key = c.Request().Header.Get("Idempotency-Key")
 	answer, refusal := cs.submit.Submit(x.ctx, x.request)
 	if refusal.Refused() {
-		return refused(http.StatusTooManyRequests, refusal.Reason, "").write(c, refusal.RetryAfter)
+		return ofRefusal(refusal).write(c, refusal.RetryAfter)
 	}
 	<-answer.Done()
 	result := answer.Result()
+	if result.Replayed {
+		c.Response().Header().Set("Idempotent-Replayed", "true")
+	}
 	if result.Reason != "" {
 		return ofResult(result, string(x.request.ID)).write(c, result.RetryAfter)
 	}
--- a/internal/adapter/httpserver/problem.go
+++ b/internal/adapter/httpserver/problem.go
@@ -40,12 +40,37 @@
 	return Problem{Type: TypeNotRun, Title: "The request did not run", Status: status, Reason: reason, Detail: detail}
 }
 
+// ofRefusal is the problem of a request that the dispatcher did not take.
+func ofRefusal(r dispatcher.Refusal) Problem {
+	return refused(refusalStatus(r.Reason), r.Reason, refusalDetails[r.Reason])
+}
+
+// refusalDetails explains the refusals that a caller can do something about.
+var refusalDetails = map[string]string{
+	dispatcher.ReasonSuspect:   "targets crashed while they ran this request; it is held back until the time in Retry-After",
+	dispatcher.ReasonKeyReused: "the Idempotency-Key belongs to a request with another body",
+}
+
+func refusalStatus(reason string) int {
+	switch reason {
+	case dispatcher.ReasonSuspect, dispatcher.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case dispatcher.ReasonStopping, dispatcher.ReasonStore:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusTooManyRequests
+	}
+}
+
 // ofResult is the problem of a request that ended without a whole answer.
 func ofResult(r dispatcher.Result, request string) Problem {
-	p := Problem{Reason: r.Reason, Request: request}
+	p := Problem{Reason: r.Reason, Request: request, Detail: refusalDetails[r.Reason]}
 	switch r.Ran {
 	case dispatcher.NotRun:
 		p.Type, p.Title, p.Status = TypeNotRun, "The request did not run", http.StatusServiceUnavailable
+		if r.Reason == dispatcher.ReasonKeyReused {
+			p.Status = refusalStatus(r.Reason)
+		}
 	case dispatcher.RanYes:
 		p.Type, p.Title, p.Status = TypeRan, "The request ran and failed", http.StatusBadGateway
 	default:
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -72,12 +72,13 @@
 	Chunk streamer.Chunk
 }
 
-// SettleRequest asks what became of an attempt.
+// SettleRequest asks what became of an attempt. Issued is that of its StartRequest.
 type SettleRequest struct {
 	Envelope
 
 	Attempt     identifier.Attempt
 	Incarnation identifier.Incarnation
+	Issued      time.Time
 }
 
 // SettleReply tells what became of an attempt.
--- a/internal/adapter/rpcclient/agents.go
+++ b/internal/adapter/rpcclient/agents.go
@@ -53,11 +53,14 @@
 	return reply.Chunk, reply.Known, delivery(err)
 }
 
-func (a agents) Settle(ctx context.Context, t router.Target, id identifier.Attempt) (gatekeeper.Settlement, dispatcher.Delivery) {
+func (a agents) Settle(
+	ctx context.Context, t router.Target, id identifier.Attempt, issued time.Time,
+) (gatekeeper.Settlement, dispatcher.Delivery) {
 	args := &messenger.SettleRequest{
 		Envelope:    messenger.NewEnvelope(ctx, id.String()),
 		Attempt:     id,
 		Incarnation: t.Incarnation,
+		Issued:      issued,
 	}
 	reply, err := call[messenger.SettleReply](ctx, a.client, t.Address, "Agent.Settle", args, callTimeout)
 	return reply.Settlement, delivery(err)
--- a/internal/adapter/rpcserver/agent.go
+++ b/internal/adapter/rpcserver/agent.go
@@ -71,7 +71,8 @@
 // Settle tells what became of an attempt and rules it out if it was not admitted.
 func (a *Agent) Settle(args messenger.SettleRequest, reply *messenger.SettleReply) error {
 	reply.Envelope = args.Envelope
-	reply.Settlement, _ = a.gate.Settle(args.Attempt, args.Incarnation, a.clock.Now())
+	offer := gatekeeper.Offer{Attempt: args.Attempt, Incarnation: args.Incarnation, Issued: args.Issued}
+	reply.Settlement = a.gate.Settle(offer, a.clock.Now())
 	return nil
 }
 
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -14,6 +14,7 @@
 	RankScheduler     Rank = 70
 	RankRouter        Rank = 80
 	RankRetrier       Rank = 90
+	RankClaimer       Rank = 95
 	RankIsolator      Rank = 100
 	RankGatekeeper    Rank = 110
 	RankStreamer      Rank = 120
@@ -51,6 +52,8 @@
 	Router struct{}
 	// Retrier ranks the lock of the retry budget.
 	Retrier struct{}
+	// Claimer ranks the lock of the claims.
+	Claimer struct{}
 	// Isolator ranks the lock of the crash records.
 	Isolator struct{}
 	// Gatekeeper ranks the lock of the admission ledger.
@@ -102,6 +105,9 @@
 // Rank returns RankRetrier.
 func (Retrier) Rank() Rank { return RankRetrier }
 
+// Rank returns RankClaimer.
+func (Claimer) Rank() Rank { return RankClaimer }
+
 // Rank returns RankIsolator.
 func (Isolator) Rank() Rank { return RankIsolator }
 
--- a/internal/dispatcher/agents.go
+++ b/internal/dispatcher/agents.go
@@ -38,8 +38,8 @@
 	// Read waits for pieces after the first from pieces of an attempt's answer. A false second result means that the
 	// agent does not know the attempt.
 	Read(ctx context.Context, t router.Target, a identifier.Attempt, from int) (streamer.Chunk, bool, Delivery)
-	// Settle asks what became of an attempt and rules it out if it was not admitted.
-	Settle(ctx context.Context, t router.Target, a identifier.Attempt) (gatekeeper.Settlement, Delivery)
+	// Settle asks what became of an attempt and rules it out if it was not admitted. issued is the time in its Start.
+	Settle(ctx context.Context, t router.Target, a identifier.Attempt, issued time.Time) (gatekeeper.Settlement, Delivery)
 	// Cancel stops an attempt.
 	Cancel(ctx context.Context, t router.Target, a identifier.Attempt)
 }
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -31,6 +31,13 @@
 	ReasonCrashed   = "target-crashed"
 	ReasonLost      = "answer-lost"
 	ReasonRefused   = "targets-busy"
+	ReasonStopped   = "target-stopped"
+	// ReasonSuspect holds back a request under which targets crash.
+	ReasonSuspect = "crashes-targets"
+	// ReasonStore refuses a call whose claim can't be stored.
+	ReasonStore = "store-unavailable"
+	// ReasonKeyReused refuses another call under an idempotency key.
+	ReasonKeyReused = "idempotency-key-reused"
 )
 
 // Refusal says why a request was not taken. The zero value is no refusal.
@@ -51,8 +58,10 @@
 	RetryAfter time.Duration
 	Target     identifier.Target
 	Attempts   int
-	Queued     time.Duration
-	Took       time.Duration
+	// Replayed marks an answer that the system had before this submission; it was counted then.
+	Replayed bool
+	Queued   time.Duration
+	Took     time.Duration
 }
 
 // Answer is the answer to one request: its pieces as they come and its result at the end.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -4,13 +4,17 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/admitter"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
+	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/retrier"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/scheduler"
@@ -27,6 +31,8 @@
 	Identity authenticator.Identity
 	Service  configurator.Service
 	Call     executor.Call
+	// Key is the caller's idempotency key. It counts for calls that may not be repeated.
+	Key string
 	// Class orders the request in the queue; lower classes go first.
 	Class int
 	// Expected is the expected engine work, for limits and fairness.
@@ -53,6 +59,12 @@
 	admitter *admitter.Admitter
 	router   *router.Router
 	budget   *retrier.Budget
+	pace     *retrier.Pace
+	isolator *isolator.Isolator
+	claims   Claims
+	shares   container.Table[container.Claimer, claimer.Key, *share]
+	views    sync.WaitGroup
+	open     activity
 	queue    *scheduler.Scheduler[*job]
 	pool     *worker.Pool[*job]
 	ended    []func(Ended)
@@ -66,6 +78,12 @@
 	return func(d *Dispatcher) { d.ended = append(d.ended, f) }
 }
 
+// WithClaims sets where calls with an idempotency key are claimed. Without it such calls are refused.
+func WithClaims(c Claims) Option { return func(d *Dispatcher) { d.claims = c } }
+
+// WithIsolator sets the crash evidence that the entry shares with others.
+func WithIsolator(i *isolator.Isolator) Option { return func(d *Dispatcher) { d.isolator = i } }
+
 // Ended describes a request that has ended.
 type Ended struct {
 	Request Request
@@ -85,6 +103,9 @@
 		admitter: &admitter.Admitter{},
 		router:   r,
 		budget:   &retrier.Budget{},
+		pace:     &retrier.Pace{},
+		isolator: &isolator.Isolator{},
+		claims:   noClaims{},
 		queue:    &scheduler.Scheduler[*job]{},
 	}
 	for _, o := range opts {
@@ -94,8 +115,29 @@
 	return d
 }
 
-// Close cancels what runs and waits for the workers.
-func (d *Dispatcher) Close() { d.pool.Close() }
+// Close cancels what runs, ends what is queued and waits for the workers.
+func (d *Dispatcher) Close() {
+	d.open.stop()
+	d.pool.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for {
+		j, ok := d.queue.Next(ctx)
+		if !ok {
+			break
+		}
+		d.finish(j, failure(NotRun, ReasonStopping))
+	}
+	d.views.Wait()
+}
+
+// Drain refuses new requests and waits until the accepted ones have ended or ctx ends.
+func (d *Dispatcher) Drain(ctx context.Context) {
+	select {
+	case <-d.open.stop():
+	case <-ctx.Done():
+	}
+}
 
 // Waiting returns the number of queued requests.
 func (d *Dispatcher) Waiting() int { return d.queue.Len() }
@@ -103,24 +145,38 @@
 // Submit queues a request. ctx ends when the caller goes away or its key is withdrawn. A refusal is final: the request
 // did not run and will not.
 func (d *Dispatcher) Submit(ctx context.Context, r Request) (*Answer, Refusal) {
+	r.Call = r.Call.WithIdentity(r.Service.Once)
+	if wait, held := d.isolator.Held(r.Call.Fingerprint, d.clock.Now()); held {
+		return nil, Refusal{Reason: ReasonSuspect, RetryAfter: wait}
+	}
+	if r.Service.Once && r.Key != "" {
+		return d.submitClaimed(ctx, r)
+	}
+	j := &job{ctx: ctx, caller: ctx, request: r, answer: newAnswer()}
+	if refusal := d.enqueue(j); refusal.Refused() {
+		return nil, refusal
+	}
+	return j.answer, Refusal{}
+}
+
+// enqueue admits and queues a job.
+func (d *Dispatcher) enqueue(j *job) Refusal {
+	if !d.open.begin() {
+		return Refusal{Reason: ReasonStopping, RetryAfter: queueRetry}
+	}
+	r := j.request
 	team, _ := d.config.Current().Team(r.Identity.Team)
-	ask := admitter.Ask{Team: team, Service: r.Service, Tokens: r.Expected}
-	if a := d.admitter.Admit(ask, d.clock.Boot()); a.Refused {
-		return nil, Refusal{Reason: a.Reason, RetryAfter: a.RetryAfter}
+	j.ask = admitter.Ask{Team: team, Service: r.Service, Tokens: r.Expected}
+	if a := d.admitter.Admit(j.ask, d.clock.Boot()); a.Refused {
+		d.open.end()
+		return Refusal{Reason: a.Reason, RetryAfter: a.RetryAfter}
 	}
 	timeout := r.Service.Timeout
 	if timeout <= 0 {
 		timeout = configurator.DefaultTimeout
 	}
-	ctx, cancel := timer.WithTimeout(ctx, d.clock, timeout)
-	j := &job{
-		ctx:     ctx,
-		cancel:  cancel,
-		request: r,
-		ask:     ask,
-		answer:  newAnswer(),
-		latest:  d.clock.Boot() + timeout,
-	}
+	j.ctx, j.cancel = timer.WithTimeout(j.ctx, d.clock, timeout)
+	j.latest = d.clock.Boot() + timeout
 	item := scheduler.Item[*job]{
 		Team:   r.Identity.Team,
 		Weight: team.Weight,
@@ -129,12 +185,13 @@
 		Work:   j,
 	}
 	if !d.queue.Offer(item) {
-		d.admitter.Release(ask, 0)
-		cancel()
-		return nil, Refusal{Reason: ReasonQueueFull, RetryAfter: queueRetry}
+		d.admitter.Release(j.ask, 0)
+		j.cancel()
+		d.open.end()
+		return Refusal{Reason: ReasonQueueFull, RetryAfter: queueRetry}
 	}
-	return j.answer, Refusal{}
+	return Refusal{}
 }
 
-// queueRetry is the retry hint when the queue is full.
+// queueRetry is the retry hint when the queue is full or the entry stops.
 const queueRetry = time.Second
--- a/internal/dispatcher/follower.go
+++ b/internal/dispatcher/follower.go
@@ -13,139 +13,145 @@
 )
 
 const (
-	// settleTries bounds the questions to an agent that does not answer.
-	settleTries = 5
-	// settlePause is the wait between two questions; a replaced connection needs about that long.
+	// settlePause is the wait between two questions to an agent; a replaced connection needs about that long.
 	settlePause = 200 * time.Millisecond
 	// cancelTimeout bounds the message that stops an abandoned attempt.
 	cancelTimeout = time.Second
 )
 
-// follower follows the answer of one attempt at its agent.
+// follower follows one attempt at its agent and tells how it stands. What follows from that is the retrier's decision.
 type follower struct {
 	agents  Agents
 	clock   timer.Service
 	target  router.Target
 	attempt identifier.Attempt
-	job     *job
-	// read counts the pieces of this attempt that are in the answer.
+	issued  time.Time
+	once    bool
+	// settles counts the questions about the attempt since its agent last answered.
+	settles int
+	// read counts the pieces of this attempt that were taken.
 	read int
 }
 
-// follow starts the attempt and relays its answer until it ends or nothing more can be learnt about it.
-func (f *follower) follow(ctx context.Context, s Start) (retrier.Event, streamer.Final) {
+// offer sends the attempt to its agent.
+func (f *follower) offer(ctx context.Context, s Start) retrier.Event {
 	verdict, delivery := f.agents.Start(ctx, f.target, s)
-	switch delivery {
-	case Unsent:
-		return retrier.NotSent, streamer.Final{}
-	case Unclear:
-		if event, ended := f.settle(ctx); ended {
-			return event, streamer.Final{}
-		}
-	case Delivered:
-		if event, ended := refusal(verdict); ended {
-			return event, streamer.Final{}
-		}
-	}
-	return f.relay(ctx)
-}
-
-// refusal maps a verdict to the event that it means, unless the attempt runs.
-func refusal(v gatekeeper.Verdict) (retrier.Event, bool) {
-	switch v {
-	case gatekeeper.Admitted, gatekeeper.Repeated:
-		return 0, false
+	switch {
+	case delivery == Unsent:
+		return retrier.NotSent
+	case delivery != Delivered:
+		return f.lost(ctx)
+	case verdict == gatekeeper.Admitted, verdict == gatekeeper.Repeated:
+		return retrier.Running
+	case verdict == gatekeeper.Draining:
+		return retrier.Draining
 	default:
-		return retrier.Refused, true
+		return retrier.Refused
 	}
 }
 
-// relay copies pieces to the answer until the final record has come and every piece before it.
-func (f *follower) relay(ctx context.Context) (retrier.Event, streamer.Final) {
+// pursue follows an open attempt until it ends or take returns true, which leaves it running. take gets the chunks.
+func (f *follower) pursue(ctx context.Context, event retrier.Event, take func(streamer.Chunk) bool) (retrier.Event, streamer.Final) {
 	for {
-		if ctx.Err() != nil {
-			return f.abandon(ctx), streamer.Final{}
-		}
-		chunk, known, delivery := f.agents.Read(ctx, f.target, f.attempt, f.read)
-		switch {
-		case ctx.Err() != nil:
-			return f.abandon(ctx), streamer.Final{}
-		case delivery != Delivered:
-			if event, ended := f.settle(ctx); ended {
-				return event, streamer.Final{}
-			}
+		step, ended := retrier.Pursue(f.settles, event)
+		switch step {
+		case retrier.Settle:
+			event = f.settle(ctx)
 			continue
-		case !known:
-			return retrier.Gone, streamer.Final{}
+		case retrier.Follow:
+		default:
+			return ended, streamer.Final{}
 		}
-		f.deliver(chunk.Pieces)
-		if chunk.Done() && chunk.Final.Pieces == f.read {
-			return event(chunk.Final.End), f.whole(chunk.Final)
-		}
-	}
-}
-
-func (f *follower) deliver(pieces []streamer.Piece) {
-	for _, p := range pieces {
-		f.read++
-		if !f.job.answer.Append(p) {
+		var chunk streamer.Chunk
+		if chunk, event = f.next(ctx); event != retrier.Running {
 			continue
 		}
-		f.job.tokens += p.Tokens
-		if f.job.resumable() {
-			f.job.text = append(f.job.text, p.Data...)
+		if len(chunk.Pieces) > 0 && take(chunk) {
+			return retrier.Running, streamer.Final{}
+		}
+		if chunk.Done() {
+			return f.end(chunk.Final)
 		}
 	}
 }
 
-// whole corrects the counts of a resumed answer: tokens of earlier attempts were the prompt of the last one.
-func (f *follower) whole(final streamer.Final) streamer.Final {
-	final.Prompt -= f.job.tokens - final.Tokens
-	return final
+// next waits for pieces that were not taken yet.
+func (f *follower) next(ctx context.Context) (streamer.Chunk, retrier.Event) {
+	chunk, known, delivery := f.agents.Read(ctx, f.target, f.attempt, f.read)
+	switch {
+	case delivery != Delivered || ctx.Err() != nil:
+		return chunk, f.lost(ctx)
+	case !known:
+		return chunk, retrier.Gone
+	default:
+		f.settles = 0
+		return chunk, retrier.Running
+	}
 }
 
-func event(end streamer.End) retrier.Event {
-	switch end {
+// end maps the final record. An answer of which pieces are missing is not whole, whatever its record says.
+func (f *follower) end(final streamer.Final) (retrier.Event, streamer.Final) {
+	if final.Pieces != f.read {
+		return retrier.Failed, final
+	}
+	switch final.End {
 	case streamer.Complete:
-		return retrier.Completed
+		return retrier.Completed, final
 	case streamer.Crashed:
-		return retrier.Crashed
+		return retrier.Crashed, final
 	case streamer.Cancelled:
-		return retrier.Abandoned
+		return retrier.Stopped, final
+	case streamer.Moved:
+		return retrier.Moved, final
+	case streamer.Unreached:
+		return retrier.Unreached, final
+	case streamer.Unheard:
+		return retrier.Gone, final
 	default:
-		return retrier.Failed
+		return retrier.Failed, final
 	}
 }
 
-// settle asks the agent about an attempt whose message was lost. The second result is false when the attempt goes on.
-func (f *follower) settle(ctx context.Context) (retrier.Event, bool) {
-	for range settleTries {
-		settlement, delivery := f.agents.Settle(ctx, f.target, f.attempt)
-		if delivery == Delivered {
-			switch settlement {
-			case gatekeeper.Running, gatekeeper.Ran:
-				return 0, false
-			case gatekeeper.NeverRuns:
-				return retrier.Refused, true
-			default:
-				return retrier.Gone, true
-			}
-		}
-		pause := f.clock.After(settlePause)
-		select {
-		case <-pause.C():
-		case <-ctx.Done():
-			pause.Stop()
-			return f.abandon(ctx), true
+// settle asks the agent about an attempt after a lost reply.
+func (f *follower) settle(ctx context.Context) retrier.Event {
+	if f.settles > 0 {
+		if !f.pause(ctx) {
+			return f.lost(ctx)
 		}
 	}
-	return retrier.Gone, true
+	f.settles++
+	settlement, delivery := f.agents.Settle(ctx, f.target, f.attempt, f.issued)
+	switch {
+	case delivery != Delivered || ctx.Err() != nil:
+		return f.lost(ctx)
+	case settlement == gatekeeper.Running, settlement == gatekeeper.Ran:
+		return retrier.Running
+	case settlement == gatekeeper.NeverRuns:
+		return retrier.Refused
+	default:
+		return retrier.Gone
+	}
 }
 
-// abandon stops the attempt at the target, unless the request may not be repeated: then it runs to its end, so that a
-// second submission with the same idempotency key finds the outcome.
-func (f *follower) abandon(ctx context.Context) retrier.Event {
-	if !f.job.request.Service.Once {
+func (f *follower) pause(ctx context.Context) bool {
+	pause := f.clock.After(settlePause)
+	defer pause.Stop()
+	select {
+	case <-pause.C():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// lost tells apart a reply that did not come and one that is not waited for any more. An attempt that nobody waits for
+// is stopped, unless it may not be repeated: then it runs to its end, so that a second submission with the same
+// idempotency key finds the outcome.
+func (f *follower) lost(ctx context.Context) retrier.Event {
+	if ctx.Err() == nil {
+		return retrier.Lost
+	}
+	if !f.once {
 		ctx, cancel := timer.WithTimeout(context.WithoutCancel(ctx), f.clock, cancelTimeout)
 		defer cancel()
 		f.agents.Cancel(ctx, f.target, f.attempt)
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -10,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/mimosalb/mimosalb/internal/admitter"
+	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/retrier"
@@ -19,7 +21,9 @@
 
 // job is a queued request with the state of its attempts. One worker owns it at a time.
 type job struct {
-	ctx     context.Context
+	ctx context.Context
+	// caller is the context of the submission. ctx ends with it, except for a job that others may join.
+	caller  context.Context
 	cancel  context.CancelFunc
 	request Request
 	ask     admitter.Ask
@@ -29,8 +33,19 @@
 	attempts int
 	ran      bool
 	used     []identifier.Target
-	tokens   identifier.Tokens
-	text     []byte
+	// entered are the targets that the job keeps other suspected requests away from.
+	entered  []identifier.Target
+	claim    claimer.Claim
+	progress progress
+	// losers waits for hedged attempts that were not taken.
+	losers sync.WaitGroup
+}
+
+// trial is how one attempt came out.
+type trial struct {
+	target identifier.Target
+	event  retrier.Event
+	final  streamer.Final
 }
 
 // tracer makes the spans of the queue and the attempts.
@@ -41,89 +56,148 @@
 	start := d.clock.Boot()
 	stop := context.AfterFunc(ctx, j.cancel)
 	defer stop()
-	defer j.cancel()
 
 	d.budget.Earn()
 	result := d.attempt(j)
 	result.Attempts = j.attempts
 	result.Took = d.clock.Boot() - start
-	d.admitter.Release(j.ask, j.tokens)
+	d.finish(j, result)
+	j.losers.Wait()
+}
+
+// finish ends a job with its result.
+func (d *Dispatcher) finish(j *job, result Result) {
+	d.admitter.Release(j.ask, j.progress.tokens)
+	if key := j.request.key(); key != "" {
+		d.shares.Delete(key)
+	}
 	j.answer.finish(result)
+	j.cancel()
 	for _, f := range d.ended {
 		f(Ended{Request: j.request, Result: result})
 	}
+	d.open.end()
 }
 
 // attempt makes attempts until one step is final.
 func (d *Dispatcher) attempt(j *job) Result {
 	for {
-		if j.ctx.Err() != nil {
-			return d.abandoned(j, RanUnknown)
+		if j.ctx.Err() != nil || j.attempts == 0 && j.caller.Err() != nil {
+			return j.abandoned()
 		}
-		need := router.Need{Service: j.request.Service.Name, Zone: d.settings.Zone, Region: d.settings.Region, Avoid: j.used}
-		target, ok := d.router.Choose(need)
+		target, ok := d.choose(j)
 		if !ok {
-			return failure(notRunUnless(j.ran), ReasonNoTarget).withRetryAfter(time.Second)
+			if j.ctx.Err() != nil {
+				continue
+			}
+			return failure(j.notRun(), ReasonNoTarget).withRetryAfter(noTargetRetry)
 		}
-		event, final := d.try(j, target)
-		d.router.Release(target.ID)
-		step := retrier.Decide(retrier.Situation{Once: j.request.Service.Once, Ran: j.ran, Attempts: j.attempts}, event, d.budget)
-		if event != retrier.NotSent && event != retrier.Refused {
-			j.ran = true
+		id := identifier.Attempt{Request: j.request.ID, Number: j.attempts}
+		if result, done := d.claimFor(j, target, id); done {
+			d.leave(j, target.ID)
+			return result
 		}
-		switch step {
-		case retrier.Retry:
-			j.used = append(j.used, target.ID)
-			continue
-		case retrier.Deliver:
-			return Result{Ran: RanYes, Final: final, Target: target.ID}
-		case retrier.RefuseNotRun:
-			return failure(NotRun, ReasonRefused).withRetryAfter(time.Second)
-		case retrier.ReportRan:
-			return failure(RanYes, failedReason(event)).withTarget(target.ID)
-		default:
-			if event == retrier.Abandoned {
-				return d.abandoned(j, RanUnknown).withTarget(target.ID)
-			}
-			return failure(RanUnknown, ReasonLost).withTarget(target.ID)
+		t := d.try(j, target, id)
+		if result, done := d.conclude(j, t); done {
+			return result
+		}
+		j.used = append(j.used, t.target)
+	}
+}
+
+// noTargetRetry is the retry hint when no target takes the request.
+const noTargetRetry = time.Second
+
+// conclude turns the outcome of an attempt into the job's result, unless another attempt follows.
+func (d *Dispatcher) conclude(j *job, t trial) (Result, bool) {
+	d.witness(t.target, t.event, t.final)
+	if t.event == retrier.Completed {
+		d.isolator.Clear(j.request.Call.Fingerprint)
+	}
+	_, held := d.isolator.Held(j.request.Call.Fingerprint, d.clock.Now())
+	situation := retrier.Situation{Once: j.request.Service.Once, Ran: j.ran, Attempts: j.attempts, Suspect: held}
+	step := retrier.Decide(situation, t.event, d.budget)
+	j.ran = j.ran || t.event.MayHaveRun()
+	switch step {
+	case retrier.Retry:
+		return Result{}, false
+	case retrier.Deliver:
+		return Result{Ran: RanYes, Final: t.final, Target: t.target}, true
+	case retrier.RefuseNotRun:
+		return failure(NotRun, ReasonRefused).withRetryAfter(noTargetRetry), true
+	case retrier.ReportRan:
+		return failure(RanYes, ReasonTarget).withTarget(t.target), true
+	default:
+		if t.event == retrier.Abandoned {
+			return j.abandoned().withTarget(t.target), true
 		}
+		return failure(RanUnknown, lostReason(t.event, held)).withTarget(t.target), true
+	}
+}
+
+// witness records the crash that an attempt ended with.
+func (d *Dispatcher) witness(target identifier.Target, event retrier.Event, final streamer.Final) {
+	if event == retrier.Crashed {
+		now := d.clock.Now()
+		d.isolator.Record(final.Crash.WithSighting(target, now), now)
 	}
 }
 
-// try makes one attempt on a target and follows its answer.
-func (d *Dispatcher) try(j *job, target router.Target) (retrier.Event, streamer.Final) {
-	id := identifier.Attempt{Request: j.request.ID, Number: j.attempts}
-	j.attempts++
+// try makes one attempt on a target, and perhaps a hedge on another, and follows the answer of the one that begins.
+func (d *Dispatcher) try(j *job, target router.Target, id identifier.Attempt) trial {
 	ctx, span := tracer.Start(j.ctx, "attempt", trace.WithAttributes(
 		attribute.String("mimosalb.attempt", id.String()), attribute.String("mimosalb.target", string(target.ID))))
 	defer span.End()
-
-	f := &follower{agents: d.agents, clock: d.clock, target: target, attempt: id, job: j}
-	event, final := f.follow(ctx, Start{
-		Attempt: id,
-		Issued:  d.clock.Now(),
-		Timeout: max(j.latest-d.clock.Boot(), 0),
-		Call:    j.request.Call.WithProgress(string(j.text), j.tokens),
-	})
-	span.SetAttributes(attribute.Int("mimosalb.event", int(event)))
-	return event, final
+	l := d.begin(ctx, j, target, id)
+	defer d.leave(j, l.follower.target.ID)
+	defer l.cancel()
+	event, final := l.event, l.final
+	deliver := func(c streamer.Chunk) bool {
+		l.follower.read += len(c.Pieces)
+		j.deliver(l.discard, c.Pieces)
+		return false
+	}
+	if event == retrier.Running {
+		deliver(l.chunk)
+		if l.chunk.Done() {
+			event, final = l.follower.end(l.chunk.Final)
+		} else {
+			event, final = l.follower.pursue(l.ctx, event, deliver)
+		}
+	}
+	if event == retrier.Completed {
+		final = j.whole(l.discard, final)
+	}
+	span.SetAttributes(attribute.String("mimosalb.event", event.String()))
+	return trial{target: l.follower.target.ID, event: event, final: final}
 }
 
-// abandoned is the result of a job whose context has ended.
-func (d *Dispatcher) abandoned(j *job, ran Ran) Result {
-	if !j.ran {
-		ran = NotRun
+// abandoned is the result of a job that its caller, its deadline or the entry has ended.
+func (j *job) abandoned() Result {
+	ended := j.ctx
+	if ended.Err() == nil {
+		ended = j.caller
 	}
-	switch cause := context.Cause(j.ctx); {
+	switch cause := context.Cause(ended); {
 	case errors.Is(cause, ErrWithdrawn):
-		return failure(ran, ReasonWithdrawn)
+		return failure(j.notRun(), ReasonWithdrawn)
 	case errors.Is(cause, context.DeadlineExceeded):
-		return failure(ran, ReasonTimeout)
+		return failure(j.notRun(), ReasonTimeout)
+	case j.caller.Err() == nil:
+		return failure(j.notRun(), ReasonStopping)
 	default:
-		return failure(ran, ReasonCaller)
+		return failure(j.notRun(), ReasonCaller)
 	}
 }
 
+// notRun returns NotRun unless an attempt may have run.
+func (j *job) notRun() Ran {
+	if j.ran {
+		return RanUnknown
+	}
+	return NotRun
+}
+
 func failure(ran Ran, reason string) Result {
 	return Result{Ran: ran, Reason: reason, Final: streamer.Final{}.WithEnd(streamer.Failed, reason)}
 }
@@ -138,18 +212,18 @@
 	return r
 }
 
-func notRunUnless(ran bool) Ran {
-	if ran {
-		return RanUnknown
-	}
-	return NotRun
-}
-
-func failedReason(event retrier.Event) string {
-	if event == retrier.Crashed {
+// lostReason is the reason for an answer that will not come any more.
+func lostReason(event retrier.Event, held bool) string {
+	switch {
+	case held:
+		return ReasonSuspect
+	case event == retrier.Crashed:
 		return ReasonCrashed
+	case event == retrier.Stopped, event == retrier.Moved:
+		return ReasonStopped
+	default:
+		return ReasonLost
 	}
-	return ReasonTarget
 }
 
 // resumable reports whether a broken answer can go on at another target: only text made of tokens can.
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -2,12 +2,17 @@
 
 import (
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 )
 
 // Call is the work of an attempt. It never holds the caller's key. It is immutable.
 type Call struct {
 	Service identifier.Service
 	Team    identifier.Team
+	// Fingerprint marks the request across attempts and resubmissions, to tell which requests crash targets.
+	Fingerprint isolator.Fingerprint
+	// Once marks a call that may not be repeated.
+	Once bool
 	// Prompt, Limit, Priority and Version are for model services. Version zero accepts any weight version.
 	Prompt   string
 	Limit    identifier.Tokens
@@ -26,3 +31,10 @@
 	c.Limit -= tokens
 	return c
 }
+
+// WithIdentity returns a copy of c with its fingerprint, made from what the caller sent, and its repeatability.
+func (c Call) WithIdentity(once bool) Call {
+	c.Once = once
+	c.Fingerprint = isolator.NewFingerprint(c.Team, c.Service, c.Prompt, c.Method, c.Path, string(c.Body))
+	return c
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/streamer"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/internal/worker"
@@ -22,7 +24,7 @@
 // job is an admitted attempt on its way to the target.
 type job struct {
 	ctx     context.Context
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	attempt identifier.Attempt
 	call    Call
 	stream  *streamer.Stream
@@ -38,9 +40,17 @@
 	queue  *worker.Queue[job]
 	pool   *worker.Pool[job]
 	jobs   container.Table[container.Connection, identifier.Attempt, job]
+	seen   isolator.Witness
 	ended  func(Ended)
 }
 
+// Causes with which an attempt's context ends.
+var (
+	errCancelled = errors.New("cancelled")
+	errMoved     = errors.New("moved")
+	errStopped   = errors.New("agent stopped")
+)
+
 // Ended describes an attempt that has ended.
 type Ended struct {
 	Attempt identifier.Attempt
@@ -72,19 +82,29 @@
 	if verdict != gatekeeper.Admitted {
 		return verdict
 	}
-	runCtx, cancel := timer.WithTimeout(context.WithoutCancel(ctx), e.clock, timeout)
+	parent, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	runCtx, _ := timer.WithTimeout(parent, e.clock, timeout)
 	j := job{ctx: runCtx, cancel: cancel, attempt: offer.Attempt, call: call, stream: stream}
 	e.jobs.Put(offer.Attempt, j)
 	if !e.queue.Offer(j) {
-		e.finish(j, streamer.Final{}.WithEnd(streamer.Failed, "queue-full"), 0)
+		e.finish(j, streamer.Final{}.WithEnd(streamer.Unreached, "queue-full"), 0)
 	}
 	return gatekeeper.Admitted
 }
 
+// Move gives up the attempts that can go on elsewhere. Calls that may not be repeated run to their end.
+func (e *Executor) Move() {
+	for _, j := range e.jobs.Values() {
+		if !j.call.Once {
+			j.cancel(errMoved)
+		}
+	}
+}
+
 // Cancel stops an attempt if it is still queued or running.
 func (e *Executor) Cancel(a identifier.Attempt) {
 	if j, ok := e.jobs.Get(a); ok {
-		j.cancel()
+		j.cancel(errCancelled)
 	}
 }
 
@@ -92,19 +112,50 @@
 func (e *Executor) Close() { e.pool.Close() }
 
 func (e *Executor) run(ctx context.Context, j job) {
-	stop := context.AfterFunc(ctx, j.cancel)
+	stop := context.AfterFunc(ctx, func() { j.cancel(errStopped) })
 	defer stop()
 	if j.ctx.Err() != nil {
-		e.finish(j, streamer.Final{}.WithEnd(streamer.Cancelled, "cancelled"), 0)
+		e.finish(j, unstarted(j.ctx), 0)
 		return
 	}
 	start := e.clock.Boot()
+	e.seen.Begin(j.attempt, j.call.Fingerprint)
 	final := e.target.Run(j.ctx, j.attempt, j.call, func(p streamer.Piece) { j.stream.Append(p) })
+	crash := e.seen.End(j.attempt, final.End == streamer.Crashed, e.clock.Now())
+	switch final.End {
+	case streamer.Crashed:
+		final = final.WithCrash(crash)
+	case streamer.Cancelled:
+		final = cancelled(j.ctx, final)
+	default:
+	}
 	e.finish(j, final, e.clock.Boot()-start)
 }
 
+// unstarted is the end of an attempt that the target never saw. A moved one goes on elsewhere at no cost.
+func unstarted(ctx context.Context) streamer.Final {
+	if errors.Is(context.Cause(ctx), errMoved) {
+		return streamer.Final{}.WithEnd(streamer.Moved, "agent-stopping")
+	}
+	return streamer.Final{}.WithEnd(streamer.Unreached, "not-started")
+}
+
+// cancelled says why an attempt was given up.
+func cancelled(ctx context.Context, final streamer.Final) streamer.Final {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errMoved):
+		return final.WithEnd(streamer.Moved, "agent-stopping")
+	case errors.Is(cause, errStopped):
+		return final.WithEnd(streamer.Cancelled, "agent-stopped")
+	case errors.Is(cause, context.DeadlineExceeded):
+		return final.WithEnd(streamer.Cancelled, "deadline")
+	default:
+		return final
+	}
+}
+
 func (e *Executor) finish(j job, final streamer.Final, took time.Duration) {
-	j.cancel()
+	j.cancel(nil)
 	e.jobs.Delete(j.attempt)
 	e.gate.End(j.attempt, e.clock.Now())
 	j.stream.Finish(final)
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -10,40 +10,6 @@
 	"github.com/mimosalb/mimosalb/internal/streamer"
 )
 
-// Verdict is the outcome of offering an attempt to the gate.
-type Verdict int
-
-const (
-	// Admitted means that the attempt may run now. It is given at most once for each attempt.
-	Admitted Verdict = iota + 1
-	// Repeated means that the attempt was admitted before.
-	Repeated
-	// Barred means that the attempt was ruled out before.
-	Barred
-	// Forgotten means that the attempt was meant for another incarnation of this process.
-	Forgotten
-	// Draining means that the target takes no new work. The attempt is ruled out.
-	Draining
-	// Full means that the ledger or the target has no room. The attempt is ruled out.
-	Full
-	// Expired means that the attempt is older than the ledger remembers.
-	Expired
-)
-
-// Settlement is what the gate knows about an attempt whose answer was lost.
-type Settlement int
-
-const (
-	// Running means that the attempt was admitted and has not ended.
-	Running Settlement = iota + 1
-	// Ran means that the attempt was admitted and has ended.
-	Ran
-	// NeverRuns means that the attempt was not admitted and never will be.
-	NeverRuns
-	// Unknown means that the attempt was meant for another incarnation, which may have run it.
-	Unknown
-)
-
 const (
 	// DefaultRetention is how long the ledger remembers an attempt after it ended or was barred.
 	DefaultRetention = 15 * time.Minute
@@ -55,8 +21,8 @@
 type Offer struct {
 	Attempt     identifier.Attempt
 	Incarnation identifier.Incarnation
-	// Issued is the entry's wall clock when it made the attempt. An offer older than half the retention is refused,
-	// because its record may have been dropped; this allows the clocks to differ by the other half.
+	// Issued is the entry's wall clock when it made the attempt. An offer further than half the retention from the
+	// agent's clock is refused, because its record may have been dropped.
 	Issued time.Time
 }
 
@@ -127,7 +93,7 @@
 		}
 		return Repeated, r.stream
 	}
-	if now.Sub(o.Issued) > g.retention/2 {
+	if now.Sub(o.Issued).Abs() > g.retention/2 {
 		return Expired, nil
 	}
 	if g.draining {
@@ -160,24 +126,28 @@
 	}
 }
 
-// Settle tells what became of an attempt and rules it out when it was not admitted.
-func (g *Gatekeeper) Settle(a identifier.Attempt, incarnation identifier.Incarnation, now time.Time) (Settlement, *streamer.Stream) {
+// Settle tells what became of an attempt and rules it out when it was not admitted. An attempt without a record is
+// ruled out only while a record of it would still be kept: it was admitted, if at all, within half the retention of
+// its issue, and a record stays for the whole retention.
+func (g *Gatekeeper) Settle(o Offer, now time.Time) Settlement {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if incarnation != g.incarnation {
-		return Unknown, nil
+	if o.Incarnation != g.incarnation {
+		return Unknown
 	}
-	r, ok := g.records[a]
+	r, ok := g.records[o.Attempt]
 	switch {
+	case !ok && now.Sub(o.Issued).Abs() > g.retention/2:
+		return Unknown
 	case !ok:
-		g.bar(a, now)
-		return NeverRuns, nil
+		g.bar(o.Attempt, now)
+		return NeverRuns
 	case r.stream == nil:
-		return NeverRuns, nil
+		return NeverRuns
 	case r.ended:
-		return Ran, r.stream
+		return Ran
 	default:
-		return Running, r.stream
+		return Running
 	}
 }
 
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -27,11 +27,11 @@
 	var out strings.Builder
 	admit := func(o gatekeeper.Offer, now time.Time) {
 		v, _ := g.Admit(o, now)
-		fmt.Fprintf(&out, "admit %v for %d: verdict %d\n", o.Attempt, o.Incarnation, v)
+		fmt.Fprintf(&out, "admit %v for %d: verdict %v\n", o.Attempt, o.Incarnation, v)
 	}
 	settle := func(o gatekeeper.Offer) {
-		s, _ := g.Settle(o.Attempt, o.Incarnation, start)
-		fmt.Fprintf(&out, "settle %v for %d: settlement %d\n", o.Attempt, o.Incarnation, s)
+		s := g.Settle(o, start)
+		fmt.Fprintf(&out, "settle %v for %d: settlement %v\n", o.Attempt, o.Incarnation, s)
 	}
 	a, b, c, d, old := offer("a", 0, 7), offer("b", 0, 7), offer("c", 0, 7), offer("d", 0, 7), offer("a", 0, 6)
 	admit(a, start)
@@ -59,7 +59,7 @@
 	c := qt.New(t)
 	g := gatekeeper.NewGatekeeper(1, gatekeeper.WithCapacity(1), gatekeeper.WithRetention(time.Minute))
 	o := offer("a", 0, 1)
-	s, _ := g.Settle(o.Attempt, 1, start)
+	s := g.Settle(o, start)
 	c.Assert(s, qt.Equals, gatekeeper.NeverRuns)
 	for _, after := range []time.Duration{0, 30 * time.Second, 61 * time.Second, time.Hour} {
 		fill := offer(after.String(), 0, 1)
@@ -70,6 +70,30 @@
 	}
 }
 
+// Guards against a false "never runs" about an attempt that ran and whose record was dropped since. A claim would then
+// be taken over and the call run a second time.
+func TestSettleAfterRetentionIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	g := gatekeeper.NewGatekeeper(1, gatekeeper.WithCapacity(1), gatekeeper.WithRetention(time.Minute))
+	for _, ahead := range []time.Duration{0, 30 * time.Second, time.Hour} {
+		o := offer("clock "+ahead.String(), 0, 1)
+		o.Issued = start.Add(ahead)
+		v, _ := g.Admit(o, start)
+		if v != gatekeeper.Admitted {
+			c.Assert(v, qt.Equals, gatekeeper.Expired)
+			continue
+		}
+		g.End(o.Attempt, start)
+		later := start.Add(61 * time.Second)
+		fill := offer("fill "+ahead.String(), 0, 1)
+		fill.Issued = later
+		v, _ = g.Admit(fill, later)
+		c.Assert(v, qt.Equals, gatekeeper.Admitted)
+		g.End(fill.Attempt, start.Add(-time.Hour))
+		c.Assert(g.Settle(o, later), qt.Equals, gatekeeper.Unknown, qt.Commentf("entry's clock %v ahead", ahead))
+	}
+}
+
 // Guards against a drain that ends while an attempt is running.
 func TestDrainWaitsForRunningAttempts(t *testing.T) {
 	c := qt.New(t)
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sebdah/goldie/v2"
@@ -15,12 +16,19 @@
 func TestDecideTable(t *testing.T) {
 	var out strings.Builder
 	for event := retrier.NotSent; event <= retrier.Abandoned; event++ {
+		if step, _ := retrier.Pursue(0, event); step != 0 {
+			_, ended := retrier.Pursue(retrier.DefaultSettles, event)
+			fmt.Fprintf(&out, "%-9v %v, in the end %v\n", event, step, ended)
+			continue
+		}
 		for _, once := range []bool{false, true} {
 			for _, ran := range []bool{false, true} {
 				for _, attempts := range []int{1, retrier.DefaultAttempts} {
 					s := retrier.Situation{Once: once, Ran: ran, Attempts: attempts}
 					step := retrier.Decide(s, event, &retrier.Budget{})
-					fmt.Fprintf(&out, "event %d once %-5v ran %-5v attempts %d: step %d\n", event, once, ran, attempts, step)
+					s.Suspect = true
+					last := retrier.Decide(s, event, &retrier.Budget{})
+					fmt.Fprintf(&out, "%-9v once %-5v ran %-5v attempts %d: %-14v suspect: %v\n", event, once, ran, attempts, step, last)
 				}
 			}
 		}
@@ -28,6 +36,26 @@
 	goldie.New(t).Assert(t, "decide", []byte(out.String()))
 }
 
+// Guards against a hedge on a guess, and against one so early that healthy targets get double work.
+func TestPaceHedgesTheSlowestOnly(t *testing.T) {
+	c := qt.New(t)
+	var p retrier.Pace
+	for i := range 19 {
+		p.Observe("sortmind", time.Duration(i)*time.Millisecond)
+		_, ok := p.HedgeAfter("sortmind")
+		c.Assert(ok, qt.IsFalse)
+	}
+	p.Observe("sortmind", 100*time.Millisecond)
+	after, ok := p.HedgeAfter("sortmind")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(after, qt.Equals, 200*time.Millisecond)
+	for range 64 {
+		p.Observe("sortmind", time.Millisecond)
+	}
+	after, _ = p.HedgeAfter("sortmind")
+	c.Assert(after, qt.Equals, 50*time.Millisecond)
+}
+
 // Guards against retries that multiply the load of an outage.
 func TestBudgetBoundsRetries(t *testing.T) {
 	c := qt.New(t)
--- /dev/null
+++ b/internal/retrier/step.go
@@ -0,0 +1,33 @@
+package retrier
+
+import "strconv"
+
+// Step is what to do next.
+type Step int
+
+const (
+	// Deliver hands the answer to the caller.
+	Deliver Step = iota + 1
+	// Settle asks the gate what became of the attempt.
+	Settle
+	// Follow reads the answer of the attempt.
+	Follow
+	// Retry makes another attempt on another target.
+	Retry
+	// RefuseNotRun tells the caller that the request did not run.
+	RefuseNotRun
+	// ReportUnknown tells the caller that the request may have run.
+	ReportUnknown
+	// ReportRan tells the caller that the request ran and failed.
+	ReportRan
+)
+
+var stepNames = [...]string{"none", "deliver", "settle", "follow", "retry", "refuse-not-run", "report-unknown", "report-ran"}
+
+// String returns the name of the step.
+func (s Step) String() string {
+	if s < 0 || int(s) >= len(stepNames) {
+		return strconv.Itoa(int(s))
+	}
+	return stepNames[s]
+}
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -19,9 +19,11 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
+	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/publisher"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -41,6 +43,8 @@
 	clock      *timer.System
 	peers      *rpcclient.Client
 	dispatcher *dispatcher.Dispatcher
+	claims     *claimer.Claimer
+	isolator   *isolator.Isolator
 	callers    *httpserver.Server
 	operators  *httpserver.Server
 	ready      atomic.Bool
@@ -64,7 +68,10 @@
 	store := storer.NewStorer(kvclient.NewDriver(s.Store), e.clock)
 	publish := publisher.NewPublisher(store, codec.Form{}, config, e.clock)
 	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
-	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route)
+	e.claims = claimer.NewClaimer(store, codec.ClaimForm{}, e.clock)
+	e.isolator = &isolator.Isolator{}
+	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route,
+		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator))
 
 	m := &membership{
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
@@ -92,6 +99,7 @@
 	e.log.Emit(logger.DrainStarted)
 	err := errors.Join(e.callers.Stop(ctx), e.operators.Stop(ctx))
 	e.dispatcher.Close()
+	e.claims.Close()
 	e.cancel()
 	e.tasks.Wait()
 	e.peers.Close()
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -4,9 +4,11 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 )
 
 // Piece is a part of an answer: the text of some tokens, or bytes of a plain service's body.
@@ -25,19 +27,26 @@
 	Complete End = iota + 1
 	// Failed means that the target or the way to it failed; the answer is not whole.
 	Failed
-	// Cancelled means that the caller or the system gave the answer up.
+	// Cancelled means that the agent or the target gave the answer up.
 	Cancelled
-	// Crashed means that the target died while it ran the request.
+	// Crashed means that the target died, or cut the connection, while it had the request.
 	Crashed
+	// Unreached means that the target took no byte of the request.
+	Unreached
+	// Unheard means that the target took the request and did not answer in time; it may have run it.
+	Unheard
+	// Moved means that the agent gave the answer up because of a planned stop, so that it goes on elsewhere.
+	Moved
 )
 
+var endNames = [...]string{"open", "complete", "failed", "cancelled", "crashed", "unreached", "unheard", "moved"}
+
 // String returns the name of the end.
 func (e End) String() string {
-	names := map[End]string{Complete: "complete", Failed: "failed", Cancelled: "cancelled", Crashed: "crashed"}
-	if n, ok := names[e]; ok {
-		return n
+	if e < 0 || int(e) >= len(endNames) {
+		return strconv.Itoa(int(e))
 	}
-	return "open"
+	return endNames[e]
 }
 
 // Final is the last record of an answer. The zero value means that the answer is still open.
@@ -54,6 +63,8 @@
 	// Prompt and Cached count the tokens read and those of them found in the engine's cache.
 	Prompt identifier.Tokens
 	Cached identifier.Tokens
+	// Crash is the crash that ended the answer.
+	Crash isolator.Crash
 }
 
 // WithEnd returns a copy of f with the given end and reason.
@@ -62,6 +73,12 @@
 	return f
 }
 
+// WithCrash returns a copy of f that was ended by c.
+func (f Final) WithCrash(c isolator.Crash) Final {
+	f.Crash = c
+	return f
+}
+
 // WithHeader returns a copy of f with the status and header of a plain service's answer.
 func (f Final) WithHeader(status int, header map[string]string) Final {
 	f.Status, f.Header = status, maps.Clone(header)
