rpcclient: probe busy connections; agents and entries drain; entries share crash evidence

Cause: a connection that went silent was found by the membership probe only, and a write to it could block a caller beyond its deadline; a stopping agent closed its connections before entries had read the ends of their streams; a stopping entry refused connections before the balancer could see that it was not ready; crash evidence stayed in one entry. Change: a client probes each connection that has open calls once a second and closes it after two periods without a reply; writes have a bound of 2 s; a connection that the peer closed is not used again. An agent's drain waits for the readers, and moves repeatable streams after half of its time. An entry turns /readyz, serves two more periods, then finishes what it accepted. Entries exchange crash evidence each period over Evidence.Exchange. The stand-ins got a link that goes silent and an engine whose crash breaks all its answers. Conclusion: silent connections and planned stops have their mechanism.

--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -10,6 +10,7 @@
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/streamer"
 )
 
@@ -114,3 +115,16 @@
 	Draining    bool
 	Version     identifier.Version
 }
+
+// PingRequest probes a connection.
+type PingRequest struct{}
+
+// PingReply answers a PingRequest.
+type PingReply struct{}
+
+// EvidenceMessage carries crash evidence between entries, both ways.
+type EvidenceMessage struct {
+	Envelope
+
+	Evidence isolator.Evidence
+}
--- a/internal/adapter/rpcclient/lane.go
+++ b/internal/adapter/rpcclient/lane.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 
 	"github.com/mimosalb/mimosalb/internal/container"
 )
 
+// errClosed means that the client was closed.
+var errClosed = errors.New("client closed")
+
 // lane is the way to one address: at most one connection and a bound on open calls.
 type lane struct {
 	room chan struct{}
@@ -15,6 +19,11 @@
 	dialing chan struct{}
 	lock    container.Lock[container.Connection]
 	conn    *rpc.Client
+	wire    *wire
+	// probing is set while a probe is open; missed counts the periods since.
+	probing bool
+	missed  int
+	closed  bool
 }
 
 func newLane(inFlight int) *lane {
@@ -49,28 +58,42 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := rpc.NewClient(raw)
+	w := &wire{Conn: raw}
+	conn := rpc.NewClient(w)
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.conn = conn
+	if l.closed {
+		_ = w.Close()
+		return nil, errClosed
+	}
+	l.conn, l.wire, l.probing = conn, w, false
 	return conn, nil
 }
 
 func (l *lane) current() *rpc.Client {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	if l.conn != nil && l.wire.ended.Load() {
+		l.conn = nil
+	}
 	return l.conn
 }
 
+// close drops the connection and allows no other.
+func (l *lane) close() {
+	l.lock.Lock()
+	l.closed = true
+	l.lock.Unlock()
+	l.drop(nil)
+}
+
 // drop closes conn if it is still the lane's connection; nil stands for whichever it is.
 func (l *lane) drop(conn *rpc.Client) {
 	l.lock.Lock()
-	old := l.conn
-	if old == nil || conn != nil && conn != old {
-		l.lock.Unlock()
+	defer l.lock.Unlock()
+	if l.conn == nil || conn != nil && conn != l.conn {
 		return
 	}
 	l.conn = nil
-	l.lock.Unlock()
-	_ = old.Close()
+	_ = l.wire.Close()
 }
--- a/internal/adapter/rpcclient/rpcclient.go
+++ b/internal/adapter/rpcclient/rpcclient.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"sync"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
@@ -42,6 +43,8 @@
 	tls      *tls.Config
 	inFlight int
 	lanes    container.Table[container.Connection, string, *lane]
+	stop     chan struct{}
+	tasks    sync.WaitGroup
 }
 
 // Option sets a property of a Client.
@@ -50,12 +53,13 @@
 // WithTLS connects over TLS. Without it the client speaks plain text.
 func WithTLS(c *tls.Config) Option { return func(cl *Client) { cl.tls = c } }
 
-// NewClient returns a Client without connections.
+// NewClient returns a Client without connections. Close ends it.
 func NewClient(clock timer.Service, opts ...Option) *Client {
-	c := &Client{clock: clock, inFlight: DefaultInFlight}
+	c := &Client{clock: clock, inFlight: DefaultInFlight, stop: make(chan struct{})}
 	for _, o := range opts {
 		o(c)
 	}
+	c.tasks.Go(c.probe)
 	return c
 }
 
@@ -77,16 +81,18 @@
 
 // Drop closes the connection to address; its open calls fail with ErrLost.
 func (c *Client) Drop(address string) {
-	if l, ok := c.lanes.Delete(address); ok {
+	if l, ok := c.lanes.Get(address); ok {
 		l.drop(nil)
 	}
 }
 
-// Close closes all connections.
+// Close closes all connections and ends the probes. It must be called once.
 func (c *Client) Close() {
+	close(c.stop)
 	for _, l := range c.lanes.Values() {
-		l.drop(nil)
+		l.close()
 	}
+	c.tasks.Wait()
 }
 
 func (c *Client) exchange(ctx context.Context, l *lane, conn *rpc.Client, method string, args, reply Identified, timeout time.Duration) error {
--- a/internal/adapter/rpcserver/agent.go
+++ b/internal/adapter/rpcserver/agent.go
@@ -57,6 +57,9 @@
 	for {
 		chunk, changed := stream.Read(args.From)
 		reply.Chunk = chunk
+		if chunk.Done() {
+			a.gate.Collect(args.Attempt)
+		}
 		if len(chunk.Pieces) > 0 || chunk.Done() {
 			return nil
 		}
@@ -80,6 +83,7 @@
 func (a *Agent) Cancel(args messenger.CancelRequest, reply *messenger.CancelReply) error {
 	reply.Envelope = args.Envelope
 	a.runs.Cancel(args.Attempt)
+	a.gate.Collect(args.Attempt)
 	return nil
 }
 
--- a/internal/adapter/rpcserver/codec.go
+++ b/internal/adapter/rpcserver/codec.go
@@ -16,6 +16,7 @@
 	enc  *gob.Encoder
 	buf  *bufio.Writer
 	room chan struct{}
+	open open
 }
 
 func newCodec(conn io.ReadWriteCloser, inFlight int) *codec {
@@ -32,7 +33,11 @@
 // ReadRequestHeader waits for room and reads the header of the next request.
 func (c *codec) ReadRequestHeader(r *rpc.Request) error {
 	c.room <- struct{}{}
-	return c.dec.Decode(r) //nolint:wrapcheck // net/rpc compares the error with io.EOF
+	err := c.dec.Decode(r)
+	if err == nil {
+		c.open.begin()
+	}
+	return err //nolint:wrapcheck // net/rpc compares the error with io.EOF
 }
 
 // ReadRequestBody reads the body of the request whose header was read.
@@ -43,6 +48,7 @@
 // WriteResponse writes a reply and makes room for one more request.
 func (c *codec) WriteResponse(r *rpc.Response, body any) error {
 	defer func() { <-c.room }()
+	defer c.open.end()
 	if err := c.enc.Encode(r); err != nil {
 		return c.fail("encode header", err)
 	}
--- a/internal/adapter/rpcserver/rpcserver.go
+++ b/internal/adapter/rpcserver/rpcserver.go
@@ -2,6 +2,7 @@
 package rpcserver
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/rpc"
 	"sync"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
 	"github.com/mimosalb/mimosalb/internal/container"
 )
 
@@ -21,7 +23,7 @@
 	tls      *tls.Config
 	inFlight int
 	listener net.Listener
-	conns    container.Table[container.Connection, net.Conn, struct{}]
+	conns    container.Table[container.Connection, net.Conn, *codec]
 	done     sync.WaitGroup
 }
 
@@ -40,9 +42,18 @@
 	for _, o := range opts {
 		o(s)
 	}
+	if err := s.Register("Peer", peer{}); err != nil {
+		panic("invariant peer-methods: " + err.Error())
+	}
 	return s
 }
 
+// peer serves what every process of the system answers.
+type peer struct{}
+
+// Ping answers the probe of a connection.
+func (peer) Ping(messenger.PingRequest, *messenger.PingReply) error { return nil }
+
 // Register adds the methods of receiver under name.
 func (s *Server) Register(name string, receiver any) error {
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
@@ -61,10 +72,21 @@
 	go s.accept(l)
 }
 
+// Drain waits until the replies of the open calls are written or ctx ends. Calls that come meanwhile are served.
+func (s *Server) Drain(ctx context.Context) {
+	for _, c := range s.conns.Values() {
+		select {
+		case <-c.open.none():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close stops the listener, closes all connections and waits for their goroutines.
 func (s *Server) Close() error {
 	err := s.listener.Close()
-	s.conns.Each(func(c net.Conn, _ struct{}) bool {
+	s.conns.Each(func(c net.Conn, _ *codec) bool {
 		_ = c.Close()
 		return true
 	})
@@ -82,14 +104,15 @@
 		if err != nil {
 			return
 		}
-		s.conns.Put(c, struct{}{})
+		serving := newCodec(c, s.inFlight)
+		s.conns.Put(c, serving)
 		s.done.Add(1)
-		go s.serve(c)
+		go s.serve(c, serving)
 	}
 }
 
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c net.Conn, serving *codec) {
 	defer s.done.Done()
 	defer s.conns.Delete(c)
-	s.rpc.ServeCodec(newCodec(c, s.inFlight))
+	s.rpc.ServeCodec(serving)
 }
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -9,11 +9,13 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/runner"
+	"github.com/mimosalb/mimosalb/internal/standin/link"
 	"github.com/mimosalb/mimosalb/internal/standin/platform"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
@@ -40,6 +42,8 @@
 	Token time.Duration
 	// Period is the time between probes.
 	Period time.Duration
+	// Linked puts a link stand-in between the entries and each agent.
+	Linked bool
 }
 
 // Place is an availability zone and its region.
@@ -53,14 +57,19 @@
 	Standin *runner.Standin
 	Agents  map[string]*runner.Agent
 	Entries []*runner.Entry
+	// Links holds the link to each agent by the name of its back end.
+	Links map[string]*link.Link
 
+	plan   Plan
+	log    *logger.Logger
 	folder string
 }
 
 // NewDeployment starts the stand-ins, agents and entries of a plan. Close ends them.
 func NewDeployment(p Plan, log io.Writer) (*Deployment, error) {
-	d := &Deployment{Agents: make(map[string]*runner.Agent)}
-	err := d.start(p, logger.NewLogger("demo", "info", log))
+	d := &Deployment{Agents: make(map[string]*runner.Agent), Links: make(map[string]*link.Link), plan: p}
+	d.log = logger.NewLogger("demo", "info", log)
+	err := d.start(p, d.log)
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
@@ -81,13 +90,14 @@
 		return err
 	}
 	for _, b := range p.Backs {
-		if err := d.startAgent(p, b, log); err != nil {
+		if err := d.startAgent(p, b); err != nil {
 			return err
 		}
 	}
 	for i, place := range p.Entries {
+		name := "entry-" + strconv.Itoa(i+1)
 		entry, err := runner.StartEntry(loader.Settings{
-			Name: "entry-" + strconv.Itoa(i+1), Zone: place.Zone, Region: place.Region,
+			Name: name, Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
 			Pepper: pepper, Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
@@ -96,6 +106,9 @@
 			return fmt.Errorf("start entry: %w", err)
 		}
 		d.Entries = append(d.Entries, entry)
+		d.Standin.Platform.AddVM(platform.VM{
+			Name: name, Role: "entry", Zone: place.Zone, Region: place.Region, State: "live", Address: entry.Peers,
+		})
 	}
 	return nil
 }
@@ -118,23 +131,71 @@
 	return nil
 }
 
-func (d *Deployment) startAgent(p Plan, b Back, log *logger.Logger) error {
+func (d *Deployment) startAgent(p Plan, b Back) error {
+	agent, err := d.runAgent(b)
+	if err != nil {
+		return err
+	}
+	address := agent.Peers
+	if p.Linked {
+		if d.Links[b.Name], err = link.NewLink(agent.Peers); err != nil {
+			return fmt.Errorf("start link: %w", err)
+		}
+		address = d.Links[b.Name].Address()
+	}
+	d.Standin.Platform.AddVM(platform.VM{
+		Name: "vm-" + b.Name, Role: "target", Zone: b.Zone, Region: b.Region, State: "live",
+		Address: address, Service: b.Service, Target: b.Name,
+	})
+	return nil
+}
+
+// runAgent starts the process of the agent beside a back end.
+func (d *Deployment) runAgent(b Back) (*runner.Agent, error) {
 	agent, err := runner.StartAgent(loader.Settings{
 		Name: "agent-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
-		Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
+		Period: loader.Duration(d.plan.Period), TLS: loader.TLS{Plain: true},
 		Target: loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
-	}, log)
+	}, d.log)
 	if err != nil {
-		return fmt.Errorf("start agent: %w", err)
+		return nil, fmt.Errorf("start agent: %w", err)
 	}
 	d.Agents[b.Name] = agent
-	d.Standin.Platform.AddVM(platform.VM{
-		Name: "vm-" + b.Name, Role: "target", Zone: b.Zone, Region: b.Region, State: "live",
-		Address: agent.Peers, Service: b.Service, Target: b.Name,
-	})
+	return agent, nil
+}
+
+// StopAgent stops the agent beside a back end. When ctx has ended before, it dies in the middle of its work.
+func (d *Deployment) StopAgent(ctx context.Context, name string) error {
+	agent := d.Agents[name]
+	delete(d.Agents, name)
+	if l := d.Links[name]; l != nil && ctx.Err() != nil {
+		defer l.Cut()
+	}
+	return agent.Stop(ctx) //nolint:wrapcheck // the agent names itself
+}
+
+// RestartAgent starts the agent of a linked deployment anew, with an empty ledger.
+func (d *Deployment) RestartAgent(name string) error {
+	for _, b := range d.plan.Backs {
+		if b.Name != name {
+			continue
+		}
+		agent, err := d.runAgent(b)
+		if err != nil {
+			return err
+		}
+		d.Links[name].Lead(agent.Peers)
+	}
 	return nil
 }
 
+// StopEntry stops an entry and forgets it. When ctx has ended before, it dies in the middle of its work.
+func (d *Deployment) StopEntry(ctx context.Context, i int) error {
+	entry := d.Entries[i]
+	d.Entries = slices.Delete(d.Entries, i, i+1)
+	return entry.Stop(ctx) //nolint:wrapcheck // the entry names itself
+}
+
 // stopTimeout bounds the drain of each process when a deployment ends.
 const stopTimeout = 5 * time.Second
 
@@ -149,6 +210,9 @@
 	for _, a := range d.Agents {
 		err = errors.Join(err, a.Stop(ctx))
 	}
+	for _, l := range d.Links {
+		l.Close()
+	}
 	if d.Standin != nil {
 		err = errors.Join(err, d.Standin.Stop(ctx))
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -30,6 +30,7 @@
 type record struct {
 	stream *streamer.Stream
 	ended  bool
+	read   bool
 	drop   time.Time
 }
 
@@ -48,6 +49,9 @@
 	draining    bool
 	records     map[identifier.Attempt]*record
 	idle        chan struct{}
+	// unread counts the ended attempts whose final record no entry has read or given up.
+	unread    int
+	collected chan struct{}
 }
 
 // Option sets a property of a Gatekeeper.
@@ -120,6 +124,9 @@
 	}
 	r.ended, r.drop = true, now.Add(g.retention)
 	g.running--
+	if !r.read {
+		g.unread++
+	}
 	if g.running == 0 && g.idle != nil {
 		close(g.idle)
 		g.idle = nil
@@ -151,6 +158,41 @@
 	}
 }
 
+// Collect records that an entry has read the final record of an attempt, or does not wait for it any more.
+func (g *Gatekeeper) Collect(a identifier.Attempt) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	r, ok := g.records[a]
+	if !ok || r.stream == nil || r.read {
+		return
+	}
+	r.read = true
+	if !r.ended {
+		return
+	}
+	g.unread--
+	if g.unread == 0 && g.collected != nil {
+		close(g.collected)
+		g.collected = nil
+	}
+}
+
+// Collected returns a channel that is closed when every ended attempt has been collected.
+func (g *Gatekeeper) Collected() <-chan struct{} {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	collected := g.collected
+	if collected == nil {
+		collected = make(chan struct{})
+		g.collected = collected
+	}
+	if g.unread == 0 {
+		close(collected)
+		g.collected = nil
+	}
+	return collected
+}
+
 // Stream returns the stream of an admitted attempt.
 func (g *Gatekeeper) Stream(a identifier.Attempt) (*streamer.Stream, bool) {
 	g.lock.Lock()
@@ -202,6 +244,9 @@
 	}
 	for a, r := range g.records {
 		if !r.drop.IsZero() && now.After(r.drop) {
+			if r.ended && !r.read {
+				g.unread--
+			}
 			delete(g.records, a)
 		}
 	}
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -45,6 +45,7 @@
 	cleared map[Clearance]struct{}
 	// suspects finds the crashes of a request; each request looks for its own twice.
 	suspects map[Fingerprint][]CrashID
+	changes  int
 	busy     map[identifier.Target]struct{}
 	freed    chan struct{}
 }
@@ -58,6 +59,7 @@
 	defer i.lock.Unlock()
 	for _, c := range i.against(f) {
 		i.cleared[Clearance{Crash: c.ID, Fingerprint: f}] = struct{}{}
+		i.changes++
 	}
 }
 
@@ -72,14 +74,25 @@
 		old, known := i.crashes[c.ID]
 		if c.ID != (CrashID{}) && (!known || c.At.Before(old.At)) {
 			i.crashes[c.ID] = c
+			i.changes++
 		}
 	}
 	for _, c := range e.Cleared {
-		i.cleared[c] = struct{}{}
+		if _, known := i.cleared[c]; !known {
+			i.cleared[c] = struct{}{}
+			i.changes++
+		}
 	}
 	i.forget(now)
 }
 
+// Changes returns a number that rises when this entry learns something.
+func (i *Isolator) Changes() int {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	return i.changes
+}
+
 // Evidence returns what this entry knows, in a fixed order.
 func (i *Isolator) Evidence() Evidence {
 	i.lock.Lock()
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -66,13 +66,10 @@
 	return a, nil
 }
 
-// Stop takes no new attempts, waits for the running ones until ctx ends, and ends the process's parts.
+// Stop drains the agent until ctx ends, and ends the process's parts.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.log.Emit(logger.DrainStarted)
-	select {
-	case <-a.gate.Drain():
-	case <-ctx.Done():
-	}
+	a.drain(ctx)
 	err := a.server.Close()
 	a.close()
 	a.log.Emit(logger.ProcessStopped)
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -18,6 +19,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
 	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
@@ -38,6 +40,8 @@
 	// Callers and Operators are the addresses that the entry listens on.
 	Callers   string
 	Operators string
+	// Peers is the address at which other entries reach this one.
+	Peers string
 
 	log        *logger.Logger
 	clock      *timer.System
@@ -45,9 +49,12 @@
 	dispatcher *dispatcher.Dispatcher
 	claims     *claimer.Claimer
 	isolator   *isolator.Isolator
+	server     *rpcserver.Server
 	callers    *httpserver.Server
 	operators  *httpserver.Server
 	ready      atomic.Bool
+	stopping   atomic.Bool
+	period     time.Duration
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
 }
@@ -59,7 +66,7 @@
 		return nil, fmt.Errorf("read pepper: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{log: log, clock: timer.NewSystem(), cancel: cancel}
+	e := &Entry{log: log, clock: timer.NewSystem(), period: period(s), cancel: cancel}
 	e.peers = rpcclient.NewClient(e.clock)
 
 	config := &configurator.Configurator{}
@@ -80,10 +87,11 @@
 	e.task(func() { publish.Follow(ctx) })
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
+	e.task(func() { e.shareEvidence(ctx, m.platform) })
 
 	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	health := httpserver.NewHealth(e.ready.Load, metrics)
+	health := httpserver.NewHealth(e.accepts, metrics)
 	e.callers = httpserver.NewServer(health, httpserver.NewCallers(e.dispatcher, auth, config))
 	e.operators = httpserver.NewServer(health, httpserver.NewOperators(publish, config, pepper))
 	if err := e.listen(s); err != nil {
@@ -95,13 +103,13 @@
 
 // Stop takes no new requests, waits for the open ones until ctx ends, and ends the process's parts.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.ready.Store(false)
 	e.log.Emit(logger.DrainStarted)
-	err := errors.Join(e.callers.Stop(ctx), e.operators.Stop(ctx))
+	err := e.drain(ctx)
 	e.dispatcher.Close()
 	e.claims.Close()
 	e.cancel()
 	e.tasks.Wait()
+	err = errors.Join(err, e.closePeers())
 	e.peers.Close()
 	e.clock.Close()
 	e.log.Emit(logger.ProcessStopped)
@@ -118,6 +126,9 @@
 		_ = callers.Close()
 		return fmt.Errorf("listen for operators: %w", err)
 	}
+	if err := e.servePeers(s); err != nil {
+		return errors.Join(err, callers.Close(), operators.Close())
+	}
 	e.Callers, e.Operators = callers.Addr().String(), operators.Addr().String()
 	e.callers.Start(callers)
 	e.operators.Start(operators)
--- /dev/null
+++ b/internal/runner/evidence.go
@@ -0,0 +1,94 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
+	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/pkg/loader"
+)
+
+// exchanger swaps crash evidence with another entry. The relay can take its place.
+type exchanger interface {
+	Exchange(ctx context.Context, address string, e isolator.Evidence) (isolator.Evidence, error)
+}
+
+// servePeers serves the calls of other entries.
+func (e *Entry) servePeers(s loader.Settings) error {
+	e.server = rpcserver.NewServer()
+	if err := e.server.Register("Evidence", rpcserver.NewEvidence(e.isolator, e.clock)); err != nil {
+		return fmt.Errorf("serve peers: %w", err)
+	}
+	l, err := listen(s.Peers)
+	if err != nil {
+		e.server = nil
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	e.Peers = l.Addr().String()
+	e.server.Start(l)
+	return nil
+}
+
+func (e *Entry) closePeers() error {
+	if e.server == nil {
+		return nil
+	}
+	return e.server.Close()
+}
+
+// shareEvidence swaps crash evidence with the listed entries: each period with one of them in turn, and with all of
+// them when this entry has learnt something.
+func (e *Entry) shareEvidence(ctx context.Context, list *platformclient.Client) {
+	var via exchanger = rpcclient.NewExchanger(e.peers)
+	tick := e.clock.Every(e.period)
+	defer tick.Stop()
+	shared, turn := 0, 0
+	for {
+		select {
+		case <-tick.C():
+		case <-ctx.Done():
+			return
+		}
+		known := e.isolator.Changes()
+		vms, err := list.VMs(ctx)
+		if err != nil {
+			continue
+		}
+		peers := e.otherEntries(vms)
+		if known == shared && len(peers) > 0 {
+			turn++
+			peers = peers[turn%len(peers):][:1]
+		}
+		if e.exchange(ctx, via, peers) == nil {
+			shared = known
+		}
+	}
+}
+
+// exchange swaps evidence with the given entries. Those that do not answer are tried again in the next period.
+func (e *Entry) exchange(ctx context.Context, via exchanger, peers []string) error {
+	var failed error
+	for _, address := range peers {
+		theirs, err := via.Exchange(ctx, address, e.isolator.Evidence())
+		if err != nil {
+			failed = errors.Join(failed, err)
+			continue
+		}
+		e.isolator.Merge(theirs, e.clock.Now())
+	}
+	return failed
+}
+
+func (e *Entry) otherEntries(vms []platformclient.VM) []string {
+	var peers []string
+	for _, vm := range vms {
+		if vm.Role == platformclient.RoleEntry && vm.Address != e.Peers {
+			peers = append(peers, vm.Address)
+		}
+	}
+	return peers
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,6 +38,9 @@
 	cache     *prefixCache
 	fence     atomic.Uint64
 	counts    sync.Map
+
+	mu      sync.Mutex
+	crashed chan struct{}
 }
 
 // Option sets a property of an Engine.
@@ -134,6 +137,7 @@
 	flush := http.NewResponseController(w)
 	tick := e.clock.Every(e.tokenTime)
 	defer tick.Stop()
+	life := e.life()
 	for i := range max(q.Sampling.MaxNewTokens, 1) {
 		select {
 		case <-ctx.Done():
@@ -141,9 +145,12 @@
 			write(w, generateEvent{Meta: meta})
 			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 			return
+		case <-life:
+			panic(http.ErrAbortHandler)
 		case <-tick.C():
 		}
 		if crash := e.Switches.Get().Crash; crash != "" && strings.Contains(q.Text, crash) {
+			e.Crash()
 			panic(http.ErrAbortHandler)
 		}
 		meta.Completion = i + 1
@@ -159,6 +166,26 @@
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// Crash breaks off every running answer, like the death and restart of the engine's process.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed != nil {
+		close(e.crashed)
+		e.crashed = nil
+	}
+}
+
+// life returns a channel that is closed when the engine crashes.
+func (e *Engine) life() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed == nil {
+		e.crashed = make(chan struct{})
+	}
+	return e.crashed
+}
+
 // Token returns the token at a position of the text that begins with the given words.
 func Token(words []string, position int) string {
 	h := fnv.New32a()
--- a/internal/standin/switcher/switcher.go
+++ b/internal/standin/switcher/switcher.go
@@ -16,7 +16,7 @@
 	Lose int `json:"lose"`
 	// Delay holds every answer for that long.
 	Delay time.Duration `json:"delay"`
-	// Crash makes an engine break off every answer whose prompt contains this text.
+	// Crash makes an engine break off all its answers when it runs a prompt that contains this text.
 	Crash string `json:"crash"`
 	// Swap makes the next Swap weight changes of an engine fail.
 	Swap int `json:"swap"`
