demonstrator: failure tests of streams, claims and planned stops

Cause: nothing tested a stream that moves, a claim, a silent link or a planned stop end to end. Change: a bed of two entries, four engines and three plain services behind links, with a test for each line and for the pairs crash and silent link, key withdrawn and stream moving, entry dying between dispatch and answer. Resumed streams have their own budget, since 64 streams of one crashed target do not fit a reserve of 10. A crash that another request explains no longer counts against those that were near it.

--- /dev/null
+++ b/internal/demonstrator/stream_test.go
@@ -0,0 +1,137 @@
+package demonstrator_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/demonstrator"
+)
+
+// Guards against a stream that loses or repeats tokens, or ends early, when its target crashes.
+func TestStreamResumesAfterCrash(t *testing.T) {
+	b := newBed(t, wide())
+	for _, at := range []int{1, 7, 40, 59, 60} {
+		s := b.stream(0, "driver", "crash at", 60, func(n int) {
+			if n == at {
+				b.Standin.Engines[b.busyOr("sortmind-1")].Crash()
+			}
+		})
+		b.whole(s, "crash at", 60)
+	}
+}
+
+// Guards against a stream that hangs or breaks when the connection to its agent goes silent.
+func TestStreamSurvivesSilentLink(t *testing.T) {
+	b := newBed(t, wide())
+	var silent time.Time
+	s := b.stream(0, "driver", "silent link", 200, func(n int) {
+		if n == 20 {
+			silent = time.Now()
+			b.Assert(b.Links[b.busy()].Silence() > 0, qt.IsTrue)
+		}
+	})
+	b.whole(s, "silent link", 200)
+	// Two missed probes, the period before the first, and the time to settle.
+	b.Assert(time.Since(silent) < 5*time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(silent)))
+}
+
+// Guards against a stream that is lost when its target crashes while the connection to its agent is silent.
+func TestStreamSurvivesCrashBehindSilentLink(t *testing.T) {
+	b := newBed(t, wide())
+	s := b.stream(0, "driver", "both at once", 200, func(n int) {
+		if n == 20 {
+			name := b.busy()
+			b.Links[name].Silence()
+			b.Standin.Engines[name].Crash()
+		}
+	})
+	b.whole(s, "both at once", 200)
+}
+
+// Guards against a stream that is cut when its agent dies, and against one that is lost because a planned stop of the
+// agent does not wait for its readers.
+func TestStreamSurvivesAgentStop(t *testing.T) {
+	patient, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	brief, cancelBrief := context.WithTimeout(context.Background(), time.Second)
+	defer cancelBrief()
+	for name, ctx := range map[string]context.Context{"dies": dead(), "finishes": patient, "moves": brief} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, wide())
+			stopped := make(chan error, 1)
+			tokens := map[string]int{"dies": 100, "finishes": 100, "moves": 800}[name]
+			stopping := ""
+			s := b.stream(0, "driver", "agent "+name, tokens, func(n int) {
+				if n == 20 {
+					stopping = b.busy()
+					go func() { stopped <- b.StopAgent(ctx, stopping) }()
+				}
+			})
+			b.whole(s, "agent "+name, tokens)
+			b.Assert(<-stopped, qt.IsNil)
+			elsewhere := int64(0)
+			for engine, e := range b.Standin.Engines {
+				if engine != stopping {
+					elsewhere += e.RunsOfPrompt("agent " + name)
+				}
+			}
+			b.Assert(elsewhere > 0, qt.Equals, name != "finishes", qt.Commentf("%d runs elsewhere", elsewhere))
+		})
+	}
+}
+
+// Guards against an entry that refuses work before /readyz says so, or that cuts what it accepted.
+func TestEntryStopFinishesAcceptedCalls(t *testing.T) {
+	b := newBed(t, wide())
+	entry := b.Entries[0].Callers
+	var unready, served bool
+	done := make(chan error, 1)
+	s := b.stream(0, "driver", "entry stops", 400, func(n int) {
+		if n == 10 {
+			go func() { done <- b.StopEntry(context.Background(), 0) }()
+			b.await(time.Second, func() bool {
+				r := read(b.http.Get("http://" + entry + "/readyz"))
+				unready = r.status == http.StatusServiceUnavailable
+				return unready
+			})
+			served = read(b.post(context.Background(), entry, "/v1/completions", "driver", nil, ask("late", 1, false))).status == http.StatusOK
+		}
+	})
+	b.whole(s, "entry stops", 400)
+	b.Assert(<-done, qt.IsNil)
+	b.Assert(unready, qt.IsTrue)
+	b.Assert(served, qt.IsTrue, qt.Commentf("a call between /readyz and the stop"))
+}
+
+// Guards against a withdrawn key whose stream goes on at the target to which it moves.
+func TestKeyWithdrawnWhileStreamMoves(t *testing.T) {
+	b := newBed(t, wide())
+	client := demonstrator.NewClient(b.Deployment)
+	var withdrawn time.Time
+	s := b.stream(0, "guest", "withdrawn", 5000, func(n int) {
+		if n == 20 {
+			name := b.busy()
+			withdrawn = time.Now()
+			r, err := client.Operator(context.Background(), http.MethodDelete, "/v1/keys/guest", nil, codec.Document{})
+			b.Check(err, qt.IsNil)
+			b.Check(r.Status, qt.Equals, http.StatusOK)
+			b.Standin.Engines[name].Crash()
+		}
+	})
+	b.Assert(s.done, qt.IsFalse)
+	b.Assert(s.error, qt.Equals, "key-withdrawn")
+	b.Assert(time.Since(withdrawn) < 3*time.Second, qt.IsTrue)
+	b.await(3*time.Second, func() bool {
+		for _, e := range b.Standin.Engines {
+			if e.Running() > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/dispatcher/choice.go
@@ -0,0 +1,63 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/router"
+)
+
+// suspectPatience bounds how long a suspected request waits for a target without another one. A request that crashes
+// targets does so within seconds; a stream that is merely long must not hold up the others.
+const suspectPatience = 2 * time.Second
+
+// choose picks the target of the next attempt.
+func (d *Dispatcher) choose(j *job) (router.Target, bool) {
+	need := router.Need{Service: j.request.Service.Name, Zone: d.settings.Zone, Region: d.settings.Region, Avoid: j.used}
+	if d.isolator.Suspected(j.request.Call.Fingerprint) {
+		if target, ok := d.chooseApart(j, need); ok {
+			return target, true
+		}
+	}
+	return d.router.Choose(need)
+}
+
+// chooseApart picks a target on which this entry has no other suspected request, and waits for one if need be: the
+// next crash then tells the requests of the last one apart.
+func (d *Dispatcher) chooseApart(j *job, need router.Need) (router.Target, bool) {
+	patience := d.clock.After(suspectPatience)
+	defer patience.Stop()
+	for {
+		busy, freed := d.isolator.Busy()
+		need.Avoid = append(slices.Clone(j.used), busy...)
+		target, ok := d.router.Choose(need)
+		switch {
+		case ok && d.isolator.Enter(target.ID):
+			j.entered = append(j.entered, target.ID)
+			return target, true
+		case ok:
+			// Another request entered it since Busy, so that the next round avoids it.
+			d.router.Release(target.ID)
+			continue
+		case len(busy) == 0:
+			return router.Target{}, false
+		}
+		select {
+		case <-freed:
+		case <-patience.C():
+			return router.Target{}, false
+		case <-j.ctx.Done():
+			return router.Target{}, false
+		}
+	}
+}
+
+// leave ends what choose began.
+func (d *Dispatcher) leave(j *job, id identifier.Target) {
+	d.router.Release(id)
+	if i := slices.Index(j.entered, id); i >= 0 {
+		j.entered = slices.Delete(j.entered, i, i+1)
+		d.isolator.Leave(id)
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -59,6 +59,7 @@
 	admitter *admitter.Admitter
 	router   *router.Router
 	budget   *retrier.Budget
+	resumes  *retrier.Budget
 	pace     *retrier.Pace
 	isolator *isolator.Isolator
 	claims   Claims
@@ -103,6 +104,7 @@
 		admitter: &admitter.Admitter{},
 		router:   r,
 		budget:   &retrier.Budget{},
+		resumes:  &retrier.Budget{Ratio: retrier.ResumeRatio, Reserve: retrier.ResumeReserve},
 		pace:     &retrier.Pace{},
 		isolator: &isolator.Isolator{},
 		claims:   noClaims{},
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -22,45 +22,6 @@
 	chunk    streamer.Chunk
 }
 
-// choose picks the target of the next attempt. A request that was in a crash goes where no other such request of this
-// entry is, and waits for such a target if need be: the next crash then tells them apart.
-func (d *Dispatcher) choose(j *job) (router.Target, bool) {
-	for {
-		need := router.Need{Service: j.request.Service.Name, Zone: d.settings.Zone, Region: d.settings.Region, Avoid: j.used}
-		if !d.isolator.Suspected(j.request.Call.Fingerprint) {
-			return d.router.Choose(need)
-		}
-		busy, freed := d.isolator.Busy()
-		need.Avoid = append(slices.Clone(j.used), busy...)
-		target, ok := d.router.Choose(need)
-		if ok && d.isolator.Enter(target.ID) {
-			j.entered = append(j.entered, target.ID)
-			return target, true
-		}
-		if ok {
-			d.router.Release(target.ID)
-			continue
-		}
-		if len(busy) == 0 {
-			return router.Target{}, false
-		}
-		select {
-		case <-freed:
-		case <-j.ctx.Done():
-			return router.Target{}, false
-		}
-	}
-}
-
-// leave ends what choose began.
-func (d *Dispatcher) leave(j *job, id identifier.Target) {
-	d.router.Release(id)
-	if i := slices.Index(j.entered, id); i >= 0 {
-		j.entered = slices.Delete(j.entered, i, i+1)
-		d.isolator.Leave(id)
-	}
-}
-
 // begin starts an attempt. If its answer does not begin in the usual time, a second one starts elsewhere, and the one
 // whose answer begins first is taken.
 func (d *Dispatcher) begin(ctx context.Context, j *job, target router.Target, id identifier.Attempt) lead {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -58,6 +58,7 @@
 	defer stop()
 
 	d.budget.Earn()
+	d.resumes.Earn()
 	result := d.attempt(j)
 	result.Attempts = j.attempts
 	result.Took = d.clock.Boot() - start
@@ -116,7 +117,11 @@
 	}
 	_, held := d.isolator.Held(j.request.Call.Fingerprint, d.clock.Now())
 	situation := retrier.Situation{Once: j.request.Service.Once, Ran: j.ran, Attempts: j.attempts, Suspect: held}
-	step := retrier.Decide(situation, t.event, d.budget)
+	budget := d.budget
+	if j.resumable() && j.progress.tokens > 0 {
+		budget = d.resumes
+	}
+	step := retrier.Decide(situation, t.event, budget)
 	j.ran = j.ran || t.event.MayHaveRun()
 	switch step {
 	case retrier.Retry:
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -34,7 +34,8 @@
 // Isolator compares crashes. The zero value knows none.
 //
 // A request is held back when it is the only one that crashes of two different targets have in common, or when it was
-// in crashes of three. Merging evidence is a union of the crashes, each with its earliest time, and of the clearances;
+// in crashes of three. A crash does not count against a request if another one that was there crashed a target alone.
+// Merging evidence is a union of the crashes, each with its earliest time, and of the clearances;
 // it is commutative, associative and idempotent, so entries may exchange evidence in any order and more than once.
 //
 // Invariants: a request that ran to its end is not suspected for an earlier crash; a request of one crash only is
@@ -43,8 +44,10 @@
 	lock    container.Lock[container.Isolator]
 	crashes map[CrashID]Crash
 	cleared map[Clearance]struct{}
-	// suspects finds the crashes of a request; each request looks for its own twice.
+	// suspects finds the crashes of a request; each request looks for its own twice. alone holds the requests that are
+	// the only suspects of a crash.
 	suspects map[Fingerprint][]CrashID
+	alone    map[Fingerprint]bool
 	changes  int
 	busy     map[identifier.Target]struct{}
 	freed    chan struct{}
@@ -61,6 +64,7 @@
 		i.cleared[Clearance{Crash: c.ID, Fingerprint: f}] = struct{}{}
 		i.changes++
 	}
+	i.index()
 }
 
 // Merge takes over the evidence of another entry.
@@ -122,7 +126,7 @@
 func (i *Isolator) Held(f Fingerprint, now time.Time) (time.Duration, bool) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
-	crashes := i.against(f)
+	crashes := slices.DeleteFunc(i.against(f), func(c Crash) bool { return i.explained(c, f) })
 	targets := make(map[identifier.Target]bool)
 	var last time.Time
 	alone := false
@@ -226,10 +230,29 @@
 			delete(i.cleared, c)
 		}
 	}
-	i.suspects = make(map[Fingerprint][]CrashID)
+	i.index()
+}
+
+// index rebuilds what is derived from the crashes and clearances.
+func (i *Isolator) index() {
+	i.suspects, i.alone = make(map[Fingerprint][]CrashID), make(map[Fingerprint]bool)
 	for id, c := range i.crashes {
+		var left []Fingerprint
 		for _, f := range c.Suspects {
 			i.suspects[f] = append(i.suspects[f], id)
+			if i.counts(c, f) {
+				left = append(left, f)
+			}
+		}
+		if len(left) == 1 {
+			i.alone[left[0]] = true
 		}
 	}
 }
+
+// explained reports whether a request other than f was in c and is the only suspect of some crash.
+func (i *Isolator) explained(c Crash, f Fingerprint) bool {
+	return slices.ContainsFunc(c.Suspects, func(other Fingerprint) bool {
+		return other != f && i.alone[other] && i.counts(c, other)
+	})
+}
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -1,18 +1,31 @@
 package retrier
 
-import "github.com/mimosalb/mimosalb/internal/container"
+import (
+	"cmp"
+
+	"github.com/mimosalb/mimosalb/internal/container"
+)
 
 const (
 	// DefaultRatio is the retries that one first attempt earns. A tenth keeps the extra load of an outage at 10%.
 	DefaultRatio = 0.1
 	// DefaultReserve is the most retries that can be saved up.
 	DefaultReserve = 10.0
+	// ResumeRatio and ResumeReserve are for attempts that continue an answer at its next token. They repeat no token's
+	// work, only the reading of the prompt. The reserve covers the streams of four targets that crash at once.
+	ResumeRatio   = 0.5
+	ResumeReserve = 256.0
 )
 
-// Budget limits retries and hedges to a share of the first attempts. The zero value starts with DefaultReserve.
+// Budget limits further attempts to a share of the first ones. The zero value has DefaultRatio and DefaultReserve. A
+// new budget is full.
 //
-// Lock rank: container.RankRetrier.
+// Invariant: over any n first attempts at most Ratio·n + Reserve further ones are made. Lock rank:
+// container.RankRetrier.
 type Budget struct {
+	Ratio   float64
+	Reserve float64
+
 	lock  container.Lock[container.Retrier]
 	spent float64
 }
@@ -21,14 +34,14 @@
 func (b *Budget) Earn() {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.spent = max(0, b.spent-DefaultRatio)
+	b.spent = max(0, b.spent-cmp.Or(b.Ratio, DefaultRatio))
 }
 
 // Spend takes one retry from the budget. It reports false when none is left.
 func (b *Budget) Spend() bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	if b.spent+1 > DefaultReserve {
+	if b.spent+1 > cmp.Or(b.Reserve, DefaultReserve) {
 		return false
 	}
 	b.spent++
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -76,6 +76,9 @@
 	return err
 }
 
+// Load returns the number of running attempts and whether the agent is draining.
+func (a *Agent) Load() (running int, draining bool) { return a.gate.Load() }
+
 // close ends what runs below the server.
 func (a *Agent) close() {
 	a.runs.Close()
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -27,7 +27,8 @@
 
 	log     *logger.Logger
 	clock   *timer.System
-	servers []*http.Server
+	servers map[string]*http.Server
+	refused int
 }
 
 // StartStandin starts the stand-ins. Stop ends them.
@@ -41,6 +42,7 @@
 		Addresses: make(map[string]string),
 		log:       log,
 		clock:     clock,
+		servers:   make(map[string]*http.Server),
 	}
 	for _, vm := range s.VMs {
 		st.Platform.AddVM(platform.VM(vm))
@@ -75,6 +77,23 @@
 	return err
 }
 
+// Refuse closes the listener of a stand-in for good, so that connections to it are refused.
+func (s *Standin) Refuse(name string) error {
+	srv, ok := s.servers[name]
+	if !ok {
+		return nil
+	}
+	delete(s.servers, name)
+	s.refused++
+	if err := srv.Close(); err != nil {
+		return fmt.Errorf("close %s: %w", name, err)
+	}
+	return nil
+}
+
+// Refused returns how many stand-ins refuse connections.
+func (s *Standin) Refused() int { return s.refused }
+
 func (s *Standin) serve(name, address string, h http.Handler) error {
 	if address == "" {
 		return nil
@@ -85,7 +104,7 @@
 	}
 	s.Addresses[name] = l.Addr().String()
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	s.servers = append(s.servers, srv)
+	s.servers[name] = srv
 	go func() { _ = srv.Serve(l) }()
 	return nil
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,6 +38,7 @@
 	cache     *prefixCache
 	fence     atomic.Uint64
 	counts    sync.Map
+	prompts   sync.Map
 
 	mu      sync.Mutex
 	crashed chan struct{}
@@ -62,6 +63,9 @@
 // Runs returns how many answers the engine has started in all.
 func (e *Engine) Runs() int64 { return e.total.Load() }
 
+// Running returns how many answers the engine is making.
+func (e *Engine) Running() int64 { return e.running.Load() }
+
 // RunsOf returns how many answers the engine has started for one request.
 func (e *Engine) RunsOf(request string) int64 {
 	if n, ok := e.counts.Load(request); ok {
@@ -72,6 +76,19 @@
 	return 0
 }
 
+// RunsOfPrompt returns how many answers the engine has started for prompts that begin with this text.
+func (e *Engine) RunsOfPrompt(text string) int64 {
+	var n int64
+	e.prompts.Range(func(prompt, count any) bool {
+		p, isText := prompt.(string)
+		if c, ok := count.(*atomic.Int64); ok && isText && strings.HasPrefix(p, text) {
+			n += c.Load()
+		}
+		return true
+	})
+	return n
+}
+
 // Version returns the weight version in use.
 func (e *Engine) Version() uint64 { return e.version.Load() }
 
@@ -127,7 +144,10 @@
 	defer cancel()
 	e.runs.Store(q.RID, cancel)
 	defer e.runs.Delete(q.RID)
-	e.count(q.RID)
+	request, _, _ := strings.Cut(q.RID, "/")
+	e.total.Add(1)
+	count(&e.counts, request)
+	count(&e.prompts, q.Text)
 	e.running.Add(1)
 	defer e.running.Add(-1)
 
@@ -196,10 +216,8 @@
 	return fmt.Sprintf("w%04x", h.Sum32()&0xffff)
 }
 
-func (e *Engine) count(rid string) {
-	e.total.Add(1)
-	request, _, _ := strings.Cut(rid, "/")
-	n, _ := e.counts.LoadOrStore(request, &atomic.Int64{})
+func count(counts *sync.Map, key string) {
+	n, _ := counts.LoadOrStore(key, &atomic.Int64{})
 	if c, ok := n.(*atomic.Int64); ok {
 		c.Add(1)
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -18,10 +18,11 @@
 	// Switches are the failures that the service shows.
 	Switches switcher.Switcher
 
-	mu    sync.Mutex
-	calls map[string]int
-	total int
-	keys  int
+	mu     sync.Mutex
+	calls  map[string]int
+	bodies map[string]int
+	total  int
+	keys   int
 }
 
 // Answer is what the service says to a call.
@@ -42,6 +43,13 @@
 	return s.total, s.calls[request]
 }
 
+// RunsOf returns how often the service ran a call with this body.
+func (s *Service) RunsOf(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bodies[body]
+}
+
 // KeysSeen returns how many calls carried a caller's key. It must stay zero.
 func (s *Service) KeysSeen() int {
 	s.mu.Lock()
@@ -64,7 +72,7 @@
 		return
 	}
 	request := r.Header.Get("X-Request-Id")
-	runs := s.record(request, r.Header.Get("Authorization") != "")
+	runs := s.record(request, string(body), r.Header.Get("Authorization") != "")
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Answer{
 		Request: request,
@@ -76,14 +84,15 @@
 	})
 }
 
-func (s *Service) record(request string, key bool) int {
+func (s *Service) record(request, body string, key bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.calls == nil {
-		s.calls = make(map[string]int)
+		s.calls, s.bodies = make(map[string]int), make(map[string]int)
 	}
 	s.total++
 	s.calls[request]++
+	s.bodies[body]++
 	if key {
 		s.keys++
 	}
