dispatcher: warn the other entries before the caller of a harmful request is told

Change: the entry exchanges evidence before it reports a request that is held back, within 1 s; suspected requests wait up to 10 s for a target without another one. Conclusion: two targets at most in this test; entries that can't be reached learn of it in the next period.

--- a/internal/demonstrator/bed_test.go
+++ b/internal/demonstrator/bed_test.go
@@ -124,10 +124,10 @@
 	error  string
 }
 
-// stream streams an answer and calls at after each token with their number.
-func (b *bed) stream(entry int, key, prompt string, tokens int, at func(n int)) stream {
+// stream streams an answer from the first entry and calls at after each token with their number.
+func (b *bed) stream(key, prompt string, tokens int, at func(n int)) stream {
 	var s stream
-	resp, err := b.post(context.Background(), b.Entries[entry].Callers, "/v1/completions", key, nil, ask(prompt, tokens, true))
+	resp, err := b.post(context.Background(), b.Entries[0].Callers, "/v1/completions", key, nil, ask(prompt, tokens, true))
 	if err != nil {
 		return s
 	}
--- /dev/null
+++ b/internal/demonstrator/crash_test.go
@@ -0,0 +1,57 @@
+package demonstrator_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/standin/switcher"
+)
+
+// Guards against a harmful request that crashes a third target, or others when it comes again to another entry, against
+// innocent requests that are condemned with it, and against a team that is blocked because of it.
+func TestHarmfulRequestIsHeldBack(t *testing.T) {
+	b := newBed(t, wide())
+	for _, e := range b.Standin.Engines {
+		e.Switches.Set(switcher.Switches{Crash: "poison"})
+	}
+	innocent := make([]stream, 12)
+	var streams sync.WaitGroup
+	for i := range innocent {
+		streams.Go(func() {
+			innocent[i] = b.stream("driver", fmt.Sprintf("innocent%d", i), 200, func(int) {})
+		})
+	}
+	b.await(5*time.Second, func() bool {
+		n := int64(0)
+		for _, e := range b.Standin.Engines {
+			n += e.Running()
+		}
+		return n == int64(len(innocent))
+	})
+	r := b.complete(0, "poison pill", 5)
+	kind, reason := r.problem()
+	b.Assert(kind+" "+reason, qt.Equals, "unknown crashes-targets")
+	again := b.complete(1, "poison pill", 5)
+	kind, reason = again.problem()
+	b.Assert(kind+" "+reason, qt.Equals, "not-run crashes-targets", qt.Commentf("%s", again.body))
+	b.Assert(again.status, qt.Equals, http.StatusUnprocessableEntity)
+	b.Assert(again.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	streams.Wait()
+	crashes := int64(0)
+	for _, e := range b.Standin.Engines {
+		crashes += e.RunsOfPrompt("poison")
+	}
+	b.Assert(crashes, qt.Equals, int64(2))
+	for i, s := range innocent {
+		b.whole(s, fmt.Sprintf("innocent%d", i), 200)
+	}
+	for i := range innocent {
+		prompt := fmt.Sprintf("innocent%d", i)
+		b.Assert(b.complete(i%2, prompt, 3).status, qt.Equals, http.StatusOK, qt.Commentf("%s is not condemned", prompt))
+	}
+}
--- a/internal/demonstrator/once_test.go
+++ b/internal/demonstrator/once_test.go
@@ -24,13 +24,13 @@
 func TestClaimedCallRunsOnce(t *testing.T) {
 	b := newBed(t, wide())
 	b.plain(switcher.Switches{Delay: 300 * time.Millisecond})
-	replies := make([]reply, 6)
+	replies := make([]reply, 8)
 	var calls sync.WaitGroup
-	for i := range replies {
+	for i := range 6 {
 		calls.Go(func() { replies[i] = b.claimed(i%2, "k1", "quote 1") })
 	}
 	calls.Wait()
-	replies = append(replies, b.claimed(0, "k1", "quote 1"), b.claimed(1, "k1", "quote 1"))
+	replies[6], replies[7] = b.claimed(0, "k1", "quote 1"), b.claimed(1, "k1", "quote 1")
 	for _, r := range replies {
 		b.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
 		b.Assert(r.body, qt.Equals, replies[0].body)
--- a/internal/demonstrator/stream_test.go
+++ b/internal/demonstrator/stream_test.go
@@ -16,7 +16,7 @@
 func TestStreamResumesAfterCrash(t *testing.T) {
 	b := newBed(t, wide())
 	for _, at := range []int{1, 7, 40, 59, 60} {
-		s := b.stream(0, "driver", "crash at", 60, func(n int) {
+		s := b.stream("driver", "crash at", 60, func(n int) {
 			if n == at {
 				b.Standin.Engines[b.busyOr("sortmind-1")].Crash()
 			}
@@ -29,7 +29,7 @@
 func TestStreamSurvivesSilentLink(t *testing.T) {
 	b := newBed(t, wide())
 	var silent time.Time
-	s := b.stream(0, "driver", "silent link", 200, func(n int) {
+	s := b.stream("driver", "silent link", 200, func(n int) {
 		if n == 20 {
 			silent = time.Now()
 			b.Assert(b.Links[b.busy()].Silence() > 0, qt.IsTrue)
@@ -43,7 +43,7 @@
 // Guards against a stream that is lost when its target crashes while the connection to its agent is silent.
 func TestStreamSurvivesCrashBehindSilentLink(t *testing.T) {
 	b := newBed(t, wide())
-	s := b.stream(0, "driver", "both at once", 200, func(n int) {
+	s := b.stream("driver", "both at once", 200, func(n int) {
 		if n == 20 {
 			name := b.busy()
 			b.Links[name].Silence()
@@ -66,7 +66,7 @@
 			stopped := make(chan error, 1)
 			tokens := map[string]int{"dies": 100, "finishes": 100, "moves": 800}[name]
 			stopping := ""
-			s := b.stream(0, "driver", "agent "+name, tokens, func(n int) {
+			s := b.stream("driver", "agent "+name, tokens, func(n int) {
 				if n == 20 {
 					stopping = b.busy()
 					go func() { stopped <- b.StopAgent(ctx, stopping) }()
@@ -91,7 +91,7 @@
 	entry := b.Entries[0].Callers
 	var unready, served bool
 	done := make(chan error, 1)
-	s := b.stream(0, "driver", "entry stops", 400, func(n int) {
+	s := b.stream("driver", "entry stops", 400, func(n int) {
 		if n == 10 {
 			go func() { done <- b.StopEntry(context.Background(), 0) }()
 			b.await(time.Second, func() bool {
@@ -113,7 +113,7 @@
 	b := newBed(t, wide())
 	client := demonstrator.NewClient(b.Deployment)
 	var withdrawn time.Time
-	s := b.stream(0, "guest", "withdrawn", 5000, func(n int) {
+	s := b.stream("guest", "withdrawn", 5000, func(n int) {
 		if n == 20 {
 			name := b.busy()
 			withdrawn = time.Now()
--- a/internal/dispatcher/choice.go
+++ b/internal/dispatcher/choice.go
@@ -8,9 +8,9 @@
 	"github.com/mimosalb/mimosalb/internal/router"
 )
 
-// suspectPatience bounds how long a suspected request waits for a target without another one. A request that crashes
-// targets does so within seconds; a stream that is merely long must not hold up the others.
-const suspectPatience = 2 * time.Second
+// suspectPatience bounds how long a suspected request waits for a target without another one. With 2 s the requests of
+// one crash did not all get a target of their own among three, and a third target crashed.
+const suspectPatience = 10 * time.Second
 
 // choose picks the target of the next attempt.
 func (d *Dispatcher) choose(j *job) (router.Target, bool) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -69,6 +69,7 @@
 	queue    *scheduler.Scheduler[*job]
 	pool     *worker.Pool[*job]
 	ended    []func(Ended)
+	held     func(context.Context)
 }
 
 // Option sets a property of a Dispatcher.
@@ -85,6 +86,10 @@
 // WithIsolator sets the crash evidence that the entry shares with others.
 func WithIsolator(i *isolator.Isolator) Option { return func(d *Dispatcher) { d.isolator = i } }
 
+// WithHeld sets a function that tells the other entries about a request that is held back from now on. It is called
+// before the caller is told, so that a resubmission finds every entry that answers warned.
+func WithHeld(f func(context.Context)) Option { return func(d *Dispatcher) { d.held = f } }
+
 // Ended describes a request that has ended.
 type Ended struct {
 	Request Request
@@ -108,6 +113,7 @@
 		pace:     &retrier.Pace{},
 		isolator: &isolator.Isolator{},
 		claims:   noClaims{},
+		held:     func(context.Context) {},
 		queue:    &scheduler.Scheduler[*job]{},
 	}
 	for _, o := range opts {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -116,6 +116,9 @@
 		d.isolator.Clear(j.request.Call.Fingerprint)
 	}
 	_, held := d.isolator.Held(j.request.Call.Fingerprint, d.clock.Now())
+	if held {
+		d.held(j.ctx)
+	}
 	situation := retrier.Situation{Once: j.request.Service.Once, Ran: j.ran, Attempts: j.attempts, Suspect: held}
 	budget := d.budget
 	if j.resumable() && j.progress.tokens > 0 {
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -11,9 +11,10 @@
 	DefaultRatio = 0.1
 	// DefaultReserve is the most retries that can be saved up.
 	DefaultReserve = 10.0
-	// ResumeRatio and ResumeReserve are for attempts that continue an answer at its next token. They repeat no token's
-	// work, only the reading of the prompt. The reserve covers the streams of four targets that crash at once.
-	ResumeRatio   = 0.5
+	// ResumeRatio is the resumes that one first attempt earns. Attempts that continue an answer at its next token repeat
+	// no token's work, only the reading of the prompt.
+	ResumeRatio = 0.5
+	// ResumeReserve is the most resumes that can be saved up. It covers the streams of four targets that crash at once.
 	ResumeReserve = 256.0
 )
 
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -49,6 +49,7 @@
 	dispatcher *dispatcher.Dispatcher
 	claims     *claimer.Claimer
 	isolator   *isolator.Isolator
+	others     atomic.Pointer[[]string]
 	server     *rpcserver.Server
 	callers    *httpserver.Server
 	operators  *httpserver.Server
@@ -78,7 +79,7 @@
 	e.claims = claimer.NewClaimer(store, codec.ClaimForm{}, e.clock)
 	e.isolator = &isolator.Isolator{}
 	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route,
-		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator))
+		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator), dispatcher.WithHeld(e.warn))
 
 	m := &membership{
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -4,14 +4,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
 
+// warnTimeout bounds how long a caller waits for the other entries to be warned about its request.
+const warnTimeout = time.Second
+
 // exchanger swaps crash evidence with another entry. The relay can take its place.
 type exchanger interface {
 	Exchange(ctx context.Context, address string, e isolator.Evidence) (isolator.Evidence, error)
@@ -43,7 +48,6 @@
 // shareEvidence swaps crash evidence with the listed entries: each period with one of them in turn, and with all of
 // them when this entry has learnt something.
 func (e *Entry) shareEvidence(ctx context.Context, list *platformclient.Client) {
-	var via exchanger = rpcclient.NewExchanger(e.peers)
 	tick := e.clock.Every(e.period)
 	defer tick.Stop()
 	shared, turn := 0, 0
@@ -59,18 +63,32 @@
 			continue
 		}
 		peers := e.otherEntries(vms)
+		e.others.Store(&peers)
 		if known == shared && len(peers) > 0 {
 			turn++
 			peers = peers[turn%len(peers):][:1]
 		}
-		if e.exchange(ctx, via, peers) == nil {
+		if e.exchange(ctx, peers) == nil {
 			shared = known
 		}
 	}
 }
 
+// warn tells the other entries at once about a request that is held back.
+func (e *Entry) warn(ctx context.Context) {
+	peers := e.others.Load()
+	if peers == nil {
+		return
+	}
+	ctx, cancel := timer.WithTimeout(ctx, e.clock, warnTimeout)
+	defer cancel()
+	// Those that it does not reach get the evidence in the next period.
+	_ = e.exchange(ctx, *peers)
+}
+
 // exchange swaps evidence with the given entries. Those that do not answer are tried again in the next period.
-func (e *Entry) exchange(ctx context.Context, via exchanger, peers []string) error {
+func (e *Entry) exchange(ctx context.Context, peers []string) error {
+	var via exchanger = rpcclient.NewExchanger(e.peers)
 	var failed error
 	for _, address := range peers {
 		theirs, err := via.Exchange(ctx, address, e.isolator.Evidence())
