--- a/internal/adapter/httpserver/completion.go
+++ b/internal/adapter/httpserver/completion.go
@@ -69,9 +69,10 @@
 		Service: q.Model, Team: x.request.Identity.Team, Prompt: prompt, Limit: q.MaxTokens, Version: q.Version,
 	}
 	x.request.Expected = q.MaxTokens
+	x.request.Key = c.Request().Header.Get("Idempotency-Key")
 	answer, refusal := cs.submit.Submit(x.ctx, x.request)
 	if refusal.Refused() {
-		return refused(http.StatusTooManyRequests, refusal.Reason, "").write(c, refusal.RetryAfter)
+		return ofRefusal(refusal).write(c, refusal.RetryAfter)
 	}
 	_, span := tracer.Start(x.ctx, "delivery")
 	defer span.End()
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -10,6 +10,7 @@
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/streamer"
 )
 
@@ -72,12 +73,13 @@
 	Chunk streamer.Chunk
 }
 
-// SettleRequest asks what became of an attempt.
+// SettleRequest asks what became of an attempt. Issued is that of its StartRequest.
 type SettleRequest struct {
 	Envelope
 
 	Attempt     identifier.Attempt
 	Incarnation identifier.Incarnation
+	Issued      time.Time
 }
 
 // SettleReply tells what became of an attempt.
@@ -113,3 +115,16 @@
 	Draining    bool
 	Version     identifier.Version
 }
+
+// PingRequest probes a connection.
+type PingRequest struct{}
+
+// PingReply answers a PingRequest.
+type PingReply struct{}
+
+// EvidenceMessage carries crash evidence between entries, both ways.
+type EvidenceMessage struct {
+	Envelope
+
+	Evidence isolator.Evidence
+}
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
@@ -16,10 +17,13 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
+	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/publisher"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -34,14 +38,23 @@
 	// Callers and Operators are the addresses that the entry listens on.
 	Callers   string
 	Operators string
+	// Peers is the address at which other entries reach this one.
+	Peers string
 
 	log        *logger.Logger
 	clock      *timer.System
 	peers      *rpcclient.Client
 	dispatcher *dispatcher.Dispatcher
+	claims     *claimer.Claimer
+	isolator   *isolator.Isolator
+	others     atomic.Pointer[[]string]
+	server     *rpcserver.Server
+	serving    []rpcserver.Option
 	callers    *httpserver.Server
 	operators  *httpserver.Server
 	ready      atomic.Bool
+	stopping   atomic.Bool
+	period     time.Duration
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
 }
@@ -63,7 +76,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{log: log, clock: clock, cancel: cancel}
+	e := &Entry{log: log, clock: clock, period: period(s), serving: peers.server, cancel: cancel}
 	e.peers = rpcclient.NewClient(e.clock, peers.client...)
 
 	config := &configurator.Configurator{}
@@ -73,7 +86,11 @@
 	publish := publisher.NewPublisher(store, codec.Form{}, config, e.clock)
 	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
 	metrics := exporter.NewEntry()
-	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route, dispatcher.WithEnded(metrics.Ended))
+	e.claims = claimer.NewClaimer(store, codec.ClaimForm{}, e.clock)
+	e.isolator = &isolator.Isolator{}
+	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route,
+		dispatcher.WithEnded(metrics.Ended), dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator),
+		dispatcher.WithHeld(e.warn))
 
 	m := &membership{
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
@@ -82,6 +99,7 @@
 	e.task(func() { publish.Follow(ctx) })
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
+	e.task(func() { e.shareEvidence(ctx, m.platform) })
 
 	health := e.observe(metrics, config, m.tracker)
 	e.callers = httpserver.NewServer(metrics.Listener("callers"), health, httpserver.NewCallers(e.dispatcher, auth, config))
@@ -96,12 +114,13 @@
 
 // Stop takes no new requests, waits for the open ones until ctx ends, and ends the process's parts.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.ready.Store(false)
 	e.log.Emit(logger.DrainStarted)
-	err := errors.Join(e.callers.Stop(ctx), e.operators.Stop(ctx))
+	err := e.drain(ctx)
 	e.dispatcher.Close()
+	e.claims.Close()
 	e.cancel()
 	e.tasks.Wait()
+	err = errors.Join(err, e.closePeers())
 	e.peers.Close()
 	e.clock.Close()
 	e.log.Emit(logger.ProcessStopped)
@@ -118,6 +137,9 @@
 		_ = callers.Close()
 		return fmt.Errorf("listen for operators: %w", err)
 	}
+	if err := e.servePeers(s); err != nil {
+		return errors.Join(err, callers.Close(), operators.Close())
+	}
 	e.Callers, e.Operators = callers.Addr().String(), operators.Addr().String()
 	e.callers.Start(callers)
 	e.operators.Start(operators)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,6 +38,10 @@
 	cache     *prefixCache
 	fence     atomic.Uint64
 	counts    sync.Map
+	prompts   sync.Map
+
+	mu      sync.Mutex
+	crashed chan struct{}
 }
 
 // Option sets a property of an Engine.
@@ -59,6 +63,9 @@
 // Runs returns how many answers the engine has started in all.
 func (e *Engine) Runs() int64 { return e.total.Load() }
 
+// Running returns how many answers the engine is making.
+func (e *Engine) Running() int64 { return e.running.Load() }
+
 // RunsOf returns how many answers the engine has started for one request.
 func (e *Engine) RunsOf(request string) int64 {
 	if n, ok := e.counts.Load(request); ok {
@@ -69,6 +76,19 @@
 	return 0
 }
 
+// RunsOfPrompt returns how many answers the engine has started for prompts that begin with this text.
+func (e *Engine) RunsOfPrompt(text string) int64 {
+	var n int64
+	e.prompts.Range(func(prompt, count any) bool {
+		p, isText := prompt.(string)
+		if c, ok := count.(*atomic.Int64); ok && isText && strings.HasPrefix(p, text) {
+			n += c.Load()
+		}
+		return true
+	})
+	return n
+}
+
 // Version returns the weight version in use.
 func (e *Engine) Version() uint64 { return e.version.Load() }
 
@@ -124,7 +144,10 @@
 	defer cancel()
 	e.runs.Store(q.RID, cancel)
 	defer e.runs.Delete(q.RID)
-	e.count(q.RID)
+	request, _, _ := strings.Cut(q.RID, "/")
+	e.total.Add(1)
+	count(&e.counts, request)
+	count(&e.prompts, q.Text)
 	e.running.Add(1)
 	defer e.running.Add(-1)
 
@@ -134,6 +157,7 @@
 	flush := http.NewResponseController(w)
 	tick := e.clock.Every(e.tokenTime)
 	defer tick.Stop()
+	life := e.life()
 	for i := range max(q.Sampling.MaxNewTokens, 1) {
 		select {
 		case <-ctx.Done():
@@ -141,9 +165,12 @@
 			write(w, generateEvent{Meta: meta})
 			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 			return
+		case <-life:
+			panic(http.ErrAbortHandler)
 		case <-tick.C():
 		}
 		if crash := e.Switches.Get().Crash; crash != "" && strings.Contains(q.Text, crash) {
+			e.Crash()
 			panic(http.ErrAbortHandler)
 		}
 		meta.Completion = i + 1
@@ -159,6 +186,26 @@
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// Crash breaks off every running answer, like the death and restart of the engine's process.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed != nil {
+		close(e.crashed)
+		e.crashed = nil
+	}
+}
+
+// life returns a channel that is closed when the engine crashes.
+func (e *Engine) life() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed == nil {
+		e.crashed = make(chan struct{})
+	}
+	return e.crashed
+}
+
 // Token returns the token at a position of the text that begins with the given words.
 func Token(words []string, position int) string {
 	h := fnv.New32a()
@@ -169,10 +216,8 @@
 	return fmt.Sprintf("w%04x", h.Sum32()&0xffff)
 }
 
-func (e *Engine) count(rid string) {
-	e.total.Add(1)
-	request, _, _ := strings.Cut(rid, "/")
-	n, _ := e.counts.LoadOrStore(request, &atomic.Int64{})
+func count(counts *sync.Map, key string) {
+	n, _ := counts.LoadOrStore(key, &atomic.Int64{})
 	if c, ok := n.(*atomic.Int64); ok {
 		c.Add(1)
 	}
