meter, reporter: count each request once and report frozen figures

Cause: Usage was not counted, and nothing reported it. Change: Agents keep a record of each ended attempt until the count of its request is stored; the executor hands it over before the final record can be read. Entries write one cumulative value per window and node, guarded by the mark of closed windows and by the node's own key. The holder of duty report closes windows, seals, sends and confirms reports, and takes over the records of meters whose process is gone. A late count becomes a correction in an open window.

--- /dev/null
+++ b/internal/adapter/codec/usage.go
@@ -0,0 +1,130 @@
+package codec
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/meter"
+	"github.com/mimosalb/mimosalb/internal/reporter"
+)
+
+// Figures is the JSON form of an amount of usage.
+type Figures struct {
+	Requests int64             `json:"requests,omitempty"`
+	Input    identifier.Tokens `json:"input,omitempty"`
+	Cached   identifier.Tokens `json:"cached,omitempty"`
+	Output   identifier.Tokens `json:"output,omitempty"`
+	// Busy is the time that targets spent, in nanoseconds.
+	Busy  time.Duration    `json:"busy,omitempty"`
+	Cross identifier.Bytes `json:"cross,omitempty"`
+}
+
+// Correction is usage of an earlier window.
+type Correction struct {
+	Window  meter.Window `json:"window"`
+	Figures Figures      `json:"figures"`
+}
+
+// ReportFigures are the figures of a report.
+type ReportFigures struct {
+	Figures
+
+	Corrections []Correction `json:"corrections,omitempty"`
+}
+
+// Report is the JSON form of a usage report.
+type Report struct {
+	ID      string           `json:"id"`
+	Team    identifier.Team  `json:"team"`
+	Window  meter.Window     `json:"window"`
+	Fence   identifier.Fence `json:"fence"`
+	Figures ReportFigures    `json:"figures"`
+}
+
+type usageLine struct {
+	Team    identifier.Team `json:"team"`
+	Origin  meter.Window    `json:"origin"`
+	Figures Figures         `json:"figures"`
+}
+
+type usageValue struct {
+	Node     identifier.Node      `json:"node"`
+	Window   meter.Window         `json:"window"`
+	Seq      uint64               `json:"seq"`
+	Lines    []usageLine          `json:"lines"`
+	Requests []identifier.Request `json:"requests,omitempty"`
+}
+
+// Usage is the stored and sent form of usage as a value, for parts that take the form as a parameter.
+type Usage struct{}
+
+// EncodeValue returns the JSON form of a node's counts.
+func (Usage) EncodeValue(v meter.Value) []byte {
+	f := usageValue{Node: v.Node, Window: v.Window, Seq: v.Seq, Requests: v.Requests}
+	for _, line := range v.Lines {
+		f.Lines = append(f.Lines, usageLine{Team: line.Team, Origin: line.Origin, Figures: Figures(line.Figures)})
+	}
+	return encode(f)
+}
+
+// DecodeValue reads the JSON form of a node's counts.
+func (Usage) DecodeValue(data []byte) (meter.Value, error) {
+	f, err := decode[usageValue](data)
+	v := meter.Value{Node: f.Node, Window: f.Window, Seq: f.Seq, Requests: f.Requests}
+	for _, line := range f.Lines {
+		v.Lines = append(v.Lines, meter.Line{Team: line.Team, Origin: line.Origin, Figures: meter.Figures(line.Figures)})
+	}
+	return v, err
+}
+
+// EncodeMark returns the JSON form of a mark.
+func (Usage) EncodeMark(m meter.Mark) []byte { return encode(m) }
+
+// DecodeMark reads the JSON form of a mark.
+func (Usage) DecodeMark(data []byte) (meter.Mark, error) { return decode[meter.Mark](data) }
+
+// EncodeReport returns the JSON form of a report.
+func (Usage) EncodeReport(r reporter.Report) []byte { return encode(FromReport(r)) }
+
+// FromReport returns the form of a report.
+func FromReport(r reporter.Report) Report {
+	f := Report{ID: r.ID, Team: r.Team, Window: r.Window, Fence: r.Fence, Figures: ReportFigures{Figures: Figures(r.Figures)}}
+	for _, c := range r.Corrections {
+		f.Figures.Corrections = append(f.Figures.Corrections, Correction{Window: c.Window, Figures: Figures(c.Figures)})
+	}
+	return f
+}
+
+// DecodeReport reads the JSON form of a report.
+func (Usage) DecodeReport(data []byte) (reporter.Report, error) {
+	f, err := decode[Report](data)
+	r := reporter.Report{ID: f.ID, Team: f.Team, Window: f.Window, Fence: f.Fence, Figures: meter.Figures(f.Figures.Figures)}
+	for _, c := range f.Figures.Corrections {
+		r.Corrections = append(r.Corrections, reporter.Correction{Window: c.Window, Figures: meter.Figures(c.Figures)})
+	}
+	return r, err
+}
+
+// EncodeSeal returns the JSON form of a seal.
+func (Usage) EncodeSeal(s reporter.Seal) []byte { return encode(s) }
+
+// DecodeSeal reads the JSON form of a seal.
+func (Usage) DecodeSeal(data []byte) (reporter.Seal, error) { return decode[reporter.Seal](data) }
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("invariant stored-form: every stored value can be encoded: " + err.Error())
+	}
+	return data
+}
+
+func decode[T any](data []byte) (T, error) {
+	var v T
+	if err := json.Unmarshal(data, &v); err != nil {
+		return v, fmt.Errorf("decode %T: %w", v, err)
+	}
+	return v, nil
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -70,6 +70,8 @@
 type Ended struct {
 	Request Request
 	Result  Result
+	// Tried holds the target of each attempt by its number.
+	Tried []router.Target
 }
 
 // NewDispatcher starts a Dispatcher that reaches targets through agents and chooses them with r.
--- a/internal/dispatcher/follower.go
+++ b/internal/dispatcher/follower.go
@@ -100,7 +100,8 @@
 
 // whole corrects the counts of a resumed answer: tokens of earlier attempts were the prompt of the last one.
 func (f *follower) whole(final streamer.Final) streamer.Final {
-	final.Prompt -= f.job.tokens - final.Tokens
+	final.Resumed = f.job.tokens - final.Tokens
+	final.Prompt -= final.Resumed
 	return final
 }
 
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -29,8 +29,10 @@
 	attempts int
 	ran      bool
 	used     []identifier.Target
-	tokens   identifier.Tokens
-	text     []byte
+	// tried holds the target of each attempt by its number.
+	tried  []router.Target
+	tokens identifier.Tokens
+	text   []byte
 }
 
 // tracer makes the spans of the queue and the attempts.
@@ -50,7 +52,7 @@
 	d.admitter.Release(j.ask, j.tokens)
 	j.answer.finish(result)
 	for _, f := range d.ended {
-		f(Ended{Request: j.request, Result: result})
+		f(Ended{Request: j.request, Result: result, Tried: j.tried})
 	}
 }
 
@@ -94,6 +96,7 @@
 func (d *Dispatcher) try(j *job, target router.Target) (retrier.Event, streamer.Final) {
 	id := identifier.Attempt{Request: j.request.ID, Number: j.attempts}
 	j.attempts++
+	j.tried = append(j.tried, target)
 	ctx, span := tracer.Start(j.ctx, "attempt", trace.WithAttributes(
 		attribute.String("mimosalb.attempt", id.String()), attribute.String("mimosalb.target", string(target.ID))))
 	defer span.End()
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -8,6 +8,8 @@
 type Call struct {
 	Service identifier.Service
 	Team    identifier.Team
+	// Origin is the entry that sent the call.
+	Origin Origin
 	// Prompt, Limit, Priority and Version are for model services. Version zero accepts any weight version.
 	Prompt   string
 	Limit    identifier.Tokens
@@ -20,6 +22,21 @@
 	Body   []byte
 }
 
+// Origin is the place that a call came from. Meter is the identity under which the entry counts usage.
+type Origin struct {
+	Meter  identifier.Node
+	Region identifier.Region
+}
+
+// WithOrigin returns a copy of c that came from o.
+func (c Call) WithOrigin(o Origin) Call {
+	c.Origin = o
+	return c
+}
+
+// Size returns the bytes of the prompt or body.
+func (c Call) Size() identifier.Bytes { return identifier.Bytes(len(c.Prompt) + len(c.Body)) }
+
 // WithProgress returns a copy of c that continues after the given text of already generated tokens.
 func (c Call) WithProgress(text string, tokens identifier.Tokens) Call {
 	c.Prompt += text
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -38,6 +38,7 @@
 	queue  *worker.Queue[job]
 	pool   *worker.Pool[job]
 	jobs   container.Table[container.Connection, identifier.Attempt, job]
+	region identifier.Region
 	ended  func(Ended)
 }
 
@@ -46,13 +47,16 @@
 	Attempt identifier.Attempt
 	Call    Call
 	Final   streamer.Final
-	Took    time.Duration
 }
 
 // Option sets a property of an Executor.
 type Option func(*Executor)
 
-// WithEnded sets a function that is called after each attempt.
+// WithRegion sets the region of the target. Calls from other regions are charged by volume.
+func WithRegion(r identifier.Region) Option { return func(e *Executor) { e.region = r } }
+
+// WithEnded sets a function that is called after each attempt and before its final record can be read, so that the
+// reader of the record finds whatever the function kept.
 func WithEnded(f func(Ended)) Option { return func(e *Executor) { e.ended = f } }
 
 // NewExecutor starts size workers that run what gate admits on target.
@@ -107,8 +111,14 @@
 	j.cancel()
 	e.jobs.Delete(j.attempt)
 	e.gate.End(j.attempt, e.clock.Now())
-	j.stream.Finish(final)
+	final, size := j.stream.Counted(final)
+	cross := identifier.Bytes(0)
+	if from := j.call.Origin.Region; from != "" && from != e.region {
+		cross = j.call.Size() + size
+	}
+	final = final.WithUsage(took, cross)
 	if e.ended != nil {
-		e.ended(Ended{Attempt: j.attempt, Call: j.call, Final: final, Took: took})
+		e.ended(Ended{Attempt: j.attempt, Call: j.call, Final: final})
 	}
+	j.stream.Finish(final)
 }
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -4,6 +4,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -54,6 +55,11 @@
 	// Prompt and Cached count the tokens read and those of them found in the engine's cache.
 	Prompt identifier.Tokens
 	Cached identifier.Tokens
+	// Resumed counts the tokens that the attempt read besides Prompt because earlier attempts had made them.
+	Resumed identifier.Tokens
+	// Took is the time that the target spent, and Cross the bytes that went from one region to another.
+	Took  time.Duration
+	Cross identifier.Bytes
 }
 
 // WithEnd returns a copy of f with the given end and reason.
@@ -68,6 +74,12 @@
 	return f
 }
 
+// WithUsage returns a copy of f with the time that the target spent and the bytes that crossed regions.
+func (f Final) WithUsage(took time.Duration, cross identifier.Bytes) Final {
+	f.Took, f.Cross = took, cross
+	return f
+}
+
 // Chunk is what a reader gets: the pieces from its position on and, at the end, the final record.
 type Chunk struct {
 	Pieces []Piece
@@ -115,6 +127,18 @@
 	return true
 }
 
+// Counted returns f with the counts of the pieces so far, and their size.
+func (s *Stream) Counted(f Final) (Final, identifier.Bytes) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	f.Pieces, f.Tokens = len(s.pieces), s.tokens
+	size := identifier.Bytes(0)
+	for _, p := range s.pieces {
+		size += identifier.Bytes(len(p.Data))
+	}
+	return f, size
+}
+
 // Read returns the pieces from position from on, the final record if the stream has ended, and a channel that is
 // closed at the next change.
 func (s *Stream) Read(from int) (Chunk, <-chan struct{}) {
