leaser: give lead its own copy of the term

Cause: The goroutine that runs lead read the variable that the renewal loop replaces. The race detector reported it in the demo's test once the duty that reports ran there. Change: lead gets a copy of the term as it was acquired. Conclusion: Duties can start leading while their first renewal is on its way.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -111,10 +111,11 @@
 func (l *Leaser) serve(ctx context.Context, term Term, lease storer.Lease, lead func(context.Context, Term)) {
 	leadCtx, cancel := context.WithCancel(ctx)
 	l.terms.Put(term.Duty, term)
+	first := term
 	var leading sync.WaitGroup
 	leading.Go(func() {
 		defer cancel()
-		lead(leadCtx, term)
+		lead(leadCtx, first)
 	})
 	for leadCtx.Err() == nil {
 		term = l.renew(leadCtx, term, lease)
