runner: meter every entry and report usage windows

Cause: Metering and reporting were not connected to the processes. Change: Agents keep records and serve them under Usage; a stopping agent waits for their confirmation. Entries stamp calls with their meter, count ended requests, flush, and campaign for duty report, whose holder also takes over the records of entries that the VM list no longer names or that have started again. Reports leave on a connection of their own with a write deadline at the end of the term and the sender's fencing number in a header. Operators see windows with their stage and reconciliation. The demo reports one window.

--- /dev/null
+++ b/internal/adapter/platformclient/guard.go
@@ -0,0 +1,37 @@
+package platformclient
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// guardedConn is a connection that sends nothing once the boot clock has reached until.
+type guardedConn struct {
+	net.Conn
+
+	clock timer.Service
+	until time.Duration
+	wrote atomic.Bool
+}
+
+func newGuardedConn(conn net.Conn, clock timer.Service, until time.Duration) (*guardedConn, error) {
+	// The deadline stops a write that blocks; the check before each write also covers suspended time.
+	if err := conn.SetWriteDeadline(time.Now().Add(until - clock.Boot())); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("set write deadline: %w", err)
+	}
+	return &guardedConn{Conn: conn, clock: clock, until: until}, nil
+}
+
+// Write sends b unless the term has ended.
+func (g *guardedConn) Write(b []byte) (int, error) {
+	if g.clock.Boot() >= g.until {
+		return 0, errTermEnded
+	}
+	g.wrote.Store(true)
+	return g.Conn.Write(b) //nolint:wrapcheck // net/http compares the errors of a connection
+}
--- /dev/null
+++ b/internal/adapter/platformclient/usage.go
@@ -0,0 +1,85 @@
+package platformclient
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/reporter"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// FenceHeader carries the fencing number of the sender's term. The body of a report stays the same in every term.
+const FenceHeader = "Fence"
+
+// Send sends the body of a report. Every write to the connection checks that the boot clock has not reached until, and
+// the connection has an absolute write deadline there, so that a sender that was paused can't go on.
+func (c *Client) Send(ctx context.Context, body []byte, fence identifier.Fence, until time.Duration) reporter.Outcome {
+	out := c.post(ctx, "/v1/usage", body, fence, until)
+	switch {
+	case out.sent && out.status == http.StatusOK:
+		return reporter.Accepted
+	case out.sent && out.status > 0:
+		return reporter.Refused
+	case out.sent:
+		return reporter.Lost
+	default:
+		return reporter.Unsent
+	}
+}
+
+// posted is what became of a post within a term.
+type posted struct {
+	// sent is false when no byte left this process.
+	sent bool
+	// status is zero when there was no answer.
+	status int
+	body   []byte
+}
+
+// post posts a body on a connection of its own that can't send after until.
+func (c *Client) post(ctx context.Context, path string, body []byte, fence identifier.Fence, until time.Duration) posted {
+	ctx, cancel := timer.WithTimeout(ctx, c.clock, callTimeout)
+	defer cancel()
+	var guard *guardedConn
+	transport := &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, fmt.Errorf("dial platform: %w", err)
+			}
+			guard, err = newGuardedConn(conn, c.clock, until)
+			return guard, err
+		},
+	}
+	defer transport.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return posted{}
+	}
+	// Without GetBody the transport does not send the request a second time by itself.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(FenceHeader, strconv.FormatUint(uint64(fence), 10))
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		return posted{sent: guard != nil && guard.wrote.Load()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, replyLimit))
+	if err != nil {
+		return posted{sent: true}
+	}
+	return posted{sent: true, status: resp.StatusCode, body: answer}
+}
+
+// errTermEnded is the error of a write after the end of the term.
+var errTermEnded = fmt.Errorf("term has ended: %w", os.ErrDeadlineExceeded)
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -6,6 +6,8 @@
 	"io"
 	"text/tabwriter"
 	"time"
+
+	"github.com/mimosalb/mimosalb/pkg/loader"
 )
 
 // Step is one part of the main job.
@@ -41,7 +43,7 @@
 
 // Steps returns the parts of the main job in order.
 func Steps() []Step {
-	return []Step{configure{}, streamAnswer{}, callOnce{}, withdrawKey{}, switchPreset{}}
+	return []Step{configure{}, streamAnswer{}, callOnce{}, withdrawKey{}, switchPreset{}, reportUsage{}}
 }
 
 // DefaultPlan is the deployment of the main job: one entry and four back ends in two availability zones.
@@ -56,6 +58,10 @@
 		Entries: []Place{{Zone: "lagos-ikeja", Region: "lagos"}},
 		Token:   2 * time.Millisecond,
 		Period:  100 * time.Millisecond,
+		Usage: loader.Usage{
+			Window: loader.Duration(time.Second), Grace: loader.Duration(400 * time.Millisecond),
+			Flush: loader.Duration(100 * time.Millisecond),
+		},
 	}
 }
 
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -40,6 +40,8 @@
 	Token time.Duration
 	// Period is the time between probes.
 	Period time.Duration
+	// Usage is the timing of usage reports.
+	Usage loader.Usage
 }
 
 // Place is an availability zone and its region.
@@ -53,13 +55,15 @@
 	Standin *runner.Standin
 	Agents  map[string]*runner.Agent
 	Entries []*runner.Entry
+	// Usage is the timing of usage reports.
+	Usage loader.Usage
 
 	folder string
 }
 
 // NewDeployment starts the stand-ins, agents and entries of a plan. Close ends them.
 func NewDeployment(p Plan, log io.Writer) (*Deployment, error) {
-	d := &Deployment{Agents: make(map[string]*runner.Agent)}
+	d := &Deployment{Agents: make(map[string]*runner.Agent), Usage: p.Usage}
 	err := d.start(p, logger.NewLogger("demo", "info", log))
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
@@ -90,12 +94,15 @@
 			Name: "entry-" + strconv.Itoa(i+1), Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
+			Pepper: pepper, Period: loader.Duration(p.Period), Usage: p.Usage, TLS: loader.TLS{Plain: true},
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
 		}
 		d.Entries = append(d.Entries, entry)
+		d.Standin.Platform.AddVM(platform.VM{
+			Name: "entry-" + strconv.Itoa(i+1), Role: "entry", Zone: place.Zone, Region: place.Region, State: "live",
+		})
 	}
 	return nil
 }
--- a/internal/demonstrator/step.go
+++ b/internal/demonstrator/step.go
@@ -28,7 +28,7 @@
 	doc := codec.Document{
 		Preset: configurator.Ordinary,
 		Zones:  []codec.Zone{{Name: "lagos-ikeja", Region: "lagos"}, {Name: "kano-nassarawa", Region: "kano"}},
-		Teams:  []codec.Team{{Name: "routing", Weight: 2}, {Name: "billing"}},
+		Teams:  []codec.Team{{Name: "routing", Weight: 2}, {Name: "billing"}, {Name: "metered"}},
 		Services: []codec.Service{
 			{Name: "sortmind", Kind: configurator.Model},
 			{Name: "manifest", Kind: configurator.Plain, Once: true},
@@ -39,7 +39,7 @@
 	if err := expect(r, err, http.StatusOK); err != nil {
 		return "", err
 	}
-	for name, team := range map[string]string{"driver": "routing", "clerk": "billing", "guest": "routing"} {
+	for name, team := range map[string]string{"driver": "routing", "clerk": "billing", "guest": "routing", "auditor": "metered"} {
 		r, err := s.Client.Operator(ctx, http.MethodPost, "/v1/keys", nil, map[string]string{"name": name, "team": team})
 		if err := expect(r, err, http.StatusCreated); err != nil {
 			return "", err
--- /dev/null
+++ b/internal/demonstrator/usage.go
@@ -0,0 +1,113 @@
+package demonstrator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/meter"
+)
+
+// reportUsage makes calls of one team within one window and compares the report with what the answers said.
+type reportUsage struct{}
+
+func (reportUsage) Name() string { return "usage window reported" }
+
+func (reportUsage) Run(ctx context.Context, s *Session) (string, error) {
+	const calls = 5
+	calendar := meter.Calendar{Length: time.Duration(s.Deployment.Usage.Window)}
+	// The calls begin at the start of a window, so that all of them end in it.
+	next := calendar.Window(time.Now()) + 1
+	if err := s.Client.Await(ctx, 2*time.Duration(s.Deployment.Usage.Window), func() bool { return calendar.Window(time.Now()) >= next }); err != nil {
+		return "", fmt.Errorf("next window: %w", err)
+	}
+	var used meter.Figures
+	for i := range calls {
+		r, err := s.Client.Caller(ctx, http.MethodPost, "/v1/completions", s.Keys["auditor"], completion("manifest for depot", 3+i, false))
+		if err := expect(r, err, http.StatusOK); err != nil {
+			return "", err
+		}
+		var body struct {
+			Usage struct {
+				Prompt     identifier.Tokens `json:"prompt_tokens"`
+				Completion identifier.Tokens `json:"completion_tokens"`
+				Details    struct {
+					Cached identifier.Tokens `json:"cached_tokens"`
+				} `json:"prompt_tokens_details"`
+			} `json:"usage"`
+		}
+		if err := json.Unmarshal(r.Body, &body); err != nil {
+			return "", fmt.Errorf("read usage: %w", err)
+		}
+		used = used.WithAdded(meter.Figures{
+			Requests: 1, Input: body.Usage.Prompt, Cached: body.Usage.Details.Cached, Output: body.Usage.Completion,
+		})
+	}
+	var reports []codec.Report
+	err := s.Client.Await(ctx, 10*time.Second, func() bool {
+		reports = s.reports("metered")
+		return len(reports) > 0
+	})
+	if err != nil {
+		return "", fmt.Errorf("report: %w", err)
+	}
+	f := reports[0].Figures.Figures
+	f.Busy, f.Cross = 0, 0
+	if len(reports) != 1 || meter.Figures(f) != used || reports[0].Figures.Corrections != nil {
+		return "", fmt.Errorf("%d reports with %+v, callers used %+v", len(reports), reports[0].Figures, used)
+	}
+	// A report that comes twice would come within the next window.
+	if err := s.confirmed(ctx, reports[0].Window); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("1 report: %d requests, %d tokens in, %d out, as the callers were told", f.Requests, f.Input, f.Output), nil
+}
+
+// reports returns the reports with usage that the platform has of a team.
+func (s *Session) reports(team string) []codec.Report {
+	var found []codec.Report
+	for _, r := range s.Deployment.Standin.Platform.Reports() {
+		var f codec.ReportFigures
+		if r.Team != team || json.Unmarshal(r.Figures, &f) != nil || f.Requests == 0 && f.Corrections == nil {
+			continue
+		}
+		found = append(found, codec.Report{ID: r.ID, Team: identifier.Team(r.Team), Window: meter.Window(r.Window), Figures: f})
+	}
+	return found
+}
+
+// confirmed waits until the operators' interface shows the window as confirmed and reconciled.
+func (s *Session) confirmed(ctx context.Context, w meter.Window) error {
+	var shown string
+	err := s.Client.Await(ctx, 5*time.Second, func() bool {
+		r, err := s.Client.Operator(ctx, http.MethodGet, fmt.Sprintf("/v1/windows/%d", w), nil, nil)
+		if expect(r, err, http.StatusOK) != nil {
+			return false
+		}
+		shown = string(r.Body)
+		var body struct {
+			Teams []struct {
+				Team       identifier.Team `json:"team"`
+				Stage      string          `json:"stage"`
+				Reconciled bool            `json:"reconciled"`
+			} `json:"teams"`
+		}
+		if json.Unmarshal(r.Body, &body) != nil {
+			return false
+		}
+		for _, t := range body.Teams {
+			if t.Team == "metered" {
+				return t.Stage == "confirmed" && t.Reconciled
+			}
+		}
+		return false
+	})
+	if err != nil {
+		return fmt.Errorf("window %d is shown as %s: %w", w, shown, err)
+	}
+	return nil
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -109,8 +109,6 @@
 
 func (e *Executor) finish(j job, final streamer.Final, took time.Duration) {
 	j.cancel()
-	e.jobs.Delete(j.attempt)
-	e.gate.End(j.attempt, e.clock.Now())
 	final, size := j.stream.Counted(final)
 	cross := identifier.Bytes(0)
 	if from := j.call.Origin.Region; from != "" && from != e.region {
@@ -120,5 +118,7 @@
 	if e.ended != nil {
 		e.ended(Ended{Attempt: j.attempt, Call: j.call, Final: final})
 	}
+	e.jobs.Delete(j.attempt)
+	e.gate.End(j.attempt, e.clock.Now())
 	j.stream.Finish(final)
 }
--- /dev/null
+++ b/internal/executor/running.go
@@ -0,0 +1,18 @@
+package executor
+
+import "github.com/mimosalb/mimosalb/internal/identifier"
+
+// Running returns the requests that came from the entry with the given meter and have not ended.
+func (e *Executor) Running(meter identifier.Node) []identifier.Request {
+	var running []identifier.Request
+	if meter == "" {
+		return nil
+	}
+	e.jobs.Each(func(a identifier.Attempt, j job) bool {
+		if j.call.Origin.Meter == meter {
+			running = append(running, a.Request)
+		}
+		return true
+	})
+	return running
+}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -26,10 +26,20 @@
 	TargetSilent = Event{
 		Number: 1302, Level: hclog.Warn, Text: "agent does not answer", Action: "check the target's VM if it lasts",
 	}
+	MeterDeposed = Event{
+		Number: 1701, Level: hclog.Error, Text: "usage records taken over by another entry", Action: "restart the entry; what it counts is taken over",
+	}
+	ReportDelayed = Event{
+		Number: 1702, Level: hclog.Warn, Text: "usage report delayed", Action: "check the key-value service and the usage intake if it lasts",
+	}
+
 	TargetServing = Event{Number: 1303, Level: hclog.Info, Text: "agent answers", Action: "none"}
 )
 
 // Events returns every event in order of its number.
 func Events() []Event {
-	return []Event{ProcessStarted, ProcessStopped, DrainStarted, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing}
+	return []Event{
+		ProcessStarted, ProcessStopped, DrainStarted, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing,
+		MeterDeposed, ReportDelayed,
+	}
 }
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,24 @@
+package meter_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/meter"
+)
+
+// Guards against a record that two heirs get: the second one asks for it as that of the meter that the first one took it
+// from.
+func TestRecordHasOneHeir(t *testing.T) {
+	c := qt.New(t)
+	k := &meter.Keeper{}
+	a := identifier.Attempt{Request: "r"}
+	k.Keep(meter.Record{Attempt: a, First: "gone", Owner: "gone"})
+	want := []meter.Want{{Attempt: a, From: "gone"}}
+	c.Assert(k.Answer(meter.Query{Owner: "one", Want: want}).Records, qt.HasLen, 1)
+	c.Assert(k.Answer(meter.Query{Owner: "two", Want: want}).Records, qt.HasLen, 0)
+	c.Assert(k.Answer(meter.Query{Owner: "one", Want: want}).Records, qt.HasLen, 1)
+	c.Assert(k.Answer(meter.Query{Owner: "two", Of: "gone"}).Records, qt.HasLen, 1)
+}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -10,6 +10,7 @@
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
@@ -26,6 +27,7 @@
 	clock  *timer.System
 	gate   *gatekeeper.Gatekeeper
 	runs   *executor.Executor
+	keeper *meter.Keeper
 	server *rpcserver.Server
 }
 
@@ -49,12 +51,18 @@
 	if s.Target.Kind == "plain" {
 		back = engineclient.NewService(s.Target.Address)
 	}
-	a.runs = executor.NewExecutor(a.gate, back, a.clock, size)
+	a.keeper = &meter.Keeper{}
+	a.runs = executor.NewExecutor(a.gate, back, a.clock, size,
+		executor.WithRegion(identifier.Region(s.Region)), executor.WithEnded(keep(a.keeper, a.clock)))
 	a.server = rpcserver.NewServer()
 	if err := a.server.Register("Agent", rpcserver.NewAgent(a.gate, a.runs, a.clock, back.Version)); err != nil {
 		a.close()
 		return nil, fmt.Errorf("serve agent: %w", err)
 	}
+	if err := a.server.Register("Usage", rpcserver.NewUsage(a.keeper, a.runs)); err != nil {
+		a.close()
+		return nil, fmt.Errorf("serve usage: %w", err)
+	}
 	l, err := listen(s.Peers)
 	if err != nil {
 		a.close()
@@ -73,6 +81,7 @@
 	case <-a.gate.Drain():
 	case <-ctx.Done():
 	}
+	a.awaitConfirmed(ctx)
 	err := a.server.Close()
 	a.close()
 	a.log.Emit(logger.ProcessStopped)
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -64,7 +64,9 @@
 	store := storer.NewStorer(kvclient.NewDriver(s.Store), e.clock)
 	publish := publisher.NewPublisher(store, codec.Form{}, config, e.clock)
 	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
-	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route)
+	use := newUsage(s, e.clock, log, store, e.peers, config)
+	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, use.wrap(rpcclient.NewAgents(e.peers)), config, route,
+		dispatcher.WithEnded(use.ended))
 
 	m := &membership{
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
@@ -73,12 +75,15 @@
 	e.task(func() { publish.Follow(ctx) })
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
+	e.task(func() { use.flush(ctx) })
+	e.task(func() { use.report(ctx) })
 
 	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	health := httpserver.NewHealth(e.ready.Load, metrics)
 	e.callers = httpserver.NewServer(health, httpserver.NewCallers(e.dispatcher, auth, config))
-	e.operators = httpserver.NewServer(health, httpserver.NewOperators(publish, config, pepper))
+	e.operators = httpserver.NewServer(health, httpserver.NewOperators(publish, config, pepper),
+		httpserver.NewUsageOperators(use.reporter, use.calendar))
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
 	}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/mimosalb/mimosalb/internal/standin/switcher"
@@ -52,7 +53,7 @@
 type Platform struct {
 	// Switches are the failures that the platform shows.
 	Switches switcher.Switcher
-	// Fenced makes the platform refuse orders with an old fencing number.
+	// Fenced makes the platform refuse orders and reports from senders with an old fencing number.
 	Fenced bool
 
 	mu      sync.Mutex
@@ -60,6 +61,8 @@
 	fences  map[string]uint64
 	orders  []Order
 	reports []Report
+	// reportFence is the largest fencing number of a sender of reports.
+	reportFence uint64
 }
 
 // NewPlatform returns a platform with the given VMs.
@@ -172,8 +175,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	fence, _ := strconv.ParseUint(r.Header.Get("Fence"), 10, 64)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.Fenced && fence < p.reportFence {
+		http.Error(w, "fence: an old number", http.StatusConflict)
+		return
+	}
+	p.reportFence = max(fence, p.reportFence)
 	p.reports = append(p.reports, u)
 	reply(w, map[string]string{"id": u.ID})
 }
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -29,6 +29,7 @@
 	Workers int      `yaml:"workers"`
 	TLS     TLS      `yaml:"tls"`
 	Trace   Trace    `yaml:"trace"`
+	Usage   Usage    `yaml:"usage"`
 	Target  Target   `yaml:"target"`
 	Standin *Standin `yaml:"standin"`
 }
@@ -50,6 +51,15 @@
 	OTLP string `yaml:"otlp"`
 }
 
+// Usage sets the timing of usage reports. It is the same at every entry; zero fields take the defaults.
+type Usage struct {
+	// Window is the length of a window, and Grace the time between its end and its closing.
+	Window Duration `yaml:"window"`
+	Grace  Duration `yaml:"grace"`
+	// Flush is the time between two writes of an entry's counts.
+	Flush Duration `yaml:"flush"`
+}
+
 // Target describes the back end beside an agent.
 type Target struct {
 	Name    string `yaml:"name"`
