--- /dev/null
+++ b/internal/bencher/metering.go
@@ -0,0 +1,175 @@
+package bencher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/demonstrator"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/meter"
+	"github.com/mimosalb/mimosalb/internal/reporter"
+	"github.com/mimosalb/mimosalb/internal/standin/memory"
+	"github.com/mimosalb/mimosalb/internal/timer"
+	"github.com/mimosalb/mimosalb/pkg/loader"
+)
+
+var _ = Register("metering", metering)
+
+// flushRequests is the number of requests that a node ends between two flushes at the design size: 23,000 requests a
+// second over 660 nodes, 5 s.
+const flushRequests = 175
+
+// meterAgent is one agent in memory.
+type meterAgent struct{ keeper meter.Keeper }
+
+func (a *meterAgent) Usage(_ context.Context, _ string, q meter.Query) (meter.Reply, bool) {
+	return a.keeper.Answer(q), true
+}
+
+func metering(ctx context.Context) ([]Figure, error) {
+	m := meter.NewMeter("entry", meter.Calendar{})
+	now := time.Unix(1000, 0)
+	f := meter.Figures{Requests: 1, Input: 10, Output: 10}
+	receipt := meter.Receipt{Attempt: identifier.Attempt{Request: "r"}, Agent: "agent"}
+	allocations := testing.AllocsPerRun(10000, func() { m.Count(now, "routing", f, receipt) })
+	request, err := requestTime(ctx)
+	if err != nil {
+		return nil, err
+	}
+	counted := countTime(ctx)
+	figures := []Figure{
+		{Name: "metering/allocations", Unit: "1/request", Value: allocations, Target: AtMost(0)},
+		{Name: "metering/processor", Unit: "ns/request", Value: counted, Baseline: request, Target: AtMostTimes(0.01)},
+	}
+	for _, size := range []struct{ nodes, teams int }{{20, 8}, {160, 40}, {660, 200}} {
+		writes, reads := storeCalls(ctx, size.nodes, size.teams)
+		name := fmt.Sprintf("metering/store-%d-nodes-%d-teams", size.nodes, size.teams)
+		figures = append(figures,
+			Figure{Name: name + "-writes", Unit: "1/s", Value: writes},
+			Figure{Name: name + "-reads", Unit: "1/s", Value: reads})
+	}
+	return figures, nil
+}
+
+// processorTime returns the processor time of the process so far.
+func processorTime() time.Duration {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		panic("invariant rusage: the process can read its own times: " + err.Error())
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// countTime returns the processor time in ns that metering takes for a request at entry and agent: record, count, and
+// the request's share of a flush with confirmation.
+func countTime(ctx context.Context) float64 {
+	const rounds = 200
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	agent := &meterAgent{}
+	m := meter.NewMeter("entry", meter.Calendar{})
+	flusher := meter.NewFlusher(m, &memory.Store{}, codec.Usage{}, agent, clock)
+	ids := make([]identifier.Request, flushRequests)
+	start := processorTime()
+	for range rounds {
+		for i := range ids {
+			ids[i] = identifier.NewRequest()
+			r := meter.Record{Attempt: identifier.Attempt{Request: ids[i]}, First: "entry", Owner: "entry", Team: "routing"}
+			agent.keeper.Keep(r)
+			m.Count(clock.Now(), "routing", meter.Figures{Requests: 1, Input: 10}, meter.Receipt{Attempt: r.Attempt, Agent: "agent"})
+		}
+		flusher.Round(ctx)
+		clock.Advance(meter.DefaultFlush)
+	}
+	return float64(processorTime()-start) / (rounds * flushRequests)
+}
+
+// requestTime returns the processor time in ns of a request of 20 tokens through a deployment in this process: caller,
+// entry, agent and engine stand-in. Eight callers at a time and the usual periods keep the share of periodic work small.
+func requestTime(ctx context.Context) (float64, error) {
+	const callers, requests = 8, 80
+	plan := demonstrator.DefaultPlan()
+	plan.Usage, plan.Period = loader.Usage{}, loader.DefaultPeriod
+	d, err := demonstrator.NewDeployment(plan, io.Discard)
+	if err != nil {
+		return 0, fmt.Errorf("start deployment: %w", err)
+	}
+	defer func() { _ = d.Close() }()
+	session := &demonstrator.Session{Deployment: d, Client: demonstrator.NewClient(d), Keys: make(map[string]string)}
+	if _, err := demonstrator.Steps()[0].Run(ctx, session); err != nil {
+		return 0, fmt.Errorf("configure: %w", err)
+	}
+	body := map[string]any{"model": "sortmind", "prompt": "quote for depot", "max_tokens": 20}
+	failed := make([]error, callers)
+	var calls sync.WaitGroup
+	start := processorTime()
+	for i := range callers {
+		calls.Go(func() {
+			for range requests {
+				r, err := session.Client.Caller(ctx, http.MethodPost, "/v1/completions", session.Keys["driver"], body)
+				if err != nil || r.Status != http.StatusOK {
+					failed[i] = fmt.Errorf("request: status %d: %w", r.Status, err)
+					return
+				}
+			}
+		})
+	}
+	calls.Wait()
+	return float64(processorTime()-start) / (callers * requests), errors.Join(failed...)
+}
+
+// always is the belief of a process that holds every duty.
+type always struct{}
+
+func (always) Term(identifier.Duty) (leaser.Term, bool) {
+	return leaser.Term{Fence: 1, Until: 1 << 62}, true
+}
+
+// accepting is an intake that takes every report.
+type accepting struct{}
+
+func (accepting) Send(context.Context, []byte, identifier.Fence, time.Duration) reporter.Outcome {
+	return reporter.Accepted
+}
+
+// storeCalls returns the writes and reads a second at the key-value service over a window and its report, with counts of
+// every fourth team at each node in each flush.
+func storeCalls(ctx context.Context, nodes, teams int) (writes, reads float64) {
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	store, agent := &memory.Store{}, &meterAgent{}
+	meters, flushers := make([]*meter.Meter, nodes), make([]*meter.Flusher, nodes)
+	for i := range meters {
+		meters[i] = meter.NewMeter(identifier.Node("entry-"+strconv.Itoa(i)), meter.Calendar{})
+		flushers[i] = meter.NewFlusher(meters[i], store, codec.Usage{}, agent, clock)
+	}
+	r := reporter.NewReporter(reporter.Settings{}, store, codec.Usage{}, accepting{}, always{}, clock)
+	const rounds = 16
+	number := 0
+	for range rounds {
+		for i, f := range flushers {
+			for t := i % 4; t < teams; t += 4 {
+				number++
+				a := identifier.Attempt{Request: identifier.Request(strconv.Itoa(number))}
+				meters[i].Count(clock.Now(), identifier.Team("team-"+strconv.Itoa(t)), meter.Figures{Requests: 1}, meter.Receipt{Attempt: a, Agent: "agent"})
+			}
+			f.Round(ctx)
+		}
+		r.Round(ctx, 1)
+		clock.Advance(meter.DefaultFlush)
+	}
+	in, out := store.Calls()
+	seconds := (rounds * meter.DefaultFlush).Seconds()
+	return float64(out) / seconds, float64(in) / seconds
+}
--- a/internal/meter/flusher.go
+++ b/internal/meter/flusher.go
@@ -1,6 +1,7 @@
 package meter
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -35,6 +36,14 @@
 	// marker is the entry of ClosedKey as it was read last.
 	marker storer.Entry
 	known  bool
+	// written is the last value that was written, which is mostly what the next read gives back.
+	written written
+}
+
+// written is a value with its stored form.
+type written struct {
+	value Value
+	data  []byte
 }
 
 // NewFlusher returns the flusher of m.
@@ -125,12 +134,9 @@
 	if out != storer.Applied {
 		return false
 	}
-	var stored Value
-	if entry.Changed != 0 {
-		var err error
-		if stored, err = f.form.DecodeValue(entry.Value); err != nil {
-			return false
-		}
+	stored, ok := f.decode(entry)
+	if !ok {
+		return false
 	}
 	if !f.meter.stored(w, stored) {
 		return true
@@ -140,8 +146,9 @@
 		return false
 	}
 	value := f.meter.write(w)
+	f.written = written{value: value, data: f.form.EncodeValue(value)}
 	out = f.store.Commit(ctx, storer.Transaction{}.
-		WithGuard(key, entry.Changed).WithPut(key, f.form.EncodeValue(value), 0).
+		WithGuard(key, entry.Changed).WithPut(key, f.written.data, 0).
 		WithGuard(ClosedKey, f.marker.Changed).
 		WithGuard(MeterPrefix+string(f.meter.Node()), f.own.Changed))
 	switch out {
@@ -156,6 +163,18 @@
 	return false
 }
 
+// decode returns the stored value; the zero value if there is none.
+func (f *Flusher) decode(entry storer.Entry) (Value, bool) {
+	switch {
+	case entry.Changed == 0:
+		return Value{}, true
+	case bytes.Equal(entry.Value, f.written.data):
+		return f.written.value, true
+	}
+	v, err := f.form.DecodeValue(entry.Value)
+	return v, err == nil
+}
+
 func (f *Flusher) closed(w Window) bool {
 	f.meter.lock.Lock()
 	defer f.meter.lock.Unlock()
