--- /dev/null
+++ b/internal/adapter/codec/order.go
@@ -0,0 +1,12 @@
+package codec
+
+import "github.com/mimosalb/mimosalb/internal/orderer"
+
+// Orders is the stored form of orders as a value, for parts that take the form as a parameter.
+type Orders struct{}
+
+// EncodeBook returns the JSON form of a book.
+func (Orders) EncodeBook(b orderer.Book) []byte { return encode(b) }
+
+// DecodeBook reads the JSON form of a book.
+func (Orders) DecodeBook(data []byte) (orderer.Book, error) { return decode[orderer.Book](data) }
