--- a/internal/adapter/exporter/agent.go
+++ b/internal/adapter/exporter/agent.go
@@ -46,5 +46,5 @@
 // Ended counts an attempt that has ended.
 func (a *Agent) Ended(x executor.Ended) {
 	a.ended.WithLabelValues(string(x.Call.Service), x.Final.End.String()).Inc()
-	a.ran.WithLabelValues(string(x.Call.Service)).Observe(x.Took.Seconds())
+	a.ran.WithLabelValues(string(x.Call.Service)).Observe(x.Final.Took.Seconds())
 }
--- a/internal/bencher/routing.go
+++ b/internal/bencher/routing.go
@@ -100,8 +100,8 @@
 	hits float64
 }
 
-// simTarget is a target that runs slots attempts at a time, queues the rest and caches the last prompts.
-type simTarget struct {
+// cachingTarget is a target that runs slots attempts at a time, queues the rest and caches the last prompts.
+type cachingTarget struct {
 	running int
 	waiting []simAttempt
 	cache   []int
@@ -121,7 +121,7 @@
 	targets   []router.Target
 	index     map[identifier.Target]int
 	routers   []*router.Router
-	back      []simTarget
+	back      []cachingTarget
 	prefixes  []router.Prefix
 	events    eventQueue
 	started   int
@@ -135,7 +135,7 @@
 		random:   rand.New(rand.NewPCG(7, 7)), //nolint:gosec // a fixed seed makes the run repeatable
 		targets:  targets(simTargets),
 		index:    make(map[identifier.Target]int),
-		back:     make([]simTarget, simTargets),
+		back:     make([]cachingTarget, simTargets),
 		prefixes: make([]router.Prefix, simPrefixes),
 	}
 	for i, t := range s.targets {
@@ -235,7 +235,7 @@
 }
 
 // remember keeps a prompt as the newest of the cache.
-func (t *simTarget) remember(prompt int) {
+func (t *cachingTarget) remember(prompt int) {
 	if i := slices.Index(t.cache, prompt); i >= 0 {
 		t.cache = slices.Delete(t.cache, i, i+1)
 	}
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -47,6 +47,8 @@
 	Period time.Duration
 	// Linked puts a link stand-in between the entries and each agent.
 	Linked bool
+	// Usage is the timing of usage reports.
+	Usage loader.Usage
 }
 
 // Place is an availability zone and its region.
@@ -64,6 +66,8 @@
 	Token string
 	// Links holds the link to each agent by the name of its back end.
 	Links map[string]*link.Link
+	// Usage is the timing of usage reports.
+	Usage loader.Usage
 
 	plan   Plan
 	log    *logger.Logger
@@ -72,7 +76,9 @@
 
 // NewDeployment starts the stand-ins, agents and entries of a plan. Close ends them.
 func NewDeployment(p Plan, log io.Writer) (*Deployment, error) {
-	d := &Deployment{Agents: make(map[string]*runner.Agent), Links: make(map[string]*link.Link), plan: p}
+	d := &Deployment{
+		Agents: make(map[string]*runner.Agent), Links: make(map[string]*link.Link), Usage: p.Usage, plan: p,
+	}
 	d.log = logger.NewLogger("demo", "info", log)
 	err := d.start(p, d.log)
 	if err != nil {
@@ -110,7 +116,8 @@
 			Name: name, Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
+			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Usage: p.Usage,
+			TLS: loader.TLS{Plain: true},
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -49,6 +49,7 @@
 
 func (d *Dispatcher) prepare(ctx context.Context, j *job, target router.Target, id identifier.Attempt) prepared {
 	j.attempts++
+	j.tried = append(j.tried, target)
 	call, discard := j.next()
 	ctx, cancel := context.WithCancel(ctx)
 	issued := d.clock.Now()
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -13,6 +13,7 @@
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
@@ -31,6 +32,7 @@
 	clock  *timer.System
 	gate   *gatekeeper.Gatekeeper
 	runs   *executor.Executor
+	keeper *meter.Keeper
 	server *rpcserver.Server
 	health *httpserver.Server
 }
@@ -62,12 +64,18 @@
 		back = engineclient.NewService(s.Target.Address)
 	}
 	metrics := exporter.NewAgent()
-	a.runs = executor.NewExecutor(a.gate, back, a.clock, size, executor.WithEnded(metrics.Ended))
+	a.keeper = &meter.Keeper{}
+	a.runs = executor.NewExecutor(a.gate, back, a.clock, size, executor.WithRegion(identifier.Region(s.Region)),
+		executor.WithEnded(metrics.Ended), executor.WithEnded(keep(a.keeper, a.clock)))
 	a.server = rpcserver.NewServer(peers.server...)
 	if err := a.server.Register("Agent", rpcserver.NewAgent(a.gate, a.runs, a.clock, back.Version)); err != nil {
 		a.close()
 		return nil, fmt.Errorf("serve agent: %w", err)
 	}
+	if err := a.server.Register("Usage", rpcserver.NewUsage(a.keeper, a.runs)); err != nil {
+		a.close()
+		return nil, fmt.Errorf("serve usage: %w", err)
+	}
 	l, err := listen(s.Peers)
 	if err != nil {
 		a.close()
@@ -88,6 +96,7 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	a.log.Emit(logger.DrainStarted)
 	a.drain(ctx)
+	a.awaitConfirmed(ctx)
 	err := a.server.Close()
 	if a.health != nil {
 		err = errors.Join(err, a.health.Stop(ctx))
