storer: budgets by purpose, back-off and gapless watches

Cause: calls to the key-value service had deadlines only. A service that was down was called at full rate, bulk calls could delay lease renewals, and a change between the first read and the watch was seen only by the next read.

Watch takes the revision of the read. Since reads a value only if it has changed.

A lost answer costs one write and is settled by reads.

--- a/internal/adapter/kvclient/kvclient.go
+++ b/internal/adapter/kvclient/kvclient.go
@@ -38,6 +38,15 @@
 	return reply.KVs[0].entry(), storer.Applied
 }
 
+func (d *driver) Since(ctx context.Context, key string, after int64) (storer.Entry, storer.Outcome) {
+	var reply rangeReply
+	out := d.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key), After: after + 1}, &reply)
+	if out != storer.Applied || len(reply.KVs) == 0 {
+		return storer.Entry{Key: key}, readOutcome(out)
+	}
+	return reply.KVs[0].entry(), storer.Applied
+}
+
 func (d *driver) List(ctx context.Context, prefix string) ([]storer.Entry, storer.Outcome) {
 	var reply rangeReply
 	out := d.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(prefix), End: prefixEnd(prefix)}, &reply)
@@ -89,12 +98,15 @@
 	return d.call(ctx, "/v3/lease/revoke", leaseRequest{ID: int64(l)}, &struct{}{})
 }
 
-func (d *driver) Watch(ctx context.Context, key string, changed func(storer.Entry)) storer.Outcome {
-	resp, err := d.post(ctx, "/v3/watch", watchRequest{Create: watchCreate{Key: []byte(key)}})
+func (d *driver) Watch(ctx context.Context, key string, after int64, changed func(storer.Entry)) storer.Outcome {
+	resp, err := d.post(ctx, "/v3/watch", watchRequest{Create: watchCreate{Key: []byte(key), Start: after + 1}})
 	if err != nil {
 		return storer.Unavailable
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return storer.Unavailable
+	}
 	dec := json.NewDecoder(resp.Body)
 	for {
 		var reply watchReply
--- a/internal/adapter/kvclient/message.go
+++ b/internal/adapter/kvclient/message.go
@@ -7,6 +7,8 @@
 type rangeRequest struct {
 	Key []byte `json:"key"`
 	End []byte `json:"range_end,omitempty"`
+	// After leaves out keys that were last changed before this revision.
+	After int64 `json:"min_mod_revision,omitempty,string"`
 }
 
 type keyValue struct {
@@ -62,6 +64,8 @@
 
 type watchCreate struct {
 	Key []byte `json:"key"`
+	// Start is the first revision to show.
+	Start int64 `json:"start_revision,string"`
 }
 
 type watchRequest struct {
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -22,6 +22,7 @@
 	RankOrderer       Rank = 150
 	RankMeter         Rank = 160
 	RankReporter      Rank = 170
+	RankStorer        Rank = 175
 	RankConnection    Rank = 180
 	RankTimer         Rank = 190
 	RankLogger        Rank = 200
@@ -67,6 +68,8 @@
 	Meter struct{}
 	// Reporter ranks the lock of the windows.
 	Reporter struct{}
+	// Storer ranks the locks of the budget and the back-off of calls to the key-value service.
+	Storer struct{}
 	// Connection ranks the lock of a connection table.
 	Connection struct{}
 	// Timer ranks the lock of the timer service.
@@ -126,6 +129,9 @@
 // Rank returns RankReporter.
 func (Reporter) Rank() Rank { return RankReporter }
 
+// Rank returns RankStorer.
+func (Storer) Rank() Rank { return RankStorer }
+
 // Rank returns RankConnection.
 func (Connection) Rank() Rank { return RankConnection }
 
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -18,7 +18,7 @@
 type Store interface {
 	Get(ctx context.Context, key string) (storer.Entry, storer.Outcome)
 	Swap(ctx context.Context, key string, changed int64, value []byte, lease storer.Lease) storer.Outcome
-	Watch(ctx context.Context, key string, changed func(storer.Entry)) storer.Outcome
+	Watch(ctx context.Context, key string, after int64, changed func(storer.Entry)) storer.Outcome
 }
 
 // Form encodes and decodes documents.
@@ -87,8 +87,11 @@
 // Follow adopts the stored document and each later one until ctx ends.
 func (p *Publisher) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		p.refresh(ctx)
-		p.store.Watch(ctx, Key, func(e storer.Entry) { p.adopt(e) })
+		if entry, out := p.store.Get(ctx, Key); out == storer.Applied {
+			p.adopt(entry)
+			// The watch begins where the read ended, so that no change between the two is missed.
+			p.store.Watch(ctx, Key, entry.Changed, p.adopt)
+		}
 		pause := p.clock.After(followPause)
 		select {
 		case <-pause.C():
@@ -98,12 +101,6 @@
 	}
 }
 
-func (p *Publisher) refresh(ctx context.Context) {
-	if entry, out := p.store.Get(ctx, Key); out == storer.Applied {
-		p.adopt(entry)
-	}
-}
-
 // adopt offers a stored document to the node. One that can't be read is passed over; the present one stays in force.
 func (p *Publisher) adopt(e storer.Entry) {
 	if d, err := p.decode(e); err == nil {
--- a/internal/standin/store/message.go
+++ b/internal/standin/store/message.go
@@ -5,6 +5,8 @@
 type rangeRequest struct {
 	Key []byte `json:"key"`
 	End []byte `json:"range_end"`
+	// After leaves out keys that were last changed before this revision.
+	After int64 `json:"min_mod_revision,string"`
 }
 
 type keyValue struct {
@@ -48,6 +50,8 @@
 type watchRequest struct {
 	Create struct {
 		Key []byte `json:"key"`
+		// Start is the first revision to show; zero shows changes from now on.
+		Start int64 `json:"start_revision,string"`
 	} `json:"create_request"`
 }
 
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -100,6 +100,9 @@
 	s.expire()
 	var reply rangeReply
 	for k, r := range s.keys {
+		if r.changed < q.After {
+			continue
+		}
 		if k == string(q.Key) || len(q.End) > 0 && k >= string(q.Key) && k < string(q.End) {
 			reply.KVs = append(reply.KVs, keyValue{Key: []byte(k), Value: r.value, Changed: r.changed})
 		}
--- a/internal/standin/store/watch.go
+++ b/internal/standin/store/watch.go
@@ -19,6 +19,10 @@
 	events := make(chan event, watchBuffer)
 	s.mu.Lock()
 	s.watchers[events] = string(q.Create.Key)
+	// The stand-in keeps no history: of the changes since the start revision it shows the last one.
+	if r, ok := s.keys[string(q.Create.Key)]; ok && q.Create.Start > 0 && r.changed >= q.Create.Start {
+		events <- event{key: string(q.Create.Key), record: r}
+	}
 	s.mu.Unlock()
 	defer s.unwatch(events)
 
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -82,6 +82,8 @@
 type Driver interface {
 	// Get returns the entry of key; an entry with Changed zero does not exist.
 	Get(ctx context.Context, key string) (Entry, Outcome)
+	// Since returns the entry of key if it was changed after the given revision, else an entry with Changed zero.
+	Since(ctx context.Context, key string, after int64) (Entry, Outcome)
 	// List returns the entries whose keys begin with prefix, in key order.
 	List(ctx context.Context, prefix string) ([]Entry, Outcome)
 	// Commit applies a transaction.
@@ -92,6 +94,6 @@
 	KeepAlive(ctx context.Context, l Lease) Outcome
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, l Lease) Outcome
-	// Watch calls changed for each change of key until ctx ends or the connection fails.
-	Watch(ctx context.Context, key string, changed func(Entry)) Outcome
+	// Watch calls changed for each change of key after the given revision until ctx ends or the connection fails.
+	Watch(ctx context.Context, key string, after int64, changed func(Entry)) Outcome
 }
--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -11,35 +11,51 @@
 const (
 	// callTimeout bounds one call to the key-value service, which answers in milliseconds when it is well.
 	callTimeout = time.Second
-	// settleTries bounds the reads that settle one lost answer.
-	settleTries = 5
-	// settlePause is the wait between two of them.
-	settlePause = 200 * time.Millisecond
+	// settleTries bounds the reads that settle one lost answer. With doubling pauses they span about 10 s, longer than a
+	// lost request can stay under way.
+	settleTries = 8
 )
 
-// Storer calls the key-value service with deadlines and settles lost answers.
+// Storer calls the key-value service within a budget and with deadlines, and settles lost answers. A Storer has one
+// purpose; those made from it by For share its budget and back-off.
 type Storer struct {
-	driver Driver
-	clock  timer.Service
+	driver  Driver
+	clock   timer.Service
+	purpose Purpose
+	shared  *shared
 }
 
-// NewStorer returns a Storer over a driver.
+// shared is what the Storers of one process have in common.
+type shared struct {
+	budget  Budget
+	backoff Backoff
+}
+
+// NewStorer returns a Storer over a driver, for the purpose PurposeUsage.
 func NewStorer(driver Driver, clock timer.Service) *Storer {
-	return &Storer{driver: driver, clock: clock}
+	return &Storer{driver: driver, clock: clock, purpose: PurposeUsage, shared: &shared{}}
+}
+
+// For returns a Storer for the given purpose.
+func (s *Storer) For(p Purpose) *Storer {
+	c := *s
+	c.purpose = p
+	return &c
 }
 
 // Get returns the entry of key; an entry with Changed zero does not exist.
 func (s *Storer) Get(ctx context.Context, key string) (Entry, Outcome) {
-	ctx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
-	defer cancel()
-	return s.driver.Get(ctx, key)
+	return read(ctx, s, func(ctx context.Context) (Entry, Outcome) { return s.driver.Get(ctx, key) })
+}
+
+// Since returns the entry of key if it was changed after the given revision, else an entry with Changed zero.
+func (s *Storer) Since(ctx context.Context, key string, after int64) (Entry, Outcome) {
+	return read(ctx, s, func(ctx context.Context) (Entry, Outcome) { return s.driver.Since(ctx, key, after) })
 }
 
 // List returns the entries whose keys begin with prefix, in key order.
 func (s *Storer) List(ctx context.Context, prefix string) ([]Entry, Outcome) {
-	ctx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
-	defer cancel()
-	return s.driver.List(ctx, prefix)
+	return read(ctx, s, func(ctx context.Context) ([]Entry, Outcome) { return s.driver.List(ctx, prefix) })
 }
 
 // Swap writes value to key if the key was last changed at changed (zero: is absent). The value must be unlike any
@@ -54,9 +70,7 @@
 	if len(t.Guards) == 0 || len(t.Puts) == 0 || t.Guards[0].Key != t.Puts[0].Key {
 		panic("invariant write-identity: a transaction begins with a guarded write of one key")
 	}
-	callCtx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
-	out := s.driver.Commit(callCtx, t)
-	cancel()
+	out := s.call(ctx, func(ctx context.Context) Outcome { return s.driver.Commit(ctx, t) })
 	if out != Unknown {
 		return out
 	}
@@ -65,41 +79,99 @@
 
 // Grant makes a lease that lapses ttl after its last renewal.
 func (s *Storer) Grant(ctx context.Context, ttl time.Duration) (Lease, Outcome) {
-	ctx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
-	defer cancel()
-	return s.driver.Grant(ctx, ttl)
+	return read(ctx, s, func(ctx context.Context) (Lease, Outcome) { return s.driver.Grant(ctx, ttl) })
 }
 
 // KeepAlive renews a lease. Conflict means that it has lapsed.
 func (s *Storer) KeepAlive(ctx context.Context, l Lease) Outcome {
-	ctx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
-	defer cancel()
-	return s.driver.KeepAlive(ctx, l)
+	return s.call(ctx, func(ctx context.Context) Outcome { return s.driver.KeepAlive(ctx, l) })
 }
 
 // Revoke ends a lease and deletes its keys.
 func (s *Storer) Revoke(ctx context.Context, l Lease) Outcome {
-	ctx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
+	return s.call(ctx, func(ctx context.Context) Outcome { return s.driver.Revoke(ctx, l) })
+}
+
+// Watch calls changed for each change of key after the given revision, until ctx ends or the connection fails. A
+// change between the read that returned the revision and the start of the watch is not missed.
+func (s *Storer) Watch(ctx context.Context, key string, after int64, changed func(Entry)) Outcome {
+	if !s.admit(ctx) {
+		return Unavailable
+	}
+	return s.driver.Watch(ctx, key, after, changed)
+}
+
+// read makes a call that returns a value besides its outcome.
+func read[T any](ctx context.Context, s *Storer, f func(context.Context) (T, Outcome)) (T, Outcome) {
+	var v T
+	out := s.call(ctx, func(ctx context.Context) Outcome {
+		var out Outcome
+		v, out = f(ctx)
+		return out
+	})
+	return v, out
+}
+
+// call makes one call within the budget, unless the service counts as down.
+func (s *Storer) call(ctx context.Context, f func(context.Context) Outcome) Outcome {
+	if !s.admit(ctx) {
+		return Unavailable
+	}
+	return s.attempt(ctx, f)
+}
+
+// attempt makes one call with a deadline and records its outcome.
+func (s *Storer) attempt(ctx context.Context, f func(context.Context) Outcome) Outcome {
+	callCtx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
 	defer cancel()
-	return s.driver.Revoke(ctx, l)
+	out := f(callCtx)
+	// A caller that gave up says nothing about the service.
+	if ctx.Err() == nil {
+		s.shared.backoff.Record(out, s.clock.Boot())
+	}
+	return out
 }
 
-// Watch calls changed for each change of key until ctx ends or the connection fails.
-func (s *Storer) Watch(ctx context.Context, key string, changed func(Entry)) Outcome {
-	return s.driver.Watch(ctx, key, changed)
+// admit waits for the budget, at most as long as a call may take, and asks the back-off.
+func (s *Storer) admit(ctx context.Context) bool {
+	deadline := s.clock.Boot() + callTimeout
+	for {
+		now := s.clock.Boot()
+		wait := s.shared.budget.Take(s.purpose, now)
+		if wait == 0 {
+			return s.shared.backoff.Admit(s.purpose, now)
+		}
+		if now+wait > deadline || !s.wait(ctx, wait) {
+			return false
+		}
+	}
+}
+
+// wait reports whether d passed before ctx ended.
+func (s *Storer) wait(ctx context.Context, d time.Duration) bool {
+	sub := s.clock.After(d)
+	defer sub.Stop()
+	select {
+	case <-sub.C():
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
-// settle reads key back until it is known whether the write of value took effect.
+// settle reads key back until it is known whether the write of value took effect. Its reads have pauses of their own,
+// so they are not subject to the back-off.
 func (s *Storer) settle(ctx context.Context, key string, changed int64, value []byte) Outcome {
-	for range settleTries {
-		pause := s.clock.After(settlePause)
-		select {
-		case <-pause.C():
-		case <-ctx.Done():
-			pause.Stop()
+	for try := range settleTries {
+		if !s.wait(ctx, pause(try+1, 2*time.Second)) {
 			return Unknown
 		}
-		e, out := s.Get(ctx, key)
+		var e Entry
+		out := s.attempt(ctx, func(ctx context.Context) Outcome {
+			var out Outcome
+			e, out = s.driver.Get(ctx, key)
+			return out
+		})
 		if out != Applied {
 			continue
 		}
