distributor: the configuration reaches every node along a relay tree

Cause: every entry watched the key-value service, read the VM list itself and probed every agent. At 660 nodes that is 660 pending watches, 660 readers of a list of 3,360 VMs, and one probe per entry, agent and period.

Change: the holder of the duty publish, one of the region relays, is the only process that follows the stored document and the VM list. Other nodes, agents included, ask a parent of the heap layout with Relay.Sync, compare digests with a peer each period, and pull from any node that has a later document. Documents travel as differences with a digest of the result. Each answer carries the age of the last proof of freshness, on which keygrace is based; a census of counts and hash sums goes up. A copy is saved in the data folder before it is in force. Agents' reports go up to the relay of their zone and come down as a digest of loads; entries probe at most 16 agents themselves. Documents carry a write identity, so that two edits with the same content are told apart. The budget for config is 20 calls/s: with 4 calls/s edits in a row waited.

Conclusion: the tree carries configuration, VM list and reports in one exchange per node and period.

--- a/internal/adapter/codec/codec.go
+++ b/internal/adapter/codec/codec.go
@@ -14,6 +14,8 @@
 // Document is the configuration as operators write it and as it is stored.
 type Document struct {
 	Revision identifier.Revision `json:"revision,omitempty" yaml:"revision,omitempty"`
+	// Write is the identity of the write that stored the document; operators leave it out.
+	Write    identifier.Write    `json:"write,omitempty" yaml:"write,omitempty"`
 	Preset   configurator.Preset `json:"preset" yaml:"preset"`
 	Zones    []Zone              `json:"zones,omitempty" yaml:"zones,omitempty"`
 	Teams    []Team              `json:"teams,omitempty" yaml:"teams,omitempty"`
@@ -89,7 +91,7 @@
 
 // FromDocument returns the form of a document.
 func FromDocument(d configurator.Document) Document {
-	f := Document{Revision: d.Revision(), Preset: d.Preset()}
+	f := Document{Revision: d.Revision(), Write: d.Write(), Preset: d.Preset()}
 	for _, z := range d.Zones() {
 		f.Zones = append(f.Zones, Zone(z))
 	}
@@ -112,7 +114,7 @@
 
 // Document returns the document of the form. It fails on a hash or duration that can't be read.
 func (f Document) Document() (configurator.Document, error) {
-	d := configurator.Document{}.WithRevision(f.Revision).WithPreset(f.Preset)
+	d := configurator.Document{}.WithRevision(f.Revision).WithWrite(f.Write).WithPreset(f.Preset)
 	for _, z := range f.Zones {
 		d = d.WithZones(append(d.Zones(), configurator.Zone(z))...)
 	}
--- a/internal/adapter/httpserver/caller.go
+++ b/internal/adapter/httpserver/caller.go
@@ -68,7 +68,10 @@
 	var who authenticator.Identity
 	var revoked <-chan struct{}
 	if key, given := bearer(c.Request()); given {
-		if who, revoked, ok = cs.auth.Authenticate(key); !ok {
+		if who, revoked, ok = cs.auth.Authenticate(key); !ok && !cs.auth.Fresh() {
+			return nil, refused(http.StatusServiceUnavailable, "keys-stale", "withdrawals of keys can't be known at present"), false
+		}
+		if !ok {
 			return nil, refused(http.StatusUnauthorized, "key-refused", "the key is unknown or withdrawn"), false
 		}
 	} else if !service.Open {
--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/container"
@@ -31,6 +32,7 @@
 type Authenticator struct {
 	lock   container.Lock[container.Authenticator]
 	pepper []byte
+	fresh  func() bool
 	// byHash finds a key by its hash. The lookup leaks nothing about the key, since its input is a keyed hash.
 	byHash map[[configurator.HashSize]byte]*entry
 	byName map[identifier.Caller]*entry
@@ -50,6 +52,26 @@
 	return func(a *Authenticator) { a.pepper = pepper }
 }
 
+// WithFresh sets the rule that tells whether the node knows of recent withdrawals. While it does not, no key works.
+func WithFresh(fresh func() bool) Option {
+	return func(a *Authenticator) { a.fresh = fresh }
+}
+
+// DefaultGrace is how long keys work after the last proof of freshness, unless the settings say otherwise: long enough
+// for most outages of the key-value service, and a bound on the use of a key that was withdrawn during one.
+const DefaultGrace = 15 * time.Minute
+
+// Grace returns the rule that keys work for grace after the last proof of freshness, whose age the function age tells.
+func Grace(grace time.Duration, age func() (time.Duration, bool)) func() bool {
+	return func() bool {
+		since, proof := age()
+		return proof && since <= grace
+	}
+}
+
+// Fresh reports whether keys may be used.
+func (a *Authenticator) Fresh() bool { return a.fresh == nil || a.fresh() }
+
 // NewAuthenticator returns an Authenticator that knows no key yet.
 func NewAuthenticator(opts ...Option) *Authenticator {
 	a := &Authenticator{}
@@ -60,8 +82,11 @@
 }
 
 // Authenticate returns the holder of key and a channel that is closed when the key is withdrawn. The third result is
-// false for a key that is unknown or withdrawn.
+// false for a key that is unknown or withdrawn, and for every key while the node is not fresh.
 func (a *Authenticator) Authenticate(key string) (Identity, <-chan struct{}, bool) {
+	if !a.Fresh() {
+		return Identity{}, nil, false
+	}
 	sum := Hash(a.pepper, key)
 	a.lock.Lock()
 	defer a.lock.Unlock()
--- a/internal/configurator/document.go
+++ b/internal/configurator/document.go
@@ -12,6 +12,7 @@
 // the preset Ordinary.
 type Document struct {
 	revision identifier.Revision
+	write    identifier.Write
 	preset   Preset
 	zones    []Zone
 	teams    []Team
@@ -142,6 +143,15 @@
 	return d
 }
 
+// Write returns the identity of the write that stored the document.
+func (d Document) Write() identifier.Write { return d.write }
+
+// WithWrite returns a copy of d with the identity of the write that stores it.
+func (d Document) WithWrite(w identifier.Write) Document {
+	d.write = w
+	return d
+}
+
 // WithPreset returns a copy of d in which p is in force.
 func (d Document) WithPreset(p Preset) Document {
 	d.preset = p
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -96,6 +96,10 @@
 			return fmt.Errorf("start entry: %w", err)
 		}
 		d.Entries = append(d.Entries, entry)
+		d.Standin.Platform.AddVM(platform.VM{
+			Name: "entry-" + strconv.Itoa(i+1), Role: "entry", Zone: place.Zone, Region: place.Region, State: "live",
+			Address: entry.Peers,
+		})
 	}
 	return nil
 }
@@ -120,8 +124,9 @@
 
 func (d *Deployment) startAgent(p Plan, b Back, log *logger.Logger) error {
 	agent, err := runner.StartAgent(loader.Settings{
-		Name: "agent-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
-		Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
+		Name: "vm-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
+		Platform: "http://" + d.Standin.Addresses["platform"],
+		Period:   loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
 		Target: loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
 	}, log)
 	if err != nil {
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -54,6 +54,12 @@
 // NewRequest returns a random request identity. It holds at least 128 random bits, which makes collisions negligible.
 func NewRequest() Request { return Request(rand.Text()) }
 
+// Write identifies one write to the key-value service.
+type Write string
+
+// NewWrite returns a random write identity.
+func NewWrite() Write { return Write(rand.Text()) }
+
 // Attempt identifies one try at running a request on one target.
 type Attempt struct {
 	Request Request
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -65,15 +65,20 @@
 // before the lease can have lapsed; lead must return then. Campaign returns after lead has.
 func (l *Leaser) Campaign(ctx context.Context, d identifier.Duty, lead func(ctx context.Context, t Term)) {
 	for ctx.Err() == nil {
-		if l.eligible == nil || l.eligible(d) {
-			if term, lease, ok := l.acquire(ctx, d); ok {
-				l.serve(ctx, term, lease, lead)
-			}
+		if l.eligible != nil && !l.eligible(d) {
+			l.wait(ctx, recheck)
+			continue
+		}
+		if term, lease, ok := l.acquire(ctx, d); ok {
+			l.serve(ctx, term, lease, lead)
 		}
 		l.wait(ctx, l.ttl/renewals)
 	}
 }
 
+// recheck is the wait before a process asks again whether it is eligible, which costs no call.
+const recheck = 250 * time.Millisecond
+
 // acquire tries to begin a term.
 func (l *Leaser) acquire(ctx context.Context, d identifier.Duty) (Term, storer.Lease, bool) {
 	held, out := l.store.Get(ctx, dutyKey(d))
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -18,7 +18,21 @@
 	ProcessStopped = Event{Number: 1002, Level: hclog.Info, Text: "process stopped", Action: "none"}
 	DrainStarted   = Event{Number: 1003, Level: hclog.Info, Text: "drain started", Action: "none"}
 
-	ConfigAdopted = Event{Number: 1101, Level: hclog.Info, Text: "configuration adopted", Action: "none"}
+	ConfigAdopted   = Event{Number: 1101, Level: hclog.Info, Text: "configuration adopted", Action: "none"}
+	DocumentRefused = Event{
+		Number: 1102, Level: hclog.Error, Text: "relayed document refused",
+		Action: "compare the versions of the programs; the present one stays in force",
+	}
+	CopyUnusable = Event{
+		Number: 1103, Level: hclog.Warn, Text: "saved copy not usable", Action: "check the data folder; the node asks its peers",
+	}
+	RootBegan = Event{Number: 1104, Level: hclog.Info, Text: "term of the root began", Action: "none"}
+	RootEnded = Event{Number: 1105, Level: hclog.Info, Text: "term of the root ended", Action: "none"}
+	KeysStale = Event{
+		Number: 1106, Level: hclog.Error, Text: "keys not used: no proof of freshness within keygrace",
+		Action: "restore the key-value service or the way to it",
+	}
+	KeysFresh = Event{Number: 1107, Level: hclog.Info, Text: "keys used again", Action: "none"}
 
 	ListUnavailable = Event{
 		Number: 1301, Level: hclog.Warn, Text: "VM list unavailable", Action: "check the platform; the last list stays in use",
@@ -27,9 +41,16 @@
 		Number: 1302, Level: hclog.Warn, Text: "agent does not answer", Action: "check the target's VM if it lasts",
 	}
 	TargetServing = Event{Number: 1303, Level: hclog.Info, Text: "agent answers", Action: "none"}
+	ParentSilent  = Event{
+		Number: 1311, Level: hclog.Warn, Text: "relay does not answer", Action: "check the VM of the relay if it lasts; the node asks another",
+	}
 )
 
 // Events returns every event in order of its number.
 func Events() []Event {
-	return []Event{ProcessStarted, ProcessStopped, DrainStarted, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing}
+	return []Event{
+		ProcessStarted, ProcessStopped, DrainStarted,
+		ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
+		ListUnavailable, TargetSilent, TargetServing, ParentSilent,
+	}
 }
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/distributor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -17,6 +19,7 @@
 // Store is the part of the key-value service that a publisher uses.
 type Store interface {
 	Get(ctx context.Context, key string) (storer.Entry, storer.Outcome)
+	Since(ctx context.Context, key string, after int64) (storer.Entry, storer.Outcome)
 	Swap(ctx context.Context, key string, changed int64, value []byte, lease storer.Lease) storer.Outcome
 	Watch(ctx context.Context, key string, after int64, changed func(storer.Entry)) storer.Outcome
 }
@@ -27,17 +30,24 @@
 	Decode(data []byte) (configurator.Document, error)
 }
 
+// Taker takes stored documents into force at this node and passes them on.
+type Taker interface {
+	Take(t distributor.Topic, c distributor.Copy) distributor.Taking
+	Current(t distributor.Topic) distributor.Copy
+	Prove(at time.Duration)
+}
+
 // Publisher proposes edits and follows the stored document.
 type Publisher struct {
-	store  Store
-	form   Form
-	config *configurator.Configurator
-	clock  timer.Service
+	store Store
+	form  Form
+	taker Taker
+	clock timer.Service
 }
 
-// NewPublisher returns a Publisher that adopts stored documents into config.
-func NewPublisher(store Store, form Form, config *configurator.Configurator, clock timer.Service) *Publisher {
-	return &Publisher{store: store, form: form, config: config, clock: clock}
+// NewPublisher returns a Publisher that hands stored documents to taker.
+func NewPublisher(store Store, form Form, taker Taker, clock timer.Service) *Publisher {
+	return &Publisher{store: store, form: form, taker: taker, clock: clock}
 }
 
 // Result is the outcome of an edit.
@@ -71,28 +81,55 @@
 	if edit != configurator.Accepted {
 		return Result{Edit: edit, Document: current, Problems: problems}
 	}
-	out = p.store.Swap(ctx, Key, entry.Changed, p.form.Encode(next), 0)
+	// The identity of the write makes the value unlike that of any other edit, also of one with the same content.
+	next = next.WithWrite(identifier.NewWrite())
+	body := p.form.Encode(next)
+	out = p.store.Swap(ctx, Key, entry.Changed, body, 0)
 	if out == storer.Conflict {
 		return Result{Edit: configurator.Conflicting, Outcome: out, Document: current}
 	}
 	if out == storer.Applied {
-		p.config.Adopt(next)
+		p.taker.Take(distributor.Config, distributor.NewCopy(next.Revision(), body))
 	}
 	return Result{Edit: edit, Outcome: out, Document: next}
 }
 
-// followPause is the wait before the stored document is watched again after a failure.
-const followPause = time.Second
+// Period is the time between two reads that prove that the node is up to date, and the wait before the stored
+// document is watched again after a failure.
+const Period = time.Second
 
-// Follow adopts the stored document and each later one until ctx ends.
+// Follow takes the stored document and each later one until ctx ends. Only the holder of the duty of the root follows.
 func (p *Publisher) Follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if entry, out := p.store.Get(ctx, Key); out == storer.Applied {
-			p.adopt(entry)
-			// The watch begins where the read ended, so that no change between the two is missed.
-			p.store.Watch(ctx, Key, entry.Changed, p.adopt)
+	var watching sync.WaitGroup
+	defer watching.Wait()
+	watching.Go(func() { p.watch(ctx) })
+	tick := p.clock.Every(Period)
+	defer tick.Stop()
+	for {
+		p.Refresh(ctx)
+		select {
+		case <-tick.C():
+		case <-ctx.Done():
+			return
 		}
-		pause := p.clock.After(followPause)
+	}
+}
+
+// Refresh takes the stored document if it has changed. A read that succeeds proves that the node is up to date.
+func (p *Publisher) Refresh(ctx context.Context) storer.Outcome {
+	sent := p.clock.Boot()
+	entry, out := p.store.Since(ctx, Key, p.taker.Current(distributor.Config).Stored())
+	if out == storer.Applied && (entry.Changed == 0 || p.take(entry)) {
+		p.taker.Prove(sent)
+	}
+	return out
+}
+
+// watch takes each change of the stored document. It begins after the revision that the node has.
+func (p *Publisher) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.store.Watch(ctx, Key, p.taker.Current(distributor.Config).Stored(), func(e storer.Entry) { p.take(e) })
+		pause := p.clock.After(Period)
 		select {
 		case <-pause.C():
 		case <-ctx.Done():
@@ -101,11 +138,15 @@
 	}
 }
 
-// adopt offers a stored document to the node. One that can't be read is passed over; the present one stays in force.
-func (p *Publisher) adopt(e storer.Entry) {
-	if d, err := p.decode(e); err == nil {
-		p.config.Adopt(d)
+// take offers a stored document to the node. One that can't be read is passed over; the present one stays in force. It
+// reports whether the node has the document or a later one.
+func (p *Publisher) take(e storer.Entry) bool {
+	d, err := p.decode(e)
+	if err != nil || d.Revision() == 0 {
+		return false
 	}
+	taking := p.taker.Take(distributor.Config, distributor.NewCopy(d.Revision(), e.Value).WithStored(e.Changed))
+	return taking == distributor.Taken || taking == distributor.Old
 }
 
 func (p *Publisher) decode(e storer.Entry) (configurator.Document, error) {
--- /dev/null
+++ b/internal/runner/adopter.go
@@ -0,0 +1,79 @@
+package runner
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/distributor"
+	"github.com/mimosalb/mimosalb/internal/logger"
+)
+
+// configAdopter puts relayed configurations in force.
+type configAdopter struct{ d *Distribution }
+
+// Adopt saves a configuration that can be read, then puts it in force. The copy is saved first, so that a restarted node
+// does not begin with a lower revision than it had.
+func (a configAdopter) Adopt(c distributor.Copy) bool {
+	doc, err := codec.Decode(c.Body())
+	if err != nil || doc.Revision() != c.Revision() || len(doc.Check()) > 0 {
+		a.d.settings.Log.Emit(logger.DocumentRefused, "topic", "config", "revision", c.Revision(), "error", err)
+		return false
+	}
+	a.d.save(c)
+	return a.d.settings.Config.Adopt(doc) != configurator.Invalid
+}
+
+// listAdopter puts relayed VM lists in use.
+type listAdopter struct{ d *Distribution }
+
+// Adopt uses a VM list that can be read.
+func (a listAdopter) Adopt(c distributor.Copy) bool {
+	vms, err := codec.DecodeList(c.Body())
+	if err != nil {
+		a.d.settings.Log.Emit(logger.DocumentRefused, "topic", "list", "revision", c.Revision(), "error", err)
+		return false
+	}
+	a.d.adoptVMs(vms)
+	return true
+}
+
+// save writes a copy to the data folder. Without the copy the node is as good as one without a disk, so a failure is
+// only reported.
+func (d *Distribution) save(c distributor.Copy) {
+	if d.archive == nil {
+		return
+	}
+	if err := d.archive.Save(c, d.provenAt()); err != nil {
+		d.settings.Log.Emit(logger.CopyUnusable, "error", err)
+	}
+}
+
+// provenAt returns the wall clock time of the last proof of freshness; zero without one.
+func (d *Distribution) provenAt() time.Time {
+	age, ok := d.Age()
+	if !ok {
+		return time.Time{}
+	}
+	return d.settings.Clock.Now().Add(-age)
+}
+
+// loadCopy begins with the saved copy. Its proof of freshness counts unless the wall clock went back since.
+func (d *Distribution) loadCopy() {
+	if d.archive == nil {
+		return
+	}
+	c, proven, err := d.archive.Load()
+	if err != nil {
+		if !errors.Is(err, os.ErrNotExist) {
+			d.settings.Log.Emit(logger.CopyUnusable, "error", err)
+		}
+		return
+	}
+	d.Relay.Take(distributor.Config, c)
+	if age := d.settings.Clock.Now().Sub(proven); !proven.IsZero() && age >= 0 {
+		d.Relay.Prove(d.settings.Clock.Boot() - age)
+	}
+}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -27,6 +27,7 @@
 	gate   *gatekeeper.Gatekeeper
 	runs   *executor.Executor
 	server *rpcserver.Server
+	tree   *tree
 }
 
 // target is the back end beside an agent.
@@ -61,7 +62,10 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	a.Peers = l.Addr().String()
-	a.server.Start(l)
+	if err := a.join(s, l, back); err != nil {
+		a.close()
+		return nil, err
+	}
 	log.Emit(logger.ProcessStarted, "role", "agent", "name", s.Name, "target", s.Target.Name, "peers", a.Peers)
 	return a, nil
 }
@@ -73,7 +77,7 @@
 	case <-a.gate.Drain():
 	case <-ctx.Done():
 	}
-	err := a.server.Close()
+	err := a.leave()
 	a.close()
 	a.log.Emit(logger.ProcessStopped)
 	return err
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -18,10 +18,12 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/leaser"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/publisher"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -33,13 +35,15 @@
 
 // Entry is a running entry process.
 type Entry struct {
-	// Callers and Operators are the addresses that the entry listens on.
+	// Callers, Operators and Peers are the addresses that the entry listens on.
 	Callers   string
 	Operators string
+	Peers     string
 
 	log        *logger.Logger
 	clock      *timer.System
 	peers      *rpcclient.Client
+	tree       *tree
 	dispatcher *dispatcher.Dispatcher
 	callers    *httpserver.Server
 	operators  *httpserver.Server
@@ -59,18 +63,35 @@
 	e.peers = rpcclient.NewClient(e.clock)
 
 	config := &configurator.Configurator{}
-	auth := authenticator.NewAuthenticator(authenticator.WithPepper(pepper))
 	route := router.NewRouter(router.WithSeed(seed(s.Name)))
 	store := storer.NewStorer(kvclient.NewDriver(s.Store), e.clock)
-	publish := publisher.NewPublisher(store, codec.Form{}, config, e.clock)
+	platform := platformclient.NewClient(s.Platform, e.clock)
+	m := &membership{
+		clock: e.clock, log: log, peers: e.peers, zone: identifier.Zone(s.Zone), region: identifier.Region(s.Region),
+		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: route, period: period(s),
+		probing: make(map[string]context.CancelFunc),
+	}
+	peers, err := listen(s.Peers)
+	if err == nil {
+		e.tree, err = newTree(s, treeParts{clock: e.clock, log: log, config: config, platform: platform, listed: m.adopt},
+			rpcserver.NewServer(), peers)
+	}
+	if err != nil {
+		cancel()
+		e.clock.Close()
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	e.Peers = peers.Addr().String()
+	m.reports = e.tree.Assembler
+	auth := authenticator.NewAuthenticator(authenticator.WithPepper(pepper),
+		authenticator.WithFresh(authenticator.Grace(keyGrace(s), e.tree.Age)))
+	publish := publisher.NewPublisher(store.For(storer.PurposeConfig), codec.Form{}, e.tree.Relay, e.clock)
+	leases := leaser.NewLeaser(identifier.Node(s.Name), store.For(storer.PurposeLease), e.clock,
+		leaser.WithEligible(func(identifier.Duty) bool { return e.tree.Candidate() }))
 	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
 	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route)
 
-	m := &membership{
-		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
-		tracker: &tracker.Tracker{}, router: route, period: period(s), probing: make(map[string]context.CancelFunc),
-	}
-	e.task(func() { publish.Follow(ctx) })
+	e.tree.Start(publish, leases)
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
 
@@ -94,6 +115,7 @@
 	e.dispatcher.Close()
 	e.cancel()
 	e.tasks.Wait()
+	err = errors.Join(err, e.tree.close())
 	e.peers.Close()
 	e.clock.Close()
 	e.log.Emit(logger.ProcessStopped)
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -3,39 +3,53 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/internal/tracker"
-	"github.com/mimosalb/mimosalb/pkg/loader"
 )
 
-// membership keeps an entry's view of the targets: it reads the VM list and probes each listed agent.
+// membership keeps an entry's view of the targets: it combines the VM list, the digest of the entry's zone, the
+// summaries of other zones and its own probes of a few agents.
 type membership struct {
-	clock    timer.Service
-	log      *logger.Logger
-	peers    *rpcclient.Client
-	platform *platformclient.Client
-	tracker  *tracker.Tracker
-	router   *router.Router
-	period   time.Duration
+	clock   timer.Service
+	log     *logger.Logger
+	peers   *rpcclient.Client
+	zone    identifier.Zone
+	region  identifier.Region
+	seed    uint64
+	tracker *tracker.Tracker
+	reports *tracker.Assembler
+	router  *router.Router
+	period  time.Duration
 
+	// listed is the last VM list.
+	listed  atomic.Pointer[[]tracker.Member]
 	probing map[string]context.CancelFunc
 	tasks   sync.WaitGroup
 }
 
-func period(s loader.Settings) time.Duration {
-	if s.Period > 0 {
-		return time.Duration(s.Period)
+// adopt takes over a VM list with the next refresh.
+func (m *membership) adopt(vms []platformclient.VM) {
+	var list []tracker.Member
+	for _, vm := range vms {
+		if vm.Role == platformclient.RoleTarget {
+			list = append(list, tracker.Member{
+				Target: vm.Target, Service: vm.Service, Zone: vm.Zone, Region: vm.Region,
+				Address: vm.Address, Leaving: vm.State == platformclient.StateLeaving,
+			})
+		}
 	}
-	return loader.DefaultPeriod
+	m.listed.Store(&list)
 }
 
-// run reads the VM list each period until ctx ends.
+// run renews the view each period until ctx ends.
 func (m *membership) run(ctx context.Context) {
 	defer m.tasks.Wait()
 	tick := m.clock.Every(m.period)
@@ -51,26 +65,20 @@
 }
 
 func (m *membership) refresh(ctx context.Context) {
-	vms, err := m.platform.VMs(ctx)
-	if err != nil {
-		m.log.Emit(logger.ListUnavailable, "error", err)
-		return
+	now := m.clock.Boot()
+	if list := m.listed.Load(); list != nil {
+		m.tracker.AdoptList(*list, now)
 	}
-	var list []tracker.Member
-	for _, vm := range vms {
-		if vm.Role == platformclient.RoleTarget {
-			list = append(list, tracker.Member{
-				Target: vm.Target, Service: vm.Service, Zone: vm.Zone, Region: vm.Region,
-				Address: vm.Address, Leaving: vm.State == platformclient.StateLeaving,
-			})
-		}
+	rows, older := m.reports.Zone(now)
+	for _, c := range m.tracker.AdoptRows(m.zone, rows, older, now) {
+		m.emit(c.Target, c.After, nil)
 	}
-	m.tracker.AdoptList(list)
-	m.watch(ctx, list)
+	m.tracker.AdoptSummaries(m.reports.Summaries(func(z identifier.Zone) bool { return z != m.zone }))
+	m.watch(ctx, m.tracker.Probes(m.zone, m.region, m.seed, tracker.DefaultProbes, now, m.period))
 	m.router.Adopt(m.tracker.View())
 }
 
-// watch starts a probe for each new member and ends those of members that are gone.
+// watch starts a probe for each new member and ends those of members that are not to be probed any more.
 func (m *membership) watch(ctx context.Context, list []tracker.Member) {
 	listed := make(map[string]bool, len(list))
 	for _, member := range list {
@@ -81,7 +89,10 @@
 		}
 		probeCtx, cancel := context.WithCancel(ctx)
 		m.probing[id] = cancel
-		m.tasks.Go(func() { m.probe(probeCtx, member) })
+		m.tasks.Go(func() {
+			m.probe(probeCtx, member)
+			m.tracker.Release(member.Target)
+		})
 	}
 	for id, cancel := range m.probing {
 		if !listed[id] {
@@ -113,7 +124,7 @@
 	if err != nil {
 		before, after := m.tracker.Miss(member.Target)
 		if before != after {
-			m.log.Emit(logger.TargetSilent, "target", member.Target, "error", err)
+			m.emit(member.Target, after, err)
 			m.router.Adopt(m.tracker.View())
 		}
 		return
@@ -122,8 +133,18 @@
 		Incarnation: reply.Incarnation, Running: reply.Running, Draining: reply.Draining, Version: reply.Version,
 	}
 	before, after := m.tracker.Observe(member.Target, report, m.clock.Boot())
-	if before != after && after == tracker.Serving {
-		m.log.Emit(logger.TargetServing, "target", member.Target)
+	if before != after {
+		m.emit(member.Target, after, nil)
 	}
 	m.router.Adopt(m.tracker.View())
 }
+
+func (m *membership) emit(target identifier.Target, after tracker.Standing, err error) {
+	switch after {
+	case tracker.Silent:
+		m.log.Emit(logger.TargetSilent, "target", target, "error", err)
+	case tracker.Serving:
+		m.log.Emit(logger.TargetServing, "target", target)
+	default:
+	}
+}
--- a/internal/storer/purpose.go
+++ b/internal/storer/purpose.go
@@ -38,7 +38,7 @@
 // time, so these rates add up over the duties and not over the fleet.
 func (p Purpose) rate() float64 {
 	return [...]float64{
-		PurposeLease: 10, PurposeConfig: 4, PurposeSeal: 5, PurposeOrder: 5, PurposeRun: 20, PurposeClaim: 20, PurposeUsage: 10,
+		PurposeLease: 10, PurposeConfig: 20, PurposeSeal: 5, PurposeOrder: 5, PurposeRun: 20, PurposeClaim: 20, PurposeUsage: 10,
 	}[p.known()]
 }
 
--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -156,3 +156,13 @@
 		}
 	}
 }
+
+// Guards against operators' edits that wait for the budget: a withdrawal in a row of ten edits, with two calls each,
+// once took half a second longer than the network did.
+func TestEditsInARowDoNotWait(t *testing.T) {
+	c := qt.New(t)
+	var b storer.Budget
+	for range 20 {
+		c.Assert(b.Take(storer.PurposeConfig, 0), qt.Equals, time.Duration(0))
+	}
+}
--- /dev/null
+++ b/internal/tracker/digest.go
@@ -0,0 +1,102 @@
+package tracker
+
+import (
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// Row is an agent's report on its way to the relay of its zone. It is immutable.
+type Row struct {
+	Target      identifier.Target
+	Incarnation identifier.Incarnation
+	Running     int
+	Draining    bool
+	Version     identifier.Version
+	// Age is the age of the report in periods.
+	Age int
+}
+
+// report returns the row without its way.
+func (r Row) report() Report {
+	return Report{Incarnation: r.Incarnation, Running: r.Running, Draining: r.Draining, Version: r.Version}
+}
+
+// identity returns the part of the row that changes seldom.
+func (r Row) identity() Row {
+	r.Running, r.Age = 0, 0
+	return r
+}
+
+// Digest is the state of a zone's targets in compact form. Maker and Version name the roster, which is the part that
+// changes seldom; Rows holds it unless the receiver has it. Loads and Ages follow the order of the roster. It is
+// immutable.
+type Digest struct {
+	Zone    identifier.Zone
+	Maker   identifier.Node
+	Version uint64
+	Rows    []Row
+	Loads   []uint16
+	Ages    []uint8
+}
+
+// Roster names the roster of a digest.
+type Roster struct {
+	Maker   identifier.Node
+	Version uint64
+}
+
+// Roster returns the name of the digest's roster.
+func (d Digest) Roster() Roster { return Roster{Maker: d.Maker, Version: d.Version} }
+
+// WithRows returns a copy of d with the given roster.
+func (d Digest) WithRows(rows []Row) Digest {
+	d.Rows = rows
+	return d
+}
+
+// rows returns the rows of a complete digest with their loads and ages, each older by the given number of periods.
+func (d Digest) rows(older int) []Row {
+	out := make([]Row, 0, len(d.Rows))
+	for i, r := range d.Rows {
+		if i < len(d.Loads) && i < len(d.Ages) {
+			r.Running, r.Age = int(d.Loads[i]), int(d.Ages[i])+older
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Summary is the load of one service in one availability zone. It is immutable.
+type Summary struct {
+	Zone    identifier.Zone
+	Service identifier.Service
+	Targets int
+	Running int
+	// Made orders the summaries of a zone; it is the maker's wall clock in seconds.
+	Made int64
+}
+
+// Mean returns the mean load of a target.
+func (s Summary) Mean() int {
+	if s.Targets == 0 {
+		return 0
+	}
+	return s.Running / s.Targets
+}
+
+const (
+	// silentAge is the age in periods of the last report from which a target counts as silent. A report needs up to one
+	// period for each of the two levels of a zone, and a dead relay is bypassed in two periods.
+	silentAge = 5
+	// forgetAge is the age in periods at which a report is dropped.
+	forgetAge = 20
+)
+
+// periods returns how many whole periods lie between two times.
+func periods(from, to, period time.Duration) int {
+	if period <= 0 || to <= from {
+		return 0
+	}
+	return int((to - from) / period)
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -51,20 +51,34 @@
 	standing Standing
 	failures int
 	seen     time.Duration
+	// relayed is when a digest last covered the target.
+	relayed time.Duration
 }
 
 // Tracker is one observer's membership table. The zero value knows no target.
 //
-// Invariants: only the VM list removes a target; a leaving target never serves again in the same incarnation; when
+// Invariants: only the VM list removes a target, and not one that reports; a leaving target never serves again in the same incarnation; when
 // more than half of a zone's targets are silent, the observer suspects its own link and keeps them. Lock rank:
 // container.RankTracker.
 type Tracker struct {
-	lock    container.Lock[container.Tracker]
-	members map[identifier.Target]*member
+	lock      container.Lock[container.Tracker]
+	members   map[identifier.Target]*member
+	summaries map[place]Summary
 }
 
-// AdoptList takes over a VM list. Targets that it does not name are gone.
-func (t *Tracker) AdoptList(list []Member) {
+// place is a service in an availability zone.
+type place struct {
+	zone    identifier.Zone
+	service identifier.Service
+}
+
+// lingering is how long a target that the VM list no longer names stays after its last report. A list that the platform
+// cut short must not empty the view, and a target that is gone does not report.
+const lingering = 10 * time.Second
+
+// AdoptList takes over a VM list. Targets that it does not name are gone once they do not report either; the list is
+// offered each period for that.
+func (t *Tracker) AdoptList(list []Member, now time.Duration) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	next := make(map[identifier.Target]*member, len(list))
@@ -79,6 +93,11 @@
 		}
 		next[m.Target] = row
 	}
+	for id, m := range t.members {
+		if _, ok := next[id]; !ok && m.seen > 0 && now-m.seen < lingering {
+			next[id] = m
+		}
+	}
 	t.members = next
 }
 
@@ -90,7 +109,15 @@
 	if !ok {
 		return Listed, Listed
 	}
+	return m.observe(r, now)
+}
+
+// observe takes over a report. A report of an earlier incarnation is late and changes nothing.
+func (m *member) observe(r Report, now time.Duration) (before, after Standing) {
 	before = m.standing
+	if r.Incarnation < m.report.Incarnation {
+		return before, before
+	}
 	sticky := m.standing == Leaving && r.Incarnation == m.report.Incarnation
 	m.report, m.failures, m.seen = r, 0, now
 	switch {
@@ -118,6 +145,15 @@
 	return before, m.standing
 }
 
+// Release records that the observer no longer probes a target. Unless a digest covers it, nothing is known about it.
+func (t *Tracker) Release(id identifier.Target) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if m, ok := t.members[id]; ok && m.relayed == 0 && m.standing != Leaving {
+		m.standing, m.seen = Listed, 0
+	}
+}
+
 // Members returns the listed targets.
 func (t *Tracker) Members() []Member {
 	t.lock.Lock()
@@ -137,7 +173,7 @@
 	targets := make([]router.Target, 0, len(t.members))
 	for _, m := range t.members {
 		if m.standing == Serving || m.standing == Silent && suspect[m.listed.Zone] {
-			targets = append(targets, m.target())
+			targets = append(targets, m.target(t.summaries[place{m.listed.Zone, m.listed.Service}].Mean()))
 		}
 	}
 	return router.NewView(targets)
@@ -159,7 +195,7 @@
 	return suspect
 }
 
-func (m *member) target() router.Target {
+func (m *member) target(mean int) router.Target {
 	t := router.Target{
 		ID:      m.listed.Target,
 		Service: m.listed.Service,
@@ -167,5 +203,5 @@
 		Region:  m.listed.Region,
 		Address: m.listed.Address,
 	}
-	return t.WithReport(m.report.Incarnation, m.report.Running, m.report.Version)
+	return t.WithReport(m.report.Incarnation, max(m.report.Running, mean), m.report.Version)
 }
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -24,6 +24,9 @@
 	if s.Period < 0 {
 		c.add("period", "a duration of zero or more")
 	}
+	if s.KeyGrace < 0 {
+		c.add("keygrace", "a duration of zero or more")
+	}
 	switch role {
 	case RoleEntry:
 		c.checkNode(s)
@@ -35,6 +38,9 @@
 	case RoleAgent:
 		c.checkNode(s)
 		c.checkTarget(s.Target)
+		if s.Platform != "" {
+			c.url("platform", s.Platform)
+		}
 	case RoleStandin:
 		c.checkStandin(s.Standin)
 	default:
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -25,6 +25,8 @@
 	Log string `yaml:"log"`
 	// Period is the time between two probes of a peer; zero means DefaultPeriod.
 	Period Duration `yaml:"period"`
+	// KeyGrace is how long keys work after the last proof that no withdrawal was missed; zero means 15 minutes.
+	KeyGrace Duration `yaml:"keygrace"`
 	// Workers bounds the requests that run at a time.
 	Workers int      `yaml:"workers"`
 	TLS     TLS      `yaml:"tls"`
