--- a/internal/adapter/messenger/sync.go
+++ b/internal/adapter/messenger/sync.go
@@ -22,6 +22,8 @@
 	Known  [distributor.Topics]distributor.Known
 	Census distributor.Census
 	Rows   []tracker.Row
+	// Loads asks for the digest of the zone, without the roster if it is Roster.
+	Loads  bool
 	Roster tracker.Roster
 	// Summaries are those that the parent may lack; Wanted asks for those that the node may lack.
 	Summaries []tracker.Summary
@@ -32,7 +34,7 @@
 type SyncReply struct {
 	Envelope
 
-	Updates [distributor.Topics]distributor.Update
+	Updates []distributor.Update
 	// Age is the time since the last proof of freshness, if there is one.
 	Age       time.Duration
 	Proof     bool
--- a/internal/adapter/rpcclient/rpcclient.go
+++ b/internal/adapter/rpcclient/rpcclient.go
@@ -41,6 +41,7 @@
 	clock    timer.Service
 	tls      *tls.Config
 	inFlight int
+	dialer   func(ctx context.Context, address string) (net.Conn, error)
 	lanes    container.Table[container.Connection, string, *lane]
 }
 
@@ -50,6 +51,11 @@
 // WithTLS connects over TLS. Without it the client speaks plain text.
 func WithTLS(c *tls.Config) Option { return func(cl *Client) { cl.tls = c } }
 
+// WithDialer sets up connections with dial instead of TCP.
+func WithDialer(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(cl *Client) { cl.dialer = dial }
+}
+
 // NewClient returns a Client without connections.
 func NewClient(clock timer.Service, opts ...Option) *Client {
 	c := &Client{clock: clock, inFlight: DefaultInFlight}
@@ -119,6 +125,9 @@
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := timer.WithTimeout(ctx, c.clock, dialTimeout)
 	defer cancel()
+	if c.dialer != nil {
+		return c.dialer(ctx, address)
+	}
 	if c.tls == nil {
 		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		if err != nil {
--- /dev/null
+++ b/internal/demonstrator/fleet_test.go
@@ -0,0 +1,135 @@
+package demonstrator_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/demonstrator"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/standin/store"
+	"github.com/mimosalb/mimosalb/internal/standin/switcher"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// limit bounds each wait of these tests.
+const limit = 20 * time.Second
+
+func newFleet(c *qt.C, zones ...demonstrator.ZonePlan) (*demonstrator.Fleet, *store.Store) {
+	clock := timer.NewSystem()
+	c.Cleanup(clock.Close)
+	kv := store.NewStore(clock)
+	server := httptest.NewServer(kv.Handler())
+	c.Cleanup(server.Close)
+	f, err := demonstrator.NewFleet(demonstrator.FleetPlan{
+		Zones: zones, Period: 200 * time.Millisecond, Store: server.URL, TTL: time.Second,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(f.Close(), qt.IsNil) })
+	return f, kv
+}
+
+func zone(name, region string, entries, agents int) demonstrator.ZonePlan {
+	return demonstrator.ZonePlan{Place: demonstrator.Place{Zone: name, Region: region}, Entries: entries, Agents: agents}
+}
+
+// edit stores a change through an entry and returns its revision.
+func edit(ctx context.Context, c *qt.C, n *demonstrator.FleetNode) identifier.Revision {
+	r := n.Publisher.Edit(ctx, 0, func(d configurator.Document) configurator.Document {
+		return d.WithTeam(configurator.Team{Name: "routing", Weight: float64(d.Revision() + 1)})
+	})
+	c.Assert(r.Accepted(), qt.IsTrue, qt.Commentf("%+v", r))
+	return r.Document.Revision()
+}
+
+// awaitRoot waits until a node leads.
+func awaitRoot(ctx context.Context, c *qt.C, f *demonstrator.Fleet) *demonstrator.FleetNode {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		if n, ok := f.Root(); ok {
+			return n
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			c.Fatal("there is no root")
+		}
+	}
+}
+
+// Guards against nodes that an edit does not reach, agents among them, and against "in force everywhere" that is said
+// too early or never.
+func TestEditReachesEveryNode(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	f, _ := newFleet(c, zone("a1", "a", 5, 20), zone("a2", "a", 3, 3), zone("b1", "b", 4, 4))
+	awaitRoot(ctx, c, f)
+	r := edit(ctx, c, f.Nodes[3])
+	_, err := f.Await(ctx, r)
+	c.Assert(err, qt.IsNil)
+	for _, n := range []*demonstrator.FleetNode{f.Nodes[3], f.Nodes[28]} {
+		got := n.Distribution.AwaitEverywhere(ctx, r)
+		c.Assert(got.Everywhere, qt.IsTrue, qt.Commentf("%+v", got))
+		next, err := n.Distribution.Adoption(ctx, r+1)
+		c.Assert(err, qt.IsNil)
+		c.Assert(next.Everywhere, qt.IsFalse)
+	}
+}
+
+// Guards against children that are lost with a dead relay, be it that of a zone, of a region or the root.
+func TestDeadRelaysAreBypassed(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	f, _ := newFleet(c, zone("a1", "a", 6, 10), zone("a2", "a", 4, 4), zone("b1", "b", 4, 4))
+	root := awaitRoot(ctx, c, f)
+	_, err := f.Await(ctx, edit(ctx, c, f.Nodes[0]))
+	c.Assert(err, qt.IsNil)
+	layout := f.Nodes[0].Distribution.Layout()
+	c.Assert(f.Cut(root), qt.IsNil)
+	for _, n := range f.Live() {
+		for _, z := range []identifier.Zone{"a1", "a2", "b1"} {
+			if relay, ok := layout.Relay(z); ok && relay.Node == n.VM.Name {
+				c.Assert(f.Cut(n), qt.IsNil)
+			}
+		}
+	}
+	for _, n := range f.Live() {
+		if n.Publisher != nil {
+			_, err = f.Await(ctx, edit(ctx, c, n))
+			c.Assert(err, qt.IsNil)
+			return
+		}
+	}
+}
+
+// Guards against an outage of the key-value service after which nodes stay behind, go back or do not report.
+func TestStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	f, kv := newFleet(c, zone("a1", "a", 4, 4), zone("b1", "b", 3, 3))
+	awaitRoot(ctx, c, f)
+	r := edit(ctx, c, f.Nodes[0])
+	_, err := f.Await(ctx, r)
+	c.Assert(err, qt.IsNil)
+	kv.Switches.Set(switcher.Switches{Down: true})
+	out := f.Nodes[0].Publisher.Edit(ctx, 0, func(d configurator.Document) configurator.Document { return d.WithPreset(configurator.Peak) })
+	c.Assert(out.Accepted(), qt.IsFalse)
+	c.Assert(f.Replace(f.Nodes[1]), qt.IsNil)
+	// A node that starts while the service is down gets the configuration from the others.
+	_, err = f.Await(ctx, r)
+	c.Assert(err, qt.IsNil)
+	kv.Switches.Set(switcher.Switches{})
+	for !out.Accepted() && ctx.Err() == nil {
+		out = f.Nodes[0].Publisher.Edit(ctx, 0, func(d configurator.Document) configurator.Document { return d.WithPreset(configurator.Peak) })
+	}
+	_, err = f.Await(ctx, r+1)
+	c.Assert(err, qt.IsNil)
+}
--- a/internal/distributor/copy.go
+++ b/internal/distributor/copy.go
@@ -11,6 +11,15 @@
 // Digest is the SHA-256 sum of a document's encoded form.
 type Digest [sha256.Size]byte
 
+// sum returns the beginning of the digest as a number.
+func (d Digest) sum() uint64 {
+	var n uint64
+	for _, b := range d[:8] {
+		n = n<<8 | uint64(b)
+	}
+	return n
+}
+
 // Copy is one revision of a document in its encoded form. It is immutable; the zero value is no document.
 type Copy struct {
 	revision identifier.Revision
--- a/internal/distributor/document.go
+++ b/internal/distributor/document.go
@@ -17,15 +17,17 @@
 	Topics
 )
 
-// Known is what a node has of a document. The zero value asks for the whole document.
+// Known is what a node has of a document. Sum is the beginning of the digest, which is enough to tell copies apart; the
+// whole digest comes with the update. The zero value asks for the whole document.
 type Known struct {
 	Revision identifier.Revision
-	Digest   Digest
+	Sum      uint64
 }
 
 // Update turns the document of revision Base, or none if Base is zero, into that of Revision. The zero value updates
 // nothing. It is immutable.
 type Update struct {
+	Topic    Topic
 	Base     identifier.Revision
 	Revision identifier.Revision
 	Digest   Digest
@@ -59,7 +61,7 @@
 	if d.whole {
 		return Known{}
 	}
-	return Known{Revision: d.current.revision, Digest: d.current.digest}
+	return Known{Revision: d.current.revision, Sum: d.current.digest.sum()}
 }
 
 // update returns what a node with k lacks. Differences are made once for each base and used for all children.
@@ -69,7 +71,7 @@
 	}
 	base := Copy{}
 	for _, c := range d.earlier.Values() {
-		if c.revision == k.Revision && c.digest == k.Digest {
+		if c.revision == k.Revision && c.digest.sum() == k.Sum {
 			base = c
 		}
 	}
--- a/internal/distributor/layout.go
+++ b/internal/distributor/layout.go
@@ -137,8 +137,8 @@
 const deputies = 2
 
 // Parents returns the nodes that self asks, in order of preference: its ancestors in the zone, the deputies of the
-// zone's relay, the relay of its region and those of the other regions. A node that is not listed yet counts as the
-// next leaf of its zone.
+// zone's relay, the relay of its region with its deputies, and those of the other regions. A node that is not listed
+// yet counts as the next leaf of its zone.
 func (l Layout) Parents(self Member) []Member {
 	in := l.zones[self.Zone]
 	at, ok := l.index[self.Address]
@@ -156,20 +156,40 @@
 			chain = append(chain, in[i])
 		}
 	}
-	region := self.Region
-	if zone, ok := l.first[region]; ok && zone != self.Zone {
-		chain = append(chain, l.zones[zone][0])
+	if zone, ok := l.first[self.Region]; ok && zone != self.Zone {
+		chain = append(chain, l.gateways(zone)...)
 	}
-	start, _ := slices.BinarySearch(l.regions, region)
-	for i := range l.regions {
-		r := l.regions[(start+i)%len(l.regions)]
-		if r != region {
-			chain = append(chain, l.zones[l.first[r]][0])
+	start, _ := slices.BinarySearch(l.regions, self.Region)
+	for depth := range deputies + 1 {
+		for i := range l.regions {
+			r := l.regions[(start+i)%len(l.regions)]
+			if in := l.gateways(l.first[r]); r != self.Region && depth < len(in) {
+				chain = append(chain, in[depth])
+			}
 		}
 	}
 	return slices.DeleteFunc(chain, func(m Member) bool { return m.Address == self.Address })
 }
 
+// gateways returns the relay of a zone and its deputies.
+func (l Layout) gateways(z identifier.Zone) []Member {
+	in := l.zones[z]
+	return in[:min(len(in), deputies+1)]
+}
+
+// Gateway reports whether self is the relay of its region or one of its deputies.
+func (l Layout) Gateway(self Member) bool {
+	at, ok := l.index[self.Address]
+	return ok && at <= deputies && l.first[self.Region] == self.Zone
+}
+
+// Precedes reports whether the node at address stands before self in the order of self's zone.
+func (l Layout) Precedes(address string, self Member) bool {
+	at, ok := l.index[address]
+	own, listed := l.index[self.Address]
+	return ok && listed && l.zoneOf[address] == self.Zone && at < own
+}
+
 // Children returns the nodes of whose parents self is the first.
 func (l Layout) Children(self Member) []Member {
 	in := l.zones[self.Zone]
--- a/internal/distributor/relay.go
+++ b/internal/distributor/relay.go
@@ -79,7 +79,11 @@
 }
 
 // Merge offers an update.
-func (r *Relay) Merge(t Topic, u Update) Taking {
+func (r *Relay) Merge(u Update) Taking {
+	t := u.Topic
+	if t < 0 || t >= Topics {
+		return Refused
+	}
 	r.turn <- struct{}{}
 	defer func() { <-r.turn }()
 	if u.Revision <= r.Current(t).revision {
@@ -109,16 +113,17 @@
 	return known, r.changed
 }
 
-// Updates returns what a node with the given documents lacks, whether that is anything, and a channel that is closed
-// when there is more.
-func (r *Relay) Updates(known [Topics]Known) (updates [Topics]Update, some bool, changed <-chan struct{}) {
+// Updates returns what a node with the given documents lacks, and a channel that is closed when there is more.
+func (r *Relay) Updates(known [Topics]Known) (updates []Update, changed <-chan struct{}) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	for t := range r.docs {
-		updates[t] = r.docs[t].update(known[t])
-		some = some || updates[t].Revision > 0
+		if u := r.docs[t].update(known[t]); u.Revision > 0 {
+			u.Topic = Topic(t)
+			updates = append(updates, u)
+		}
 	}
-	return updates, some, r.changed
+	return updates, r.changed
 }
 
 // Lacks reports whether a node with the given documents has a later one than this node.
--- a/internal/distributor/relay_test.go
+++ b/internal/distributor/relay_test.go
@@ -83,16 +83,16 @@
 func (m *machine) Ask(t *rapid.T) {
 	from, to := m.pick(t, "from"), m.pick(t, "to")
 	known, _ := m.nodes[to].relay.Known()
-	updates, some, _ := m.nodes[from].relay.Updates(known)
-	if !some {
+	updates, _ := m.nodes[from].relay.Updates(known)
+	if len(updates) == 0 {
 		return
 	}
-	u := lateUpdate{to: to, update: updates[distributor.Config]}
+	u := lateUpdate{to: to, update: updates[0]}
 	if rapid.Bool().Draw(t, "late") {
 		m.late = append(m.late, u)
 		return
 	}
-	m.nodes[to].relay.Merge(distributor.Config, u.update)
+	m.nodes[to].relay.Merge(u.update)
 }
 
 // Arrive delivers a late answer.
@@ -101,7 +101,7 @@
 		t.Skip("none is late")
 	}
 	i := rapid.IntRange(0, len(m.late)-1).Draw(t, "late")
-	m.nodes[m.late[i].to].relay.Merge(distributor.Config, m.late[i].update)
+	m.nodes[m.late[i].to].relay.Merge(m.late[i].update)
 	m.late = append(m.late[:i:i], m.late[i+1:]...)
 }
 
@@ -157,8 +157,10 @@
 		for i := 1; i < len(m.nodes); i++ {
 			for range 2 {
 				known, _ := m.nodes[i].relay.Known()
-				updates, _, _ := m.nodes[i-1].relay.Updates(known)
-				m.nodes[i].relay.Merge(distributor.Config, updates[distributor.Config])
+				updates, _ := m.nodes[i-1].relay.Updates(known)
+				for _, u := range updates {
+					m.nodes[i].relay.Merge(u)
+				}
 			}
 			got := m.nodes[i].adopter.config.Current().Revision()
 			require(t, got == m.stored.Revision(), "node %d stays at revision %d of %d", i, got, m.stored.Revision())
@@ -172,15 +174,15 @@
 	parent, child := newNode(document(1, false)), newNode(document(1, false))
 	parent.relay.Take(distributor.Config, document(2, true))
 	known, _ := child.relay.Known()
-	updates, _, _ := parent.relay.Updates(known)
-	damaged := updates[distributor.Config]
+	updates, _ := parent.relay.Updates(known)
+	damaged := updates[0]
 	damaged.Parts = []distributor.Part{{Data: []byte("{2}{false}")}}
-	c.Assert(child.relay.Merge(distributor.Config, damaged), qt.Equals, distributor.Damaged)
+	c.Assert(child.relay.Merge(damaged), qt.Equals, distributor.Damaged)
 	c.Assert(child.adopter.config.Current().Revision(), qt.Equals, identifier.Revision(1))
 	known, _ = child.relay.Known()
 	c.Assert(known[distributor.Config], qt.Equals, distributor.Known{})
-	updates, _, _ = parent.relay.Updates(known)
-	c.Assert(child.relay.Merge(distributor.Config, updates[distributor.Config]), qt.Equals, distributor.Taken)
+	updates, _ = parent.relay.Updates(known)
+	c.Assert(child.relay.Merge(updates[0]), qt.Equals, distributor.Taken)
 }
 
 // Guards against two documents with one revision of which a node changes from one to the other.
--- a/internal/runner/distribution.go
+++ b/internal/runner/distribution.go
@@ -64,7 +64,9 @@
 	// acting tells whether this node makes the digest of its zone.
 	acting atomic.Bool
 	// pulls holds the addresses of nodes that have a later document.
-	pulls  chan string
+	pulls chan string
+	// resign ends the term of a root that stands in for a relay that is back.
+	resign chan struct{}
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
 }
@@ -74,7 +76,7 @@
 
 // NewDistribution returns a Distribution that is not running. Its Relay can take copies already.
 func NewDistribution(s DistributionSettings) *Distribution {
-	d := &Distribution{settings: s, pulls: make(chan string, pullLimit)}
+	d := &Distribution{settings: s, pulls: make(chan string, pullLimit), resign: make(chan struct{}, 1)}
 	d.Assembler = tracker.NewAssembler(s.Self.Zone, s.Period)
 	d.Relay = distributor.NewRelay(s.Self, s.Period, [distributor.Topics]distributor.Adopter{
 		distributor.Config: configAdopter{d}, distributor.List: listAdopter{d},
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -10,6 +10,7 @@
 func (d *Distribution) Hear(q messenger.SyncRequest) {
 	now := d.settings.Clock.Boot()
 	if !q.Peer {
+		d.heardFrom(q.Address)
 		d.Relay.Report(q.Address, q.Census, now)
 		if q.Zone == d.settings.Self.Zone {
 			d.Assembler.Put(q.Rows, now)
@@ -30,13 +31,14 @@
 	var reply messenger.SyncReply
 	// The proof is read before the documents: they are then at least as new as it says.
 	reply.Age, reply.Proof = d.Relay.Age(now)
-	updates, some, changed := d.Relay.Updates(q.Known)
+	updates, changed := d.Relay.Updates(q.Known)
+	some := len(updates) > 0
 	reply.Updates, reply.Root = updates, d.Relay.Root()
 	if q.Peer {
 		reply.Census = d.Relay.Census(d.Layout().Children(d.settings.Self), now)
 		return reply, some, changed
 	}
-	if q.Zone == d.settings.Self.Zone {
+	if q.Loads && q.Zone == d.settings.Self.Zone {
 		reply.Digest = d.Assembler.Digest(q.Roster, now)
 	}
 	if q.Wanted {
@@ -66,7 +68,7 @@
 	}
 	q.Rows = d.Assembler.Rows(now)
 	if s.Own == nil {
-		q.Roster, q.Wanted = d.Assembler.Known(), wanted
+		q.Loads, q.Roster, q.Wanted = true, d.Assembler.Known(), wanted
 	}
 	return q
 }
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -102,6 +102,9 @@
 		Revision: census.Revision, Nodes: census.Nodes, Listed: len(listed), Everywhere: census.Covers(listed, r),
 	}
 	for _, address := range census.Behind {
+		if a.Everywhere {
+			break
+		}
 		if m, ok := d.Layout().At(address); ok {
 			a.Behind = append(a.Behind, m.Node)
 		}
--- a/internal/runner/root.go
+++ b/internal/runner/root.go
@@ -15,14 +15,33 @@
 )
 
 // Candidate reports whether the node campaigns for the duty of the root: only the relays of the regions do, so that
-// the calls to the key-value service do not grow with the fleet.
+// the calls to the key-value service do not grow with the fleet, and a deputy while its relay does not answer.
 func (d *Distribution) Candidate() bool {
-	return d.Layout().Standing(d.settings.Self) == distributor.RegionRelay
+	layout := d.Layout()
+	return layout.Standing(d.settings.Self) == distributor.RegionRelay || d.acting.Load() && layout.Gateway(d.settings.Self)
+}
+
+// heardFrom ends the term of a deputy when the node at address, for which it stands in, is back: the targets of the
+// zone report to that node, and the root's own digest would lack them.
+func (d *Distribution) heardFrom(address string) {
+	if d.Leading() && d.Layout().Precedes(address, d.settings.Self) {
+		select {
+		case d.resign <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // lead is the node's term as the root of the relay tree.
 func (d *Distribution) lead(ctx context.Context, t leaser.Term) {
 	s := d.settings
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A request to resign that came after the end of an earlier term is void.
+	select {
+	case <-d.resign:
+	default:
+	}
 	d.leading.Store(uint64(t.Fence))
 	d.Relay.Lead(distributor.Root{Fence: t.Fence, Address: s.Self.Address})
 	d.prefer()
@@ -30,6 +49,11 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { d.publish.Follow(ctx) })
 	tasks.Go(func() { d.publishList(ctx, t.Fence) })
+	select {
+	case <-d.resign:
+		cancel()
+	case <-ctx.Done():
+	}
 	tasks.Wait()
 	d.leading.Store(0)
 	s.Log.Emit(logger.RootEnded, "fence", t.Fence)
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -81,18 +81,14 @@
 func (d *Distribution) absorb(reply messenger.SyncReply, sent time.Duration) bool {
 	s := d.settings
 	whole, progress := true, false
-	for t := range distributor.Topics {
-		u := reply.Updates[t]
-		if u.Revision == 0 {
-			continue
-		}
-		switch taking := d.Relay.Merge(t, u); taking {
+	for _, u := range reply.Updates {
+		switch taking := d.Relay.Merge(u); taking {
 		case distributor.Taken:
 			progress = true
 		case distributor.Old:
 		default:
 			whole = false
-			s.Log.Emit(logger.DocumentRefused, "topic", int(t), "revision", u.Revision, "outcome", int(taking))
+			s.Log.Emit(logger.DocumentRefused, "topic", int(u.Topic), "revision", u.Revision, "outcome", int(taking))
 		}
 	}
 	if reply.Proof && whole {
@@ -111,7 +107,7 @@
 // prefer makes the relay of a region ask the root before the relays of other regions.
 func (d *Distribution) prefer() {
 	root := d.Relay.Root().Address
-	if root == d.settings.Self.Address || d.Layout().Standing(d.settings.Self) != distributor.RegionRelay {
+	if root == d.settings.Self.Address || !d.Candidate() {
 		root = ""
 	}
 	d.upstream.Prefer(root)
--- a/internal/tracker/assembler.go
+++ b/internal/tracker/assembler.go
@@ -84,13 +84,15 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	rows := a.current(now)
-	d := Digest{Zone: a.zone, Maker: maker, Loads: make([]uint16, len(rows)), Ages: make([]uint8, len(rows))}
+	d := Digest{Zone: a.zone, Maker: maker, Loads: make([]uint16, len(rows))}
 	roster := make([]Row, len(rows))
 	totals := make(map[identifier.Service]Summary)
 	for i, r := range rows {
 		roster[i] = r.identity()
 		d.Loads[i] = uint16(min(max(r.Running, 0), math.MaxUint16))
-		d.Ages[i] = uint8(min(max(r.Age, 0), math.MaxUint8))
+		if r.Age >= silentAge {
+			d.Silent = append(d.Silent, uint16(min(i, math.MaxUint16)))
+		}
 		if service, ok := a.services[r.Target]; ok && r.Age < silentAge && !r.Draining {
 			s := totals[service]
 			totals[service] = Summary{
@@ -137,23 +139,24 @@
 	return a.digest.Roster()
 }
 
-// Digest returns the digest for a node that has the roster known.
+// Digest returns the digest for a node that has the roster known. One that has itself grown old is not passed on: the
+// receiver's own copy grows old in the same way.
 func (a *Assembler) Digest(known Roster, now time.Duration) Digest {
 	a.lock.Lock()
 	defer a.lock.Unlock()
+	if periods(a.at, now, a.period) >= staleDigest {
+		return Digest{}
+	}
 	d := a.digest
 	if known == d.Roster() {
 		d.Rows = nil
 	}
-	if older := periods(a.at, now, a.period); older > 0 {
-		d.Ages = slices.Clone(d.Ages)
-		for i, age := range d.Ages {
-			d.Ages[i] = uint8(min(int(age)+older, math.MaxUint8)) //nolint:gosec // bounded in the same expression
-		}
-	}
 	return d
 }
 
+// staleDigest is the age in periods from which a node that has heard no later digest passes it on no more.
+const staleDigest = 3
+
 // Zone returns the rows of the node's zone with their ages, and the age of the digest in periods.
 func (a *Assembler) Zone(now time.Duration) ([]Row, int) {
 	a.lock.Lock()
--- a/internal/tracker/digest.go
+++ b/internal/tracker/digest.go
@@ -29,15 +29,15 @@
 }
 
 // Digest is the state of a zone's targets in compact form. Maker and Version name the roster, which is the part that
-// changes seldom; Rows holds it unless the receiver has it. Loads and Ages follow the order of the roster. It is
-// immutable.
+// changes seldom; Rows holds it unless the receiver has it. Loads follow the order of the roster, and Silent holds the places of
+// the targets that do not report. It is immutable.
 type Digest struct {
 	Zone    identifier.Zone
 	Maker   identifier.Node
 	Version uint64
 	Rows    []Row
 	Loads   []uint16
-	Ages    []uint8
+	Silent  []uint16
 }
 
 // Roster names the roster of a digest.
@@ -55,15 +55,20 @@
 	return d
 }
 
-// rows returns the rows of a complete digest with their loads and ages, each older by the given number of periods.
+// rows returns the rows of a complete digest with their loads, each older by the given number of periods.
 func (d Digest) rows(older int) []Row {
 	out := make([]Row, 0, len(d.Rows))
 	for i, r := range d.Rows {
-		if i < len(d.Loads) && i < len(d.Ages) {
-			r.Running, r.Age = int(d.Loads[i]), int(d.Ages[i])+older
+		if i < len(d.Loads) {
+			r.Running, r.Age = int(d.Loads[i]), older
 			out = append(out, r)
 		}
 	}
+	for _, i := range d.Silent {
+		if int(i) < len(out) {
+			out[i].Age = silentAge + older
+		}
+	}
 	return out
 }
 
--- /dev/null
+++ b/internal/tracker/tracker_test.go
@@ -0,0 +1,192 @@
+package tracker_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/tracker"
+)
+
+const period = time.Second
+
+func target(i int) identifier.Target { return identifier.Target(fmt.Sprintf("t%02d", i)) }
+
+// listOf returns a VM list with n targets in each of the zones.
+func listOf(n int, zones ...identifier.Zone) []tracker.Member {
+	out := make([]tracker.Member, 0, n*len(zones))
+	for z, zone := range zones {
+		for i := range n {
+			out = append(out, tracker.Member{
+				Target: target(z*n + i), Service: "sortmind", Zone: zone, Region: "south", Address: fmt.Sprintf("10.0.%d.%d:7000", z, i),
+			})
+		}
+	}
+	return out
+}
+
+func rowsOf(n int, change func(i int, r tracker.Row) tracker.Row) []tracker.Row {
+	out := make([]tracker.Row, 0, n)
+	for i := range n {
+		r := tracker.Row{Target: target(i), Incarnation: 1, Running: i}
+		if change != nil {
+			r = change(i, r)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func serving(t *tracker.Tracker) int { return t.View().Len("sortmind") }
+
+// Guards against a view that empties or flaps when the observer's own link, its relay or its region is cut for an hour.
+func TestCutOffObserverKeepsItsView(t *testing.T) {
+	c := qt.New(t)
+	var tr tracker.Tracker
+	a := tracker.NewAssembler("a", period)
+	list := listOf(10, "a")
+	a.AdoptList(list)
+	a.Put(rowsOf(10, nil), time.Second)
+	a.Make("relay", time.Second, time.Unix(1, 0))
+	changes := 0
+	for s := range 3600 {
+		now := time.Second + time.Duration(s)*time.Second
+		tr.AdoptList(list, now)
+		rows, older := a.Zone(now)
+		changes += len(tr.AdoptRows("a", rows, older, now))
+		c.Assert(serving(&tr), qt.Equals, 10, qt.Commentf("after %d s", s))
+	}
+	c.Assert(changes, qt.Equals, 10)
+}
+
+// Guards against a tenth of the agents restarting at once that takes others out of the view or changes standings more
+// than once each way.
+func TestRestartOfATenthDoesNotFlap(t *testing.T) {
+	var out strings.Builder
+	var tr tracker.Tracker
+	a := tracker.NewAssembler("a", period)
+	list := listOf(20, "a")
+	a.AdoptList(list)
+	for s := range 30 {
+		now := time.Duration(s+1) * time.Second
+		down := s >= 5 && s < 15
+		rows := rowsOf(20, func(i int, r tracker.Row) tracker.Row {
+			if i%10 == 0 && s >= 15 {
+				r.Incarnation = 2
+			}
+			return r
+		})
+		if down {
+			rows = slices.DeleteFunc(rows, func(r tracker.Row) bool { return r.Target == target(0) || r.Target == target(10) })
+		}
+		a.Put(rows, now)
+		a.Make("relay", now, time.Unix(int64(s), 0))
+		tr.AdoptList(list, now)
+		digest, older := a.Zone(now)
+		for _, ch := range tr.AdoptRows("a", digest, older, now) {
+			if s > 0 {
+				fmt.Fprintf(&out, "second %d: %s from %d to %d\n", s, ch.Target, ch.Before, ch.After)
+			}
+		}
+		if s%5 == 4 {
+			fmt.Fprintf(&out, "second %d: %d in the view\n", s, serving(&tr))
+		}
+	}
+	goldie.New(t).Assert(t, "restart", []byte(out.String()))
+}
+
+// Guards against a VM list that the platform cut short and that empties the view of targets that report, and against a
+// target that is gone and stays.
+func TestShortListDoesNotEmptyTheView(t *testing.T) {
+	c := qt.New(t)
+	var tr tracker.Tracker
+	tr.AdoptList(listOf(4, "a"), 0)
+	for s := 1; s <= 60; s++ {
+		now := time.Duration(s) * time.Second
+		tr.AdoptRows("a", rowsOf(4, nil), 0, now)
+		if s > 5 {
+			tr.AdoptList(nil, now)
+		}
+		c.Assert(serving(&tr), qt.Equals, 4)
+	}
+	tr.AdoptList(nil, 71*time.Second)
+	c.Assert(serving(&tr), qt.Equals, 0)
+}
+
+// Guards against a leaving target that gets new work again in the same incarnation, from any of the three sources.
+func TestLeavingIsSticky(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tr tracker.Tracker
+		list := listOf(1, "a")
+		tr.AdoptList(list, 0)
+		incarnation, left := identifier.Incarnation(1), false
+		now := time.Duration(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"report": func(t *rapid.T) {
+				now += period
+				draining := rapid.Bool().Draw(t, "draining")
+				left = left || draining
+				tr.AdoptRows("a", []tracker.Row{{Target: target(0), Incarnation: incarnation, Draining: draining}}, 0, now)
+			},
+			"probe": func(t *rapid.T) {
+				now += period
+				draining := rapid.Bool().Draw(t, "draining")
+				left = left || draining
+				tr.Observe(target(0), tracker.Report{Incarnation: incarnation, Draining: draining}, now)
+			},
+			"late report": func(*rapid.T) {
+				tr.AdoptRows("a", []tracker.Row{{Target: target(0), Incarnation: incarnation - 1}}, 0, now)
+			},
+			"miss": func(*rapid.T) { tr.Miss(target(0)) },
+			"list": func(t *rapid.T) {
+				list[0].Leaving = list[0].Leaving || rapid.Bool().Draw(t, "leaving")
+				left = left || list[0].Leaving
+				tr.AdoptList(list, now)
+			},
+			"restart": func(*rapid.T) {
+				incarnation++
+				left = list[0].Leaving
+				tr.AdoptRows("a", []tracker.Row{{Target: target(0), Incarnation: incarnation}}, 0, now)
+			},
+			"": func(t *rapid.T) {
+				if left && serving(&tr) > 0 {
+					t.Fatalf("leaving-idle: the target takes new work in incarnation %d", incarnation)
+				}
+			},
+		})
+	})
+}
+
+// Guards against probes of every agent: the observer's own zone is covered by the digest, and of other zones it probes
+// a few, other ones than its neighbours do.
+func TestProbesAreFew(t *testing.T) {
+	c := qt.New(t)
+	var tr tracker.Tracker
+	tr.AdoptList(listOf(50, "a", "b", "c"), 0)
+	before := tr.Probes("a", "south", 1, tracker.DefaultProbes, 0, period)
+	c.Assert(len(before), qt.Equals, tracker.DefaultProbes)
+	tr.AdoptRows("a", rowsOf(50, nil), 0, time.Second)
+	covered := tr.Probes("a", "south", 1, tracker.DefaultProbes, time.Second, period)
+	c.Assert(len(covered), qt.Equals, 4)
+	other := tr.Probes("a", "south", 2, tracker.DefaultProbes, time.Second, period)
+	c.Assert(slices.Equal(covered, other), qt.IsFalse)
+	uncovered := tr.Probes("a", "south", 1, tracker.DefaultProbes, 20*time.Second, period)
+	c.Assert(len(uncovered), qt.Equals, tracker.DefaultProbes)
+}
+
+// Guards against an entry that takes the load of one probed target of another zone for that of the zone.
+func TestOtherZonesCountByTheirSummary(t *testing.T) {
+	c := qt.New(t)
+	var tr tracker.Tracker
+	tr.AdoptList(listOf(1, "b"), 0)
+	tr.Observe(target(0), tracker.Report{Incarnation: 1, Running: 2}, time.Second)
+	tr.AdoptSummaries([]tracker.Summary{{Zone: "b", Service: "sortmind", Targets: 10, Running: 300}})
+	c.Assert(tr.View().Targets()[0].Running, qt.Equals, 30)
+}
--- a/internal/tracker/zone.go
+++ b/internal/tracker/zone.go
@@ -49,6 +49,7 @@
 			changes = append(changes, Change{Target: id, Before: Serving, After: Silent})
 		}
 	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Target, b.Target) })
 	return changes
 }
 
