--- a/internal/adapter/codec/codec.go
+++ b/internal/adapter/codec/codec.go
@@ -14,6 +14,8 @@
 // Document is the configuration as operators write it and as it is stored.
 type Document struct {
 	Revision identifier.Revision `json:"revision,omitempty" yaml:"revision,omitempty"`
+	// Write is the identity of the write that stored the document. Only the stored form has it.
+	Write    identifier.Write    `json:"write,omitempty" yaml:"-"`
 	Preset   configurator.Preset `json:"preset" yaml:"preset"`
 	Zones    []Zone              `json:"zones,omitempty" yaml:"zones,omitempty"`
 	Teams    []Team              `json:"teams,omitempty" yaml:"teams,omitempty"`
@@ -71,7 +73,9 @@
 
 // Encode returns the JSON form of a document.
 func Encode(d configurator.Document) []byte {
-	data, err := json.Marshal(FromDocument(d))
+	f := FromDocument(d)
+	f.Write = d.Write()
+	data, err := json.Marshal(f)
 	if err != nil {
 		panic("invariant document-form: every document can be encoded: " + err.Error())
 	}
@@ -112,7 +116,7 @@
 
 // Document returns the document of the form. It fails on a hash or duration that can't be read.
 func (f Document) Document() (configurator.Document, error) {
-	d := configurator.Document{}.WithRevision(f.Revision).WithPreset(f.Preset)
+	d := configurator.Document{}.WithRevision(f.Revision).WithWrite(f.Write).WithPreset(f.Preset)
 	for _, z := range f.Zones {
 		d = d.WithZones(append(d.Zones(), configurator.Zone(z))...)
 	}
--- a/internal/bencher/metering.go
+++ b/internal/bencher/metering.go
@@ -11,8 +11,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/demonstrator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -62,15 +60,6 @@
 	return figures, nil
 }
 
-// processorTime returns the processor time of the process so far.
-func processorTime() time.Duration {
-	var u unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
-		panic("invariant rusage: the process can read its own times: " + err.Error())
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // countTime returns the processor time in ns that metering takes for a request at entry and agent: record, count, and
 // the request's share of a flush with confirmation.
 func countTime(ctx context.Context) float64 {
--- a/internal/commander/server_test.go
+++ b/internal/commander/server_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/labstack/echo/v4"
@@ -15,6 +16,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/distributor"
 	"github.com/mimosalb/mimosalb/internal/publisher"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -63,10 +65,22 @@
 	return storer.Applied
 }
 
-func (*memoryStore) Watch(context.Context, string, func(storer.Entry)) storer.Outcome {
+func (m *memoryStore) Since(ctx context.Context, key string, _ int64) (storer.Entry, storer.Outcome) {
+	return m.Get(ctx, key)
+}
+
+func (*memoryStore) Watch(context.Context, string, int64, func(storer.Entry)) storer.Outcome {
 	return storer.Unavailable
 }
 
+// configAdopter puts the documents of a relay in force.
+type configAdopter struct{ config *configurator.Configurator }
+
+func (a configAdopter) Adopt(c distributor.Copy) bool {
+	doc, err := codec.Decode(c.Body())
+	return err == nil && a.config.Adopt(doc) != configurator.Invalid
+}
+
 // fixedRoutes are the routes whose objects mimosactl does not know.
 type fixedRoutes struct{}
 
@@ -95,7 +109,9 @@
 	s := &server{store: &memoryStore{}, token: filepath.Join(c.TempDir(), "token")}
 	c.Assert(os.WriteFile(s.token, []byte(token+"\n"), 0o600), qt.IsNil)
 	config := &configurator.Configurator{}
-	s.editor = publisher.NewPublisher(s.store, codec.Form{}, config, &timer.Manual{})
+	relay := distributor.NewRelay(distributor.Member{}, time.Second,
+		[distributor.Topics]distributor.Adopter{distributor.Config: configAdopter{config}})
+	s.editor = publisher.NewPublisher(s.store, codec.Form{}, relay, &timer.Manual{})
 	all := append([]httpserver.Route{
 		httpserver.NewHealth(func() bool { return true }, prometheus.NewRegistry()),
 		httpserver.NewGuard(token),
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -63,8 +63,8 @@
 		Token:   2 * time.Millisecond,
 		Period:  100 * time.Millisecond,
 		Usage: loader.Usage{
-			Window: loader.Duration(time.Second), Grace: loader.Duration(400 * time.Millisecond),
-			Flush: loader.Duration(100 * time.Millisecond),
+			Window: loader.Duration(2 * time.Second), Grace: loader.Duration(1500 * time.Millisecond),
+			Flush: loader.Duration(500 * time.Millisecond),
 		},
 	}
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -35,6 +35,7 @@
 	keeper *meter.Keeper
 	server *rpcserver.Server
 	health *httpserver.Server
+	tree   *tree
 }
 
 // target is the back end beside an agent.
@@ -82,9 +83,12 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	a.Peers = l.Addr().String()
-	a.server.Start(l)
+	if err := a.join(s, l, back, peers.client); err != nil {
+		a.close()
+		return nil, err
+	}
 	if err := a.serveHealth(s.Operators, metrics); err != nil {
-		_ = a.server.Close()
+		err = errors.Join(err, a.leave())
 		a.close()
 		return nil, fmt.Errorf("listen for health: %w", err)
 	}
@@ -97,7 +101,7 @@
 	a.log.Emit(logger.DrainStarted)
 	a.drain(ctx)
 	a.awaitConfirmed(ctx)
-	err := a.server.Close()
+	err := a.leave()
 	if a.health != nil {
 		err = errors.Join(err, a.health.Stop(ctx))
 	}
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -17,13 +17,13 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
-	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
 	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/leaser"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/publisher"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -35,21 +35,19 @@
 
 // Entry is a running entry process.
 type Entry struct {
-	// Callers and Operators are the addresses that the entry listens on.
+	// Callers, Operators and Peers are the addresses that the entry listens on.
 	Callers   string
 	Operators string
-	// Peers is the address at which other entries reach this one.
-	Peers string
+	Peers     string
 
 	log        *logger.Logger
 	clock      *timer.System
 	peers      *rpcclient.Client
+	tree       *tree
 	dispatcher *dispatcher.Dispatcher
 	claims     *claimer.Claimer
 	isolator   *isolator.Isolator
 	others     atomic.Pointer[[]string]
-	server     *rpcserver.Server
-	serving    []rpcserver.Option
 	callers    *httpserver.Server
 	operators  *httpserver.Server
 	ready      atomic.Bool
@@ -76,31 +74,43 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{log: log, clock: clock, period: period(s), serving: peers.server, cancel: cancel}
+	e := &Entry{log: log, clock: clock, period: period(s), cancel: cancel}
 	e.peers = rpcclient.NewClient(e.clock, peers.client...)
 
 	config := &configurator.Configurator{}
-	auth := authenticator.NewAuthenticator(authenticator.WithPepper(pepper))
 	route := router.NewRouter(router.WithSeed(seed(s.Name)))
 	store := storer.NewStorer(kvclient.NewDriver(s.Store), e.clock)
-	publish := publisher.NewPublisher(store, codec.Form{}, config, e.clock)
+	platform := platformclient.NewClient(s.Platform, e.clock)
+	m := &membership{
+		clock: e.clock, log: log, peers: e.peers, zone: identifier.Zone(s.Zone), region: identifier.Region(s.Region),
+		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: route, period: period(s),
+		probing: make(map[string]context.CancelFunc),
+	}
+	e.isolator = &isolator.Isolator{}
+	parts := treeParts{clock: e.clock, log: log, config: config, platform: platform, listed: m.adopt, calling: peers.client}
+	if err := e.servePeers(s, parts, peers.server); err != nil {
+		cancel()
+		e.clock.Close()
+		return nil, err
+	}
+	m.reports = e.tree.Assembler
+	auth := authenticator.NewAuthenticator(authenticator.WithPepper(pepper),
+		authenticator.WithFresh(authenticator.Grace(keyGrace(s), e.tree.Age)))
+	publish := publisher.NewPublisher(store.For(storer.PurposeConfig), codec.Form{}, e.tree.Relay, e.clock)
+	leases := leaser.NewLeaser(identifier.Node(s.Name), store.For(storer.PurposeLease), e.clock,
+		leaser.WithEligible(func(identifier.Duty) bool { return e.tree.Candidate() }))
 	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
 	metrics := exporter.NewEntry()
-	e.claims = claimer.NewClaimer(store, codec.ClaimForm{}, e.clock)
-	e.isolator = &isolator.Isolator{}
+	e.claims = claimer.NewClaimer(store.For(storer.PurposeClaim), codec.ClaimForm{}, e.clock)
 	use := newUsage(s, e.clock, log, store, e.peers, config)
 	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, use.wrap(rpcclient.NewAgents(e.peers)), config, route,
 		dispatcher.WithEnded(metrics.Ended), dispatcher.WithEnded(use.ended), dispatcher.WithClaims(e.claims),
 		dispatcher.WithIsolator(e.isolator), dispatcher.WithHeld(e.warn))
 
-	m := &membership{
-		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
-		tracker: &tracker.Tracker{}, router: route, period: period(s), probing: make(map[string]context.CancelFunc),
-	}
-	e.task(func() { publish.Follow(ctx) })
+	e.tree.Start(publish, leases)
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
-	e.task(func() { e.shareEvidence(ctx, m.platform) })
+	e.task(func() { e.shareEvidence(ctx, platform) })
 	e.task(func() { use.flush(ctx) })
 	e.task(func() { use.report(ctx) })
 
@@ -123,7 +133,7 @@
 	e.claims.Close()
 	e.cancel()
 	e.tasks.Wait()
-	err = errors.Join(err, e.closePeers())
+	err = errors.Join(err, e.tree.close())
 	e.peers.Close()
 	e.clock.Close()
 	e.log.Emit(logger.ProcessStopped)
@@ -140,9 +150,6 @@
 		_ = callers.Close()
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	if err := e.servePeers(s); err != nil {
-		return errors.Join(err, callers.Close(), operators.Close())
-	}
 	e.Callers, e.Operators = callers.Addr().String(), operators.Addr().String()
 	e.callers.Start(callers)
 	e.operators.Start(operators)
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -22,27 +22,19 @@
 	Exchange(ctx context.Context, address string, e isolator.Evidence) (isolator.Evidence, error)
 }
 
-// servePeers serves the calls of other entries.
-func (e *Entry) servePeers(s loader.Settings) error {
-	e.server = rpcserver.NewServer(e.serving...)
-	if err := e.server.Register("Evidence", rpcserver.NewEvidence(e.isolator, e.clock)); err != nil {
+// servePeers joins the relay tree and serves the calls of other nodes.
+func (e *Entry) servePeers(s loader.Settings, parts treeParts, options []rpcserver.Option) error {
+	server := rpcserver.NewServer(options...)
+	if err := server.Register("Evidence", rpcserver.NewEvidence(e.isolator, e.clock)); err != nil {
 		return fmt.Errorf("serve peers: %w", err)
 	}
 	l, err := listen(s.Peers)
 	if err != nil {
-		e.server = nil
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	e.Peers = l.Addr().String()
-	e.server.Start(l)
-	return nil
-}
-
-func (e *Entry) closePeers() error {
-	if e.server == nil {
-		return nil
-	}
-	return e.server.Close()
+	e.tree, err = newTree(s, parts, server, l)
+	return err
 }
 
 // shareEvidence swaps crash evidence with the listed entries: each period with one of them in turn, and with all of
--- a/internal/runner/usage.go
+++ b/internal/runner/usage.go
@@ -49,21 +49,15 @@
 	reporter *reporter.Reporter
 }
 
-// leaseStore is what metering and its duty use of the key-value service.
-type leaseStore interface {
-	meter.Store
-	leaser.Store
-}
-
 func newUsage(
-	s loader.Settings, clock timer.Service, log *logger.Logger, store leaseStore, peers *rpcclient.Client,
+	s loader.Settings, clock timer.Service, log *logger.Logger, store *storer.Storer, peers *rpcclient.Client,
 	config *configurator.Configurator,
 ) *usage {
 	// A meter's name is unique to the start of the process; what the last start has left is taken over.
 	node := identifier.Node(s.Name + "." + strconv.FormatInt(clock.Now().UnixNano(), 16))
 	u := &usage{
-		clock: clock, log: log, store: store, platform: platformclient.NewClient(s.Platform, clock),
-		agents: rpcclient.NewUsage(peers), leaser: leaser.NewLeaser(node, store, clock),
+		clock: clock, log: log, store: store.For(storer.PurposeUsage), platform: platformclient.NewClient(s.Platform, clock),
+		agents: rpcclient.NewUsage(peers), leaser: leaser.NewLeaser(node, store.For(storer.PurposeLease), clock),
 		calendar: meter.Calendar{Length: time.Duration(s.Usage.Window)}, settings: s.Usage,
 		origin: executor.Origin{Meter: node, Region: identifier.Region(s.Region)},
 	}
@@ -80,7 +74,7 @@
 		return names
 	}
 	u.reporter = reporter.NewReporter(reporter.Settings{Calendar: u.calendar, Grace: time.Duration(s.Usage.Grace), Teams: teams},
-		store, codec.Usage{}, u.platform, u.leaser, clock)
+		store.For(storer.PurposeSeal), codec.Usage{}, u.platform, u.leaser, clock)
 	return u
 }
 
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -27,6 +27,9 @@
 	if s.Usage.Window < 0 || s.Usage.Grace < 0 || s.Usage.Flush < 0 {
 		c.add("usage", "durations of zero or more")
 	}
+	if s.KeyGrace < 0 {
+		c.add("keygrace", "a duration of zero or more")
+	}
 	switch role {
 	case RoleEntry:
 		c.checkNode(s)
@@ -40,6 +43,9 @@
 		c.checkNode(s)
 		c.optionalAddress("operators", s.Operators)
 		c.checkTarget(s.Target)
+		if s.Platform != "" {
+			c.url("platform", s.Platform)
+		}
 	case RoleStandin:
 		c.checkStandin(s.Standin)
 	default:
--- a/pkg/loader/walker.go
+++ b/pkg/loader/walker.go
@@ -117,7 +117,9 @@
 func fieldNames(t reflect.Type) string {
 	names := make([]string, 0, t.NumField())
 	for f := range t.Fields() {
-		names = append(names, fieldName(f))
+		if name := fieldName(f); name != "-" {
+			names = append(names, name)
+		}
 	}
 	return strings.Join(names, ", ")
 }
