demonstrator: withdrawal and keygrace across two entries

Cause: no test showed that a withdrawal at one entry cuts streams at another, nor what keys do during an outage.

Entries log when keys stop being used and when they are used again. Plans of a deployment set keygrace.

--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -40,6 +40,8 @@
 	Token time.Duration
 	// Period is the time between probes.
 	Period time.Duration
+	// KeyGrace is how long keys work without proof of freshness; zero means the usual time.
+	KeyGrace time.Duration
 }
 
 // Place is an availability zone and its region.
@@ -90,7 +92,8 @@
 			Name: "entry-" + strconv.Itoa(i+1), Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
+			Pepper: pepper, Period: loader.Duration(p.Period), KeyGrace: loader.Duration(p.KeyGrace),
+			TLS: loader.TLS{Plain: true},
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -94,6 +94,7 @@
 	e.tree.Start(publish, leases)
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
+	e.task(func() { e.watchFreshness(ctx, auth, period(s)) })
 
 	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
