publisher: tests of racing operators and of a kill at each step

Cause: neither was tested.

Change: two operators race with different and with equal edits; an edit is cut off at each step of an apply and the next root reads what is stored.

An edit whose answer is lost and can't be read back is reported as unknown and is in force once the next root reads it.

Conclusion: an edit is accepted by one operator at most, and nothing is in force that is not stored.

--- /dev/null
+++ b/internal/publisher/publisher_test.go
@@ -0,0 +1,147 @@
+package publisher_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/distributor"
+	"github.com/mimosalb/mimosalb/internal/publisher"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// fakeStore is a key-value service with one key that fails at a chosen step of an edit.
+type fakeStore struct {
+	mu    sync.Mutex
+	entry storer.Entry
+	// get is the outcome of reads; lost drops the answer of the next write after its effect; refuse drops the write.
+	get          storer.Outcome
+	lost, refuse bool
+	// meet runs between the read and the write of an edit.
+	meet func()
+}
+
+func (f *fakeStore) Get(context.Context, string) (storer.Entry, storer.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.get != 0 {
+		return storer.Entry{}, f.get
+	}
+	return f.entry, storer.Applied
+}
+
+func (f *fakeStore) Since(ctx context.Context, key string, after int64) (storer.Entry, storer.Outcome) {
+	e, out := f.Get(ctx, key)
+	if e.Changed <= after {
+		return storer.Entry{Key: key}, out
+	}
+	return e, out
+}
+
+func (f *fakeStore) Swap(_ context.Context, key string, changed int64, value []byte, _ storer.Lease) storer.Outcome {
+	if f.meet != nil {
+		f.meet()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.refuse:
+		return storer.Unavailable
+	case f.entry.Changed != changed:
+		return storer.Conflict
+	}
+	f.entry = storer.Entry{Key: key, Value: value, Changed: changed + 1}
+	if f.lost {
+		return storer.Unknown
+	}
+	return storer.Applied
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, _ int64, _ func(storer.Entry)) storer.Outcome {
+	<-ctx.Done()
+	return storer.Unavailable
+}
+
+// adopter puts documents in force.
+type adopter struct{ configurator.Configurator }
+
+func (a *adopter) Adopt(c distributor.Copy) bool {
+	d, err := codec.Decode(c.Body())
+	return err == nil && a.Configurator.Adopt(d) != configurator.Invalid
+}
+
+type operator struct {
+	*publisher.Publisher
+
+	config *adopter
+	relay  *distributor.Relay
+}
+
+func newOperator(f *fakeStore) operator {
+	a := &adopter{}
+	r := distributor.NewRelay(distributor.Member{Address: "n"}, time.Second, [distributor.Topics]distributor.Adopter{a})
+	return operator{Publisher: publisher.NewPublisher(f, codec.Form{}, r, &timer.Manual{}), config: a, relay: r}
+}
+
+func weigh(w float64) func(configurator.Document) configurator.Document {
+	return func(d configurator.Document) configurator.Document {
+		return d.WithTeam(configurator.Team{Name: "routing", Weight: w})
+	}
+}
+
+// Guards against two operators who are both told that their edit was accepted, be their edits different or the same.
+func TestRacingOperators(t *testing.T) {
+	c := qt.New(t)
+	for _, weights := range [][2]float64{{1, 2}, {1, 1}} {
+		f := &fakeStore{}
+		a, b := newOperator(f), newOperator(f)
+		var other publisher.Result
+		f.meet = func() {
+			f.meet = nil
+			other = b.Edit(context.Background(), 0, weigh(weights[1]))
+		}
+		mine := a.Edit(context.Background(), 0, weigh(weights[0]))
+		c.Assert(other.Accepted(), qt.IsTrue)
+		c.Assert(mine.Accepted(), qt.IsFalse)
+		c.Assert(mine.Edit, qt.Equals, configurator.Conflicting)
+		c.Assert(a.config.Current().Revision(), qt.Equals, a.relay.Current(distributor.Config).Revision())
+	}
+}
+
+// Guards against an edit that is in force at one node but not stored, or stored and never in force, when the process
+// that applies it is killed or cut off at any step.
+func TestKilledAtEachStepOfAnApply(t *testing.T) {
+	var out strings.Builder
+	steps := []struct {
+		name string
+		fail func(*fakeStore)
+	}{
+		{name: "before the read", fail: func(f *fakeStore) { f.get = storer.Unavailable }},
+		{name: "between read and write", fail: func(f *fakeStore) { f.refuse = true }},
+		{name: "after the write, before its answer", fail: func(f *fakeStore) { f.lost = true }},
+		{name: "after the answer", fail: func(*fakeStore) {}},
+	}
+	for _, step := range steps {
+		f := &fakeStore{}
+		first := newOperator(f)
+		first.Edit(context.Background(), 0, weigh(1))
+		step.fail(f)
+		result := first.Edit(context.Background(), 0, weigh(2))
+		f.get, f.lost, f.refuse = 0, false, false
+		// The next root is another process with the copy that the first had passed on.
+		next := newOperator(f)
+		next.Refresh(context.Background())
+		fmt.Fprintf(&out, "%s: accepted %v, outcome %s, in force here %d, at the next root %d\n", step.name,
+			result.Accepted(), result.Outcome, first.config.Current().Revision(), next.config.Current().Revision())
+	}
+	goldie.New(t).Assert(t, "killed", []byte(out.String()))
+}
