leaser: a state-machine test of one-orderer, and a data race that it found

Cause: no test checked two believers in one duty over pauses, cuts and lost answers. The goroutine of a term read the variable that the renewal loop replaces: a data race, with which lead could see a half-written term.

Change: rapid drives three processes on a manual clock and checks at any moment that at most one holds the duty and that fencing numbers rise. The goroutine of a term gets a copy.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -117,9 +117,11 @@
 	leadCtx, cancel := context.WithCancel(ctx)
 	l.terms.Put(term.Duty, term)
 	var leading sync.WaitGroup
+	// The goroutine gets a copy of its own, since the loop below replaces term at each renewal.
+	began := term
 	leading.Go(func() {
 		defer cancel()
-		lead(leadCtx, term)
+		lead(leadCtx, began)
 	})
 	for leadCtx.Err() == nil {
 		term = l.renew(leadCtx, term, lease)
--- /dev/null
+++ b/internal/leaser/machine_test.go
@@ -0,0 +1,171 @@
+package leaser_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// leaseStore is a key-value service with leases on a manual clock.
+type leaseStore struct {
+	clock *timer.Manual
+
+	mu      sync.Mutex
+	entries map[string]storer.Entry
+	owner   map[string]storer.Lease
+	expires map[storer.Lease]time.Duration
+	ttl     time.Duration
+	changed int64
+}
+
+func (s *leaseStore) expire() {
+	for key, l := range s.owner {
+		if end, ok := s.expires[l]; !ok || s.clock.Boot() >= end {
+			delete(s.owner, key)
+			delete(s.entries, key)
+			delete(s.expires, l)
+		}
+	}
+}
+
+// client is one process's way to the store, which can be cut or lose answers.
+type client struct {
+	*leaseStore
+
+	cut, lose bool
+}
+
+// call runs f and returns its outcome as the process learns it.
+func (c *client) call(f func() storer.Outcome) storer.Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	if c.cut {
+		return storer.Unavailable
+	}
+	out := f()
+	if c.lose {
+		return storer.Unknown
+	}
+	return out
+}
+
+func (c *client) set(cut, lose bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut, c.lose = cut, lose
+}
+
+func (c *client) Get(_ context.Context, key string) (e storer.Entry, out storer.Outcome) {
+	out = c.call(func() storer.Outcome {
+		e = c.entries[key]
+		return storer.Applied
+	})
+	return e, out
+}
+
+func (c *client) Commit(_ context.Context, t storer.Transaction) storer.Outcome {
+	return c.call(func() storer.Outcome {
+		for _, g := range t.Guards {
+			if c.entries[g.Key].Changed != g.Changed {
+				return storer.Conflict
+			}
+		}
+		c.changed++
+		for _, p := range t.Puts {
+			c.entries[p.Key] = storer.Entry{Key: p.Key, Value: p.Value, Changed: c.changed}
+			if p.Lease != 0 {
+				c.owner[p.Key] = p.Lease
+			}
+		}
+		return storer.Applied
+	})
+}
+
+func (c *client) Grant(_ context.Context, ttl time.Duration) (l storer.Lease, out storer.Outcome) {
+	out = c.call(func() storer.Outcome {
+		c.changed++
+		l, c.ttl = storer.Lease(c.changed), ttl
+		c.expires[l] = c.clock.Boot() + ttl
+		return storer.Applied
+	})
+	return l, out
+}
+
+func (c *client) KeepAlive(_ context.Context, l storer.Lease) storer.Outcome {
+	return c.call(func() storer.Outcome {
+		if _, ok := c.expires[l]; !ok || c.clock.Boot() >= c.expires[l] {
+			return storer.Conflict
+		}
+		c.expires[l] = c.clock.Boot() + c.ttl
+		return storer.Applied
+	})
+}
+
+func (c *client) Revoke(_ context.Context, l storer.Lease) storer.Outcome {
+	return c.call(func() storer.Outcome {
+		delete(c.expires, l)
+		return storer.Applied
+	})
+}
+
+// Guards against two processes that both believe they hold a duty, and against a fencing number that does not rise,
+// while processes are paused, cut off and lose answers. The check runs at any moment, also while a holder's own
+// goroutine has not noticed yet that time has passed.
+func TestOneOrderer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := &timer.Manual{}
+		s := &leaseStore{
+			clock: clock, entries: map[string]storer.Entry{}, owner: map[string]storer.Lease{}, expires: map[storer.Lease]time.Duration{},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var campaigns sync.WaitGroup
+		defer campaigns.Wait()
+		defer cancel()
+		var fences sync.Map
+		var clients [3]*client
+		var leasers [3]*leaser.Leaser
+		for i := range clients {
+			clients[i] = &client{leaseStore: s}
+			leasers[i] = leaser.NewLeaser(identifier.Node(rune('a'+i)), clients[i], clock)
+			campaigns.Go(func() {
+				leasers[i].Campaign(ctx, "order", func(ctx context.Context, term leaser.Term) {
+					if other, seen := fences.LoadOrStore(term.Fence, i); seen {
+						t.Errorf("one-orderer: fence %d belongs to %d and %d", term.Fence, other, i)
+					}
+					<-ctx.Done()
+				})
+			})
+		}
+		var last identifier.Fence
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(clients)-1).Draw(t, "process")
+			mode := rapid.SampledFrom([]string{"well", "cut", "lose"}).Draw(t, "mode")
+			clients[i].set(mode == "cut", mode == "lose")
+			clock.Advance(time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond)
+			var holder leaser.Term
+			for j, l := range leasers {
+				term, held := l.Term("order")
+				if !held {
+					continue
+				}
+				if holder.Fence != 0 {
+					t.Fatalf("one-orderer: %s and %d both hold the duty", holder.Holder, j)
+				}
+				holder = term
+			}
+			if holder.Fence != 0 && holder.Fence < last {
+				t.Fatalf("one-orderer: fence %d after %d", holder.Fence, last)
+			}
+			last = max(last, holder.Fence)
+		}
+	})
+}
