leaser: the state machine lets processes act between steps

Cause: the manual clock ran ahead of the processes, so that they hardly held a duty: with a margin of -50% of the TTL as a seeded fault the test passed.

Change: time passes in quarters of a second after which every process comes to rest, or all at once for a pause.

Before/after: with the seeded fault (trial, marginShare = -0.5) the test passed before and fails after with "one-orderer: b and 2 both hold the duty"; without it the test passes.

Conclusion: the test can fail.

--- a/internal/leaser/machine_test.go
+++ b/internal/leaser/machine_test.go
@@ -150,7 +150,16 @@
 			i := rapid.IntRange(0, len(clients)-1).Draw(t, "process")
 			mode := rapid.SampledFrom([]string{"well", "cut", "lose"}).Draw(t, "mode")
 			clients[i].set(mode == "cut", mode == "lose")
-			clock.Advance(time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond)
+			// A pause lets time pass at once; otherwise every process acts after each quarter of a second.
+			step := time.Duration(rapid.IntRange(1, 32).Draw(t, "quarters")) * quarter
+			if rapid.Bool().Draw(t, "paused") {
+				clock.Advance(step)
+			} else {
+				for range step / quarter {
+					clock.Advance(quarter)
+					settle(t, clock, len(clients))
+				}
+			}
 			var holder leaser.Term
 			for j, l := range leasers {
 				term, held := l.Term("order")
@@ -166,6 +175,23 @@
 				t.Fatalf("one-orderer: fence %d after %d", holder.Fence, last)
 			}
 			last = max(last, holder.Fence)
+			settle(t, clock, len(clients))
 		}
 	})
 }
+
+// quarter is a quarter of a second.
+const quarter = 250 * time.Millisecond
+
+// settle waits until every process waits for time to pass.
+func settle(t *rapid.T, clock *timer.Manual, processes int) {
+	tick := time.NewTicker(10 * time.Microsecond)
+	defer tick.Stop()
+	for range 100_000 {
+		if clock.Subscribers() >= processes {
+			return
+		}
+		<-tick.C
+	}
+	t.Fatalf("a process does not come to rest")
+}
