runner: a question that follows an update carries no reports again

Cause: each edit made every node ask its parent twice more, with all reports and loads each time.

Change: reports and loads go with at most one question in half a period.

--- a/internal/runner/distribution.go
+++ b/internal/runner/distribution.go
@@ -63,6 +63,8 @@
 	leading atomic.Uint64
 	// acting tells whether this node makes the digest of its zone.
 	acting atomic.Bool
+	// reported is when the last question with reports was sent; only follow uses it.
+	reported time.Duration
 	// pulls holds the addresses of nodes that have a later document.
 	pulls chan string
 	// resign ends the term of a root that stands in for a relay that is back.
--- a/internal/runner/exchange.go
+++ b/internal/runner/exchange.go
@@ -67,6 +67,11 @@
 		}
 		return q
 	}
+	// A question that follows an update within the period carries no reports again.
+	if d.reported > 0 && now-d.reported < s.Period/2 {
+		return q
+	}
+	d.reported = now
 	q.Rows, q.Briefs = d.Assembler.Forward(now, round)
 	if s.Own == nil {
 		q.Loads, q.Roster, q.Wanted = true, d.Assembler.Known(), wanted
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if parent != last {
-			last = parent
+			last, d.reported = parent, 0
 			d.Assembler.Resend()
 		}
 		d.acting.Store(!d.inZone(parent))
