--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -49,6 +49,8 @@
 	Linked bool
 	// Usage is the timing of usage reports.
 	Usage loader.Usage
+	// KeyGrace is how long keys work without proof of freshness; zero means the usual time.
+	KeyGrace time.Duration
 }
 
 // Place is an availability zone and its region.
@@ -117,7 +119,8 @@
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
 			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Usage: p.Usage,
-			TLS: loader.TLS{Plain: true},
+			KeyGrace: loader.Duration(p.KeyGrace),
+			TLS:      loader.TLS{Plain: true},
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -116,11 +116,12 @@
 func (l *Leaser) serve(ctx context.Context, term Term, lease storer.Lease, lead func(context.Context, Term)) {
 	leadCtx, cancel := context.WithCancel(ctx)
 	l.terms.Put(term.Duty, term)
-	first := term
 	var leading sync.WaitGroup
+	// The goroutine gets a copy of its own, since the loop below replaces term at each renewal.
+	began := term
 	leading.Go(func() {
 		defer cancel()
-		lead(leadCtx, first)
+		lead(leadCtx, began)
 	})
 	for leadCtx.Err() == nil {
 		term = l.renew(leadCtx, term, lease)
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -113,6 +113,7 @@
 	e.task(func() { e.shareEvidence(ctx, platform) })
 	e.task(func() { use.flush(ctx) })
 	e.task(func() { use.report(ctx) })
+	e.task(func() { e.watchFreshness(ctx, auth, period(s)) })
 
 	health := e.observe(metrics, config, m.tracker)
 	e.callers = httpserver.NewServer(metrics.Listener("callers"), health, httpserver.NewCallers(e.dispatcher, auth, config))
