runner: order targets per region and show plans to operators

Cause: Plans and orders were not connected to the platform, the agents and the operators. Change: platformclient sends orders on a connection with a write deadline at the end of the term. Agents refuse old fencing numbers for drains and engine orders (version, adapter, role), whether or not the engine does. Entries whose settings enable it campaign for order-<region>. Operators list and drain targets and see the explained plan. The answer to an order that is sent again need not name the target that the first sending started. The order was then settled without a target, taken for dead after the start-up time and ordered anew; it is now looked up by its identity.

--- /dev/null
+++ b/internal/adapter/httpserver/targets.go
@@ -0,0 +1,124 @@
+package httpserver
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/orderer"
+	"github.com/mimosalb/mimosalb/internal/placer"
+)
+
+// Target is a listed target as an entry sees it.
+type Target struct {
+	Target  identifier.Target  `json:"target"`
+	Service identifier.Service `json:"service"`
+	Zone    identifier.Zone    `json:"zone"`
+	Region  identifier.Region  `json:"region"`
+	// Serving means that the target takes new work from this entry.
+	Serving bool `json:"serving"`
+	Leaving bool `json:"leaving"`
+	Running int  `json:"running"`
+}
+
+// Targets shows and drains targets.
+type Targets interface {
+	List() []Target
+	// DrainTarget makes a target take no new work and reports whether it is idle, known and reached.
+	DrainTarget(ctx context.Context, t identifier.Target) (idle, known, ok bool)
+	// Plan returns the last plan with the open orders. The last result is false when the store did not answer.
+	Plan(ctx context.Context) (placer.Plan, []orderer.Order, bool)
+}
+
+// TargetOperators is the operators' interface to targets.
+type TargetOperators struct{ targets Targets }
+
+// NewTargetOperators returns the operators' routes for targets.
+func NewTargetOperators(t Targets) *TargetOperators { return &TargetOperators{targets: t} }
+
+// Register adds the routes.
+func (t *TargetOperators) Register(e *echo.Echo) {
+	e.GET("/v1/targets", t.list)
+	e.POST("/v1/targets/:target/drain", t.drain)
+	e.GET("/v1/plan", t.plan)
+}
+
+func (t *TargetOperators) list(c echo.Context) error {
+	all := t.targets.List()
+	slices.SortFunc(all, func(a, b Target) int { return cmp.Compare(a.Target, b.Target) })
+	return c.JSON(http.StatusOK, map[string][]Target{"targets": all})
+}
+
+func (t *TargetOperators) drain(c echo.Context) error {
+	idle, known, ok := t.targets.DrainTarget(c.Request().Context(), identifier.Target(c.Param("target")))
+	switch {
+	case !known:
+		return refused(http.StatusNotFound, "no-such-target", "the VM list does not name this target").write(c, 0)
+	case !ok:
+		p := refused(http.StatusGatewayTimeout, "agent-unreachable", "the agent did not answer; the target may be draining")
+		p.Type, p.Title = TypeUnknown, "The drain may have started"
+		return p.write(c, 0)
+	default:
+		return c.JSON(http.StatusAccepted, map[string]bool{"draining": true, "idle": idle})
+	}
+}
+
+type planReply struct {
+	Needs  []planNeed  `json:"needs"`
+	Wanted []planOrder `json:"wanted"`
+	Open   []openOrder `json:"open"`
+}
+
+type planNeed struct {
+	Service  identifier.Service `json:"service"`
+	Forecast float64            `json:"forecast"`
+	Base     int                `json:"base"`
+	Held     int                `json:"held"`
+	Wanted   int                `json:"wanted"`
+	Have     int                `json:"have"`
+	Reason   string             `json:"reason"`
+}
+
+type planOrder struct {
+	Kind    placer.Kind        `json:"kind"`
+	Service identifier.Service `json:"service"`
+	Zone    identifier.Zone    `json:"zone"`
+	Target  identifier.Target  `json:"target,omitempty"`
+	Reason  string             `json:"reason"`
+}
+
+type openOrder struct {
+	planOrder
+
+	ID    string    `json:"id"`
+	State string    `json:"state"`
+	Since time.Time `json:"since"`
+}
+
+func (t *TargetOperators) plan(c echo.Context) error {
+	plan, open, ok := t.targets.Plan(c.Request().Context())
+	if !ok {
+		return refused(http.StatusServiceUnavailable, "store-unavailable", "").write(c, storeRetry)
+	}
+	reply := planReply{
+		Needs: make([]planNeed, 0, len(plan.Needs)), Wanted: make([]planOrder, 0, len(plan.Orders)), Open: make([]openOrder, 0, len(open)),
+	}
+	for _, n := range plan.Needs {
+		reply.Needs = append(reply.Needs, planNeed(n))
+	}
+	for _, o := range plan.Orders {
+		reply.Wanted = append(reply.Wanted, planOrder(o))
+	}
+	for _, o := range open {
+		reply.Open = append(reply.Open, openOrder{
+			planOrder: planOrder{Kind: o.Kind, Service: o.Service, Zone: o.Zone, Target: o.Target, Reason: o.Reason},
+			ID:        o.ID, State: o.State.String(), Since: o.Since,
+		})
+	}
+	return c.JSON(http.StatusOK, reply)
+}
--- /dev/null
+++ b/internal/adapter/platformclient/orders.go
@@ -0,0 +1,115 @@
+package platformclient
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/orderer"
+	"github.com/mimosalb/mimosalb/internal/placer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// orderBody is an order as the platform takes it. The platform carries out each ID once.
+type orderBody struct {
+	ID      string             `json:"id"`
+	Kind    placer.Kind        `json:"kind"`
+	Zone    identifier.Zone    `json:"zone"`
+	Service identifier.Service `json:"service"`
+	Target  identifier.Target  `json:"target,omitempty"`
+	Fence   identifier.Fence   `json:"fence"`
+	// Expires is the wall clock time after which the order is void.
+	Expires time.Time `json:"expires,omitzero"`
+}
+
+// Orders is the platform as an orderer sees it, limited to one region.
+type Orders struct {
+	*Client
+
+	region identifier.Region
+}
+
+// NewOrders returns the way of a region's orders over c.
+func NewOrders(c *Client, region identifier.Region) Orders { return Orders{Client: c, region: region} }
+
+// Order sends an order. No byte leaves once the boot clock has reached until.
+func (o Orders) Order(ctx context.Context, order orderer.Order, fence identifier.Fence, until time.Duration) (identifier.Target, orderer.Outcome) {
+	body := orderBody{
+		ID: order.ID, Kind: order.Kind, Zone: order.Zone, Service: order.Service, Fence: fence,
+		Expires: o.clock.Now().Add(until - o.clock.Boot()).UTC(),
+	}
+	if order.Kind == placer.Stop {
+		body.Target = order.Target
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic("invariant order-form: every order can be encoded: " + err.Error())
+	}
+	out := o.post(ctx, "/v1/orders", data, fence, until)
+	var answer orderBody
+	switch {
+	case !out.sent:
+		return "", orderer.Unsent
+	case out.status == http.StatusConflict:
+		return "", orderer.Stale
+	case out.status == http.StatusOK && json.Unmarshal(out.body, &answer) == nil:
+		return answer.Target, orderer.Accepted
+	case out.status >= http.StatusBadRequest && out.status < http.StatusInternalServerError:
+		return "", orderer.Rejected
+	default:
+		// A failure of the platform does not say whether the order took effect.
+		return "", orderer.Lost
+	}
+}
+
+// Find looks up an order by its identity. The last result is false when the platform did not answer.
+func (o Orders) Find(ctx context.Context, id string) (t identifier.Target, found, ok bool) {
+	answer, status, err := o.get(ctx, "/v1/orders/"+url.PathEscape(id))
+	var order orderBody
+	switch {
+	case err != nil:
+		return "", false, false
+	case status == http.StatusNotFound:
+		return "", false, true
+	case status == http.StatusOK && json.Unmarshal(answer, &order) == nil && order.ID == id:
+		return order.Target, true, true
+	default:
+		return "", false, false
+	}
+}
+
+// List returns the listed target VMs of the region.
+func (o Orders) List(ctx context.Context) ([]orderer.VM, bool) {
+	all, err := o.VMs(ctx)
+	vms := make([]orderer.VM, 0, len(all))
+	for _, vm := range all {
+		if vm.Role == RoleTarget && vm.Region == o.region {
+			vms = append(vms, orderer.VM{Target: vm.Target, Service: vm.Service, Zone: vm.Zone, Leaving: vm.State == StateLeaving})
+		}
+	}
+	return vms, err == nil
+}
+
+func (c *Client) get(ctx context.Context, path string) ([]byte, int, error) {
+	ctx, cancel := timer.WithTimeout(ctx, c.clock, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.address+path, nil)
+	if err != nil {
+		return nil, 0, fmt.Errorf("get %s: %w", path, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, 0, fmt.Errorf("get %s: %w", path, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, replyLimit))
+	if err != nil {
+		return nil, 0, fmt.Errorf("get %s: %w", path, err)
+	}
+	return body, resp.StatusCode, nil
+}
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -42,6 +42,8 @@
 	Period time.Duration
 	// Usage is the timing of usage reports.
 	Usage loader.Usage
+	// Orders says how the entries order targets.
+	Orders loader.Orders
 }
 
 // Place is an availability zone and its region.
@@ -94,7 +96,7 @@
 			Name: "entry-" + strconv.Itoa(i+1), Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Period: loader.Duration(p.Period), Usage: p.Usage, TLS: loader.TLS{Plain: true},
+			Pepper: pepper, Period: loader.Duration(p.Period), Usage: p.Usage, Orders: p.Orders, TLS: loader.TLS{Plain: true},
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -26,6 +26,19 @@
 	TargetSilent = Event{
 		Number: 1302, Level: hclog.Warn, Text: "agent does not answer", Action: "check the target's VM if it lasts",
 	}
+	TargetNotDrained = Event{
+		Number: 1601, Level: hclog.Warn, Text: "target does not drain", Action: "find out what runs on it; it is not stopped before it is idle",
+	}
+	TargetNotStarted = Event{
+		Number: 1602, Level: hclog.Warn, Text: "target did not start or died", Action: "check the platform; another one is ordered if needed",
+	}
+	OrderRefused = Event{
+		Number: 1603, Level: hclog.Warn, Text: "order refused by the platform", Action: "check the limits of the availability zone",
+	}
+	OrdersHeld = Event{
+		Number: 1604, Level: hclog.Warn, Text: "orders held back", Action: "check the key-value service and the platform if it lasts",
+	}
+
 	MeterDeposed = Event{
 		Number: 1701, Level: hclog.Error, Text: "usage records taken over by another entry", Action: "restart the entry; what it counts is taken over",
 	}
@@ -40,6 +53,6 @@
 func Events() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing,
-		MeterDeposed, ReportDelayed,
+		TargetNotDrained, TargetNotStarted, OrderRefused, OrdersHeld, MeterDeposed, ReportDelayed,
 	}
 }
--- a/internal/orderer/machine_test.go
+++ b/internal/orderer/machine_test.go
@@ -23,128 +23,6 @@
 
 type killed struct{}
 
-// platform carries out each identity once, as the real one does, and notes what is wrong about what it gets.
-type platform struct {
-	clock   *timer.Manual
-	fenced  bool
-	fence   identifier.Fence
-	orders  map[string]orderer.Order
-	running map[identifier.Target]string
-	busy    map[identifier.Target]bool
-	// draining targets may end their work and get no more.
-	draining map[identifier.Target]bool
-	made     int
-	faults   []string
-	before   func()
-	draw     func() orderer.Outcome
-	// hold draws whether a lost order is still on its way; it arrives before its deadline.
-	hold func() bool
-	held []held
-	// stored reports whether an order is stored as sent.
-	stored func(orderer.Order) bool
-}
-
-// held is an order on its way.
-type held struct {
-	order    orderer.Order
-	fence    identifier.Fence
-	deadline time.Duration
-}
-
-// arrive delivers the orders on their way that are due, or all of them.
-func (p *platform) arrive(all bool) {
-	late := p.held[:0:0]
-	for _, h := range p.held {
-		if all || p.clock.Boot() >= h.deadline {
-			p.receive(h.order, h.fence)
-		} else {
-			late = append(late, h)
-		}
-	}
-	p.held = late
-}
-
-// receive checks the fencing number of an order and carries it out.
-func (p *platform) receive(o orderer.Order, fence identifier.Fence) (identifier.Target, orderer.Outcome) {
-	if fence < p.fence {
-		if p.fenced {
-			return "", orderer.Stale
-		}
-		p.faults = append(p.faults, "an old holder's order arrived: "+o.ID)
-	}
-	p.fence = fence
-	if _, known := p.orders[o.ID]; !known && !p.stored(o) {
-		p.faults = append(p.faults, "an order arrived that is not stored: "+o.ID)
-	}
-	return p.take(o), orderer.Accepted
-}
-
-func (p *platform) Order(_ context.Context, o orderer.Order, fence identifier.Fence, until time.Duration) (identifier.Target, orderer.Outcome) {
-	if p.before != nil {
-		p.before()
-	}
-	if p.clock.Boot() >= until {
-		return "", orderer.Unsent
-	}
-	out := orderer.Accepted
-	if p.draw != nil {
-		out = p.draw()
-	}
-	if out == orderer.Unsent {
-		return "", out
-	}
-	p.arrive(false)
-	if out == orderer.Lost && p.hold != nil && p.hold() {
-		p.held = append(p.held, held{order: o, fence: fence, deadline: until + ttl})
-		return "", out
-	}
-	target, taken := p.receive(o, fence)
-	if taken == orderer.Stale {
-		return "", taken
-	}
-	return target, out
-}
-
-func (p *platform) take(o orderer.Order) identifier.Target {
-	if old, ok := p.orders[o.ID]; ok {
-		if old.Kind != o.Kind || old.Zone != o.Zone || old.Service != o.Service || o.Kind == placer.Stop && old.Target != o.Target {
-			p.faults = append(p.faults, "two intents under "+o.ID)
-		}
-		return old.Target
-	}
-	if o.Kind == placer.Start {
-		p.made++
-		o.Target = identifier.Target(fmt.Sprint("t", p.made))
-		p.running[o.Target] = o.ID
-	} else {
-		if p.busy[o.Target] {
-			p.faults = append(p.faults, "a busy target was stopped: "+string(o.Target))
-		}
-		delete(p.running, o.Target)
-	}
-	p.orders[o.ID] = o
-	return o.Target
-}
-
-func (p *platform) Find(_ context.Context, id string) (identifier.Target, bool, bool) {
-	o, found := p.orders[id]
-	return o.Target, found, true
-}
-
-func (p *platform) List(context.Context) ([]orderer.VM, bool) {
-	vms := make([]orderer.VM, 0, len(p.running))
-	for _, t := range slices.Sorted(maps.Keys(p.running)) {
-		vms = append(vms, orderer.VM{Target: t, Service: "matcher", Zone: "macon"})
-	}
-	return vms, true
-}
-
-// Drain makes the platform the agent of each target too. A draining target takes no new work.
-func (p *platform) Drain(_ context.Context, t identifier.Target, _ identifier.Fence, _ time.Duration) (bool, bool) {
-	p.draining[t] = true
-	return !p.busy[t], true
-}
-
 type terms struct {
 	clock *timer.Manual
 	term  leaser.Term
@@ -186,11 +64,21 @@
 		m.orderers[i] = orderer.NewOrderer(
 			orderer.Settings{Region: "south", Fenced: fenced, Startup: time.Minute, Drain: time.Minute},
 			m.store, codec.Orders{}, m.platform, m.platform, m.terms[i], clock,
-			func(e orderer.Event, _ orderer.Order) { m.events[e]++ })
+			m.tell)
 	}
 	return m
 }
 
+// tell counts the events. A target that runs was not lost.
+func (m *machine) tell(e orderer.Event, o orderer.Order) {
+	m.events[e]++
+	for _, id := range m.platform.running {
+		if e == orderer.NotStarted && id == o.ID {
+			m.platform.faults = append(m.platform.faults, "a running target was taken for dead: "+id)
+		}
+	}
+}
+
 func (m *machine) step() {
 	if m.kill--; m.kill == 0 {
 		panic(killed{})
@@ -231,7 +119,7 @@
 			stoppable = append(stoppable, t.ID)
 		}
 	}
-	var orders []placer.Order
+	orders := make([]placer.Order, 0, max(m.want, have))
 	for range m.want - have {
 		orders = append(orders, placer.Order{Kind: placer.Start, Service: "matcher", Zone: "macon"})
 	}
@@ -377,3 +265,25 @@
 	c.Check(m.platform.running, qt.DeepEquals, map[identifier.Target]string{"t3": m.platform.running["t3"]})
 	c.Check(m.wrong(), qt.HasLen, 0)
 }
+
+// Guards against a running target that is taken for dead: the first sending of an order arrives just before the second,
+// whose answer does not name the target.
+func TestRepeatedOrderFindsItsTarget(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine(true)
+	m.want = 1
+	m.platform.draw = func() orderer.Outcome { return orderer.Lost }
+	m.platform.hold = func() bool { return true }
+	m.acquire(0)
+	m.round(0)
+	m.platform.draw, m.platform.hold = nil, nil
+	m.platform.before = func() { m.platform.arrive(true) }
+	for range 4 {
+		m.acquire(0)
+		m.round(0)
+		m.clock.Advance(40 * time.Second)
+	}
+	c.Check(m.platform.made, qt.Equals, 1)
+	c.Check(m.events, qt.HasLen, 0)
+	c.Check(m.wrong(), qt.HasLen, 0)
+}
--- a/internal/orderer/observe.go
+++ b/internal/orderer/observe.go
@@ -10,13 +10,18 @@
 
 // observe settles an order by what the platform and the VM list show. It reports false when the platform did not answer.
 func (o *Orderer) observe(ctx context.Context, order Order, vms []VM) (Order, bool) {
-	if order.State == Sent || order.State == Unknown {
+	// The answer to an order that was sent again need not name the target that the first one started.
+	unnamed := order.State == Seen && order.Target == ""
+	if order.State == Sent || order.State == Unknown || unnamed {
 		target, found, ok := o.platform.Find(ctx, order.ID)
 		if !ok {
 			return order, false
 		}
 		if found {
-			order = order.WithTarget(target).WithState(Seen, o.clock.Now())
+			order = order.WithTarget(target)
+		}
+		if found && !unnamed {
+			order = order.WithState(Seen, o.clock.Now())
 		}
 	}
 	listed := slices.ContainsFunc(vms, func(vm VM) bool { return vm.Target == order.Target })
--- a/internal/orderer/platform.go
+++ b/internal/orderer/platform.go
@@ -48,6 +48,8 @@
 	// Drain makes a target take no new work and reports whether it is idle. The second result is false when the agent
 	// did not answer or knows a newer fencing number.
 	Drain(ctx context.Context, t identifier.Target, fence identifier.Fence, until time.Duration) (idle, ok bool)
+	// Engine passes an order to the engine beside an agent. It is not sent once the boot clock has reached until.
+	Engine(ctx context.Context, t identifier.Target, o EngineOrder, until time.Duration) Outcome
 }
 
 // Store is the part of the key-value service that orders use.
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -63,6 +63,11 @@
 		a.close()
 		return nil, fmt.Errorf("serve usage: %w", err)
 	}
+	engine, _ := back.(rpcserver.Engine)
+	if err := a.server.Register("Target", rpcserver.NewTarget(a.gate, engine, a.clock)); err != nil {
+		a.close()
+		return nil, fmt.Errorf("serve orders: %w", err)
+	}
 	l, err := listen(s.Peers)
 	if err != nil {
 		a.close()
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -77,13 +77,15 @@
 	e.task(func() { m.run(ctx) })
 	e.task(func() { use.flush(ctx) })
 	e.task(func() { use.report(ctx) })
+	order := newOrders(s, use, log, m, config, e.dispatcher.Waiting)
+	e.task(func() { order.run(ctx) })
 
 	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	health := httpserver.NewHealth(e.ready.Load, metrics)
 	e.callers = httpserver.NewServer(health, httpserver.NewCallers(e.dispatcher, auth, config))
 	e.operators = httpserver.NewServer(health, httpserver.NewOperators(publish, config, pepper),
-		httpserver.NewUsageOperators(use.reporter, use.calendar))
+		httpserver.NewUsageOperators(use.reporter, use.calendar), httpserver.NewTargetOperators(order))
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,6 +38,8 @@
 	cache     *prefixCache
 	fence     atomic.Uint64
 	counts    sync.Map
+	unfenced  bool
+	changes   changes
 }
 
 // Option sets a property of an Engine.
@@ -78,6 +80,8 @@
 	mux.HandleFunc("POST /generate", e.generate)
 	mux.HandleFunc("POST /abort_request", e.abort)
 	mux.HandleFunc("POST /update_weights_from_disk", e.update)
+	mux.HandleFunc("POST /load_lora_adapter", e.order)
+	mux.HandleFunc("POST /set_role", e.order)
 	mux.HandleFunc("GET /get_weight_version", e.showVersion)
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	outer := http.NewServeMux()
@@ -207,11 +211,11 @@
 		http.Error(w, "weight_version: a number is expected", http.StatusBadRequest)
 		return
 	}
-	if q.Fence < e.fence.Load() {
+	if !e.unfenced && q.Fence < e.fence.Load() {
 		http.Error(w, "fence: an old number", http.StatusConflict)
 		return
 	}
-	e.fence.Store(q.Fence)
+	e.fence.Store(max(q.Fence, e.fence.Load()))
 	ok := !e.Switches.TakeSwap()
 	if ok {
 		e.version.Store(version)
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -24,6 +24,9 @@
 	if s.Period < 0 {
 		c.add("period", "a duration of zero or more")
 	}
+	if s.Orders.Enabled && s.Orders.Capacity <= 0 {
+		c.add("orders.capacity", "the number of attempts that keep a target just busy")
+	}
 	if s.Usage.Window < 0 || s.Usage.Grace < 0 || s.Usage.Flush < 0 {
 		c.add("usage", "durations of zero or more")
 	}
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -30,6 +30,7 @@
 	TLS     TLS      `yaml:"tls"`
 	Trace   Trace    `yaml:"trace"`
 	Usage   Usage    `yaml:"usage"`
+	Orders  Orders   `yaml:"orders"`
 	Target  Target   `yaml:"target"`
 	Standin *Standin `yaml:"standin"`
 }
@@ -60,6 +61,33 @@
 	Flush Duration `yaml:"flush"`
 }
 
+// Orders sets how targets are planned and ordered. It is the same at every entry of a region; zero fields take the
+// defaults.
+type Orders struct {
+	// Enabled lets the entry order targets. Without it plans are only shown.
+	Enabled bool `yaml:"enabled"`
+	// Fenced says that the platform refuses orders with an old fencing number.
+	Fenced bool `yaml:"fenced"`
+	// Period is the time between two plans.
+	Period Duration `yaml:"period"`
+	// Startup is the time that a target takes to start, Hold the time for which it must have been spare before it is
+	// stopped, and Drain the time after which one that does not drain is reported.
+	Startup Duration `yaml:"startup"`
+	Hold    Duration `yaml:"hold"`
+	Drain   Duration `yaml:"drain"`
+	// Capacity is the number of attempts that keep a target just busy; Smallest the targets that the smallest team needs.
+	Capacity int         `yaml:"capacity"`
+	Smallest int         `yaml:"smallest"`
+	Zones    []ZoneOrder `yaml:"zones"`
+}
+
+// ZoneOrder is the price of a target per hour in an availability zone, and the most targets of one service there.
+type ZoneOrder struct {
+	Name  string  `yaml:"name"`
+	Price float64 `yaml:"price"`
+	Limit int     `yaml:"limit"`
+}
+
 // Target describes the back end beside an agent.
 type Target struct {
 	Name    string `yaml:"name"`
