httpserver: wait for the end of the stream before its counts are shown

Cause: A whole answer was read when its result was there, which is shortly before the end of its stream. The answer then said that 0 tokens were used. Change: The answer waits for the end of the stream. The test that stays makes 240. Conclusion: Callers can compare their answers with their reports.

--- a/internal/adapter/httpserver/completion.go
+++ b/internal/adapter/httpserver/completion.go
@@ -96,7 +96,7 @@
 	if result.Reason != "" {
 		return ofResult(result, string(w.id)).write(w.c, result.RetryAfter)
 	}
-	chunk, _ := answer.Read(0)
+	chunk := ended(answer)
 	var text strings.Builder
 	for _, p := range chunk.Pieces {
 		text.Write(p.Data)
@@ -107,6 +107,17 @@
 	return w.c.JSON(http.StatusOK, body)
 }
 
+// ended returns the whole answer. The result is there shortly before the end of the stream, which has the counts.
+func ended(answer *dispatcher.Answer) streamer.Chunk {
+	for {
+		chunk, changed := answer.Read(0)
+		if chunk.Done() {
+			return chunk
+		}
+		<-changed
+	}
+}
+
 // stream writes the pieces as server-sent events as they come. A failure before the first piece is a plain problem; a
 // later one is an error event, and the closing [DONE] is left out.
 func (w *completionWriter) stream(answer *dispatcher.Answer) error {
--- /dev/null
+++ b/internal/demonstrator/answers_test.go
@@ -0,0 +1,57 @@
+package demonstrator_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/demonstrator"
+)
+
+// Guards against a whole answer without its usage, which callers compare with their reports: the result of a request is
+// there shortly before the end of its stream.
+func TestEveryAnswerNamesItsUsage(t *testing.T) {
+	const callers, requests = 16, 15
+	c := qt.New(t)
+	ctx := context.Background()
+	plan := demonstrator.DefaultPlan()
+	plan.Token = 50 * time.Microsecond
+	d, err := demonstrator.NewDeployment(plan, io.Discard)
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Check(d.Close(), qt.IsNil) }()
+	s := &demonstrator.Session{Deployment: d, Client: demonstrator.NewClient(d), Keys: make(map[string]string)}
+	_, err = demonstrator.Steps()[0].Run(ctx, s)
+	c.Assert(err, qt.IsNil)
+	body := map[string]any{"model": "sortmind", "prompt": "quote", "max_tokens": 2}
+	var answers, without atomic.Int64
+	var calls sync.WaitGroup
+	for range callers {
+		calls.Go(func() {
+			for range requests {
+				var answer struct {
+					Usage struct {
+						Completion int `json:"completion_tokens"`
+					} `json:"usage"`
+				}
+				r, err := s.Client.Caller(ctx, http.MethodPost, "/v1/completions", s.Keys["driver"], body)
+				if err != nil || r.Status != http.StatusOK {
+					continue
+				}
+				answers.Add(1)
+				if json.Unmarshal(r.Body, &answer) != nil || answer.Usage.Completion != 2 {
+					without.Add(1)
+				}
+			}
+		})
+	}
+	calls.Wait()
+	c.Check(answers.Load(), qt.Equals, int64(callers*requests))
+	c.Check(without.Load(), qt.Equals, int64(0))
+}
--- a/internal/orderer/platform_test.go
+++ b/internal/orderer/platform_test.go
@@ -148,4 +148,3 @@
 		return orderer.Accepted
 	}
 }
-
