reporter: delete values and seals of old windows; orderer: long failure run

Orders to engines are tested with and without engines that check numbers. Conclusion: What the store holds no longer grows with time, but for the keys of meters that were taken over.

--- a/internal/meter/value.go
+++ b/internal/meter/value.go
@@ -29,8 +29,10 @@
 // Mark says how far the windows have come in one respect: Last and all windows before it.
 type Mark struct {
 	Last Window
-	// Fence is the number of the term that wrote the mark; with Last it makes each mark unlike any other.
+	// Fence is the number of the term that wrote the mark; with Last and Part it makes each mark unlike any other.
 	Fence identifier.Fence
+	// Part numbers the writes for the window after Last when there are several.
+	Part int
 }
 
 // Form is the stored form of the values.
@@ -50,6 +52,8 @@
 	// DoneKey holds the Mark of the windows whose reports are all confirmed. It is apart from ClosedKey so that a
 	// confirmation does not disturb the nodes' writes.
 	DoneKey = ValuePrefix + "done"
+	// TidiedKey holds the Mark of the windows whose values and seals are deleted.
+	TidiedKey = ValuePrefix + "tidied"
 	// MeterPrefix holds one key for each meter; a meter whose key changes or goes has been taken over.
 	MeterPrefix = "/meter/"
 )
--- a/internal/orderer/platform_test.go
+++ b/internal/orderer/platform_test.go
@@ -18,6 +18,7 @@
 	clock   *timer.Manual
 	fenced  bool
 	fence   identifier.Fence
+	gate    orderer.Gate
 	orders  map[string]orderer.Order
 	running map[identifier.Target]string
 	busy    map[identifier.Target]bool
@@ -136,15 +137,14 @@
 	return !p.busy[t], true
 }
 
-// Engine carries out an order to an engine.
+// Engine carries out an order to an engine behind the gate of its agent.
 func (p *platform) Engine(_ context.Context, _ identifier.Target, o orderer.EngineOrder, until time.Duration) orderer.Outcome {
 	switch {
 	case p.clock.Boot() >= until:
 		return orderer.Unsent
-	case p.fenced && o.Fence < p.fence:
+	case !p.gate.Pass(o.Fence):
 		return orderer.Stale
 	default:
-		p.fence = max(p.fence, o.Fence)
 		return orderer.Accepted
 	}
 }
--- a/internal/reporter/faults_test.go
+++ b/internal/reporter/faults_test.go
@@ -1,9 +1,12 @@
 package reporter_test
 
 import (
+	"context"
 	"fmt"
 	"maps"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +48,12 @@
 	c.Check(different, qt.Equals, 0)
 	c.Check(wrong, qt.Equals, 0)
 	c.Check(pending, qt.Equals, 0, qt.Commentf("records left at the agents"))
+	values, _ := w.store.List(context.Background(), meter.ValuePrefix)
+	seals, _ := w.store.List(context.Background(), "/window/")
+	for _, e := range append(values, seals...) {
+		n, err := strconv.ParseInt(regexp.MustCompile(`\d{5,}`).FindString(e.Key), 10, 64)
+		c.Check(err != nil || meter.Window(n) > calendar.Window(w.clock.Now())-retention-10, qt.IsTrue, qt.Commentf("%s is kept", e.Key))
+	}
 }
 
 // fault draws whether a fault happens.
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -18,6 +18,9 @@
 // DefaultGrace is the time between the end of a window and its closing. It covers two flushes of every node.
 const DefaultGrace = 15 * time.Second
 
+// DefaultRetention is the number of windows for which values and seals are kept: a day of minutes.
+const DefaultRetention meter.Window = 1440
+
 // Outcome is how sending a report came out.
 type Outcome int
 
@@ -50,6 +53,9 @@
 	Grace time.Duration
 	// Teams returns the teams that get a report even without usage.
 	Teams func() []identifier.Team
+	// Retention is the number of windows for which values and seals are kept after they are done; zero means
+	// DefaultRetention.
+	Retention meter.Window
 }
 
 // Reporter leads windows from open to confirmed. One goroutine uses it.
@@ -73,6 +79,9 @@
 	if s.Grace <= 0 {
 		s.Grace = DefaultGrace
 	}
+	if s.Retention <= 0 {
+		s.Retention = DefaultRetention
+	}
 	return &Reporter{settings: s, store: store, form: form, intake: intake, terms: terms, clock: clock}
 }
 
@@ -102,7 +111,7 @@
 			return false
 		}
 	}
-	return true
+	return r.tidy(ctx, fence, done.last-r.settings.Retention)
 }
 
 // Marks returns the last window that is closed and the last one that is done.
@@ -139,7 +148,7 @@
 		return p, ok
 	}
 	first := r.settings.Calendar.Window(r.clock.Now())
-	if key == meter.DoneKey {
+	if key != meter.ClosedKey {
 		if first, ok = r.first(ctx); !ok {
 			return p, false
 		}
@@ -162,7 +171,7 @@
 	}
 	first := closed.last + 1
 	for _, e := range entries {
-		if e.Key == meter.ClosedKey || e.Key == meter.DoneKey {
+		if e.Key == meter.ClosedKey || e.Key == meter.DoneKey || e.Key == meter.TidiedKey {
 			continue
 		}
 		v, err := r.form.DecodeValue(e.Value)
@@ -176,16 +185,7 @@
 
 // advance moves a mark by one window.
 func (r *Reporter) advance(ctx context.Context, fence identifier.Fence, p position) (position, bool) {
-	if _, ok := r.valid(fence); !ok {
-		return p, false
-	}
-	data := r.form.EncodeMark(meter.Mark{Last: p.last + 1, Fence: fence})
-	out := r.store.Commit(ctx, storer.Transaction{}.WithGuard(p.key, p.changed).WithPut(p.key, data, 0))
-	if out != storer.Applied {
-		return p, false
-	}
-	next, ok := r.read(ctx, p.key)
-	return next, ok && next.last == p.last+1
+	return r.write(ctx, fence, p, meter.Mark{Last: p.last + 1, Fence: fence}, nil)
 }
 
 // valid returns the present term if it is still the one with the given number.
--- a/internal/reporter/world_test.go
+++ b/internal/reporter/world_test.go
@@ -105,6 +105,9 @@
 	fence   identifier.Fence
 }
 
+// retention is more than the windows in which counted requests are searched for.
+const retention = 70
+
 var calendar = meter.Calendar{Length: time.Minute}
 
 func newWorld(seed uint64, entries int) *world {
@@ -202,7 +205,7 @@
 func (w *world) lead(i int, lasts time.Duration) {
 	w.fence++
 	t := &terms{clock: w.clock, term: leaser.Term{Fence: w.fence, Until: w.clock.Boot() + lasts}}
-	r := reporter.NewReporter(reporter.Settings{Calendar: calendar}, w.store, codec.Usage{}, w.intake, t, w.clock)
+	r := reporter.NewReporter(reporter.Settings{Calendar: calendar, Retention: retention}, w.store, codec.Usage{}, w.intake, t, w.clock)
 	defer func() {
 		if p := recover(); p != nil {
 			if _, ok := p.(killed); !ok {
