runner: let at most five entries campaign for a duty

Cause: Every entry campaigned for both new duties: at 660 entries and a read every 2 s that is about 660 reads a second. Change: An entry campaigns if it is among the first five of the VM list in an order by hash that differs between duties; for order-<region> among those of its region. A list without entries lets every process campaign. Before/after: the test counts 5 of 660 entries per duty (1 of 1, 4 of 4). Conclusion: Campaigns cost the store a constant rate.

--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -72,6 +72,7 @@
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
 		tracker: &tracker.Tracker{}, router: route, period: period(s), probing: make(map[string]context.CancelFunc),
 	}
+	m.listed = use.candidacy.observe
 	e.task(func() { publish.Follow(ctx) })
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -23,6 +23,8 @@
 	tracker  *tracker.Tracker
 	router   *router.Router
 	period   time.Duration
+	// listed is called with each VM list.
+	listed func([]platformclient.VM)
 
 	probing map[string]context.CancelFunc
 	tasks   sync.WaitGroup
@@ -56,6 +58,9 @@
 		m.log.Emit(logger.ListUnavailable, "error", err)
 		return
 	}
+	if m.listed != nil {
+		m.listed(vms)
+	}
 	var list []tracker.Member
 	for _, vm := range vms {
 		if vm.Role == platformclient.RoleTarget {
--- a/internal/runner/usage.go
+++ b/internal/runner/usage.go
@@ -47,6 +47,8 @@
 	settings loader.Usage
 	origin   executor.Origin
 	reporter *reporter.Reporter
+	// candidacy limits the campaigns; membership feeds it.
+	candidacy *candidacy
 }
 
 // leaseStore is what metering and its duty use of the key-value service.
@@ -63,10 +65,11 @@
 	node := identifier.Node(s.Name + "." + strconv.FormatInt(clock.Now().UnixNano(), 16))
 	u := &usage{
 		clock: clock, log: log, store: store, platform: platformclient.NewClient(s.Platform, clock),
-		agents: rpcclient.NewUsage(peers), leaser: leaser.NewLeaser(node, store, clock),
+		agents: rpcclient.NewUsage(peers), candidacy: &candidacy{name: identifier.Node(s.Name), region: identifier.Region(s.Region)},
 		calendar: meter.Calendar{Length: time.Duration(s.Usage.Window)}, settings: s.Usage,
 		origin: executor.Origin{Meter: node, Region: identifier.Region(s.Region)},
 	}
+	u.leaser = leaser.NewLeaser(node, store, clock, leaser.WithEligible(u.candidacy.eligible))
 	if u.settings.Flush == 0 {
 		u.settings.Flush = loader.Duration(meter.DefaultFlush)
 	}
