--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -51,6 +51,8 @@
 	Usage loader.Usage
 	// KeyGrace is how long keys work without proof of freshness; zero means the usual time.
 	KeyGrace time.Duration
+	// Orders says how the entries order targets.
+	Orders loader.Orders
 }
 
 // Place is an availability zone and its region.
@@ -118,7 +120,7 @@
 			Name: name, Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Usage: p.Usage,
+			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Usage: p.Usage, Orders: p.Orders,
 			KeyGrace: loader.Duration(p.KeyGrace),
 			TLS:      loader.TLS{Plain: true},
 		}, log)
--- a/internal/demonstrator/keys_test.go
+++ b/internal/demonstrator/keys_test.go
@@ -58,12 +58,12 @@
 	return key
 }
 
-func ask(tokens int, stream bool) map[string]any {
+func smallCompletion(tokens int, stream bool) map[string]any {
 	return map[string]any{"model": "sortmind", "prompt": "blue tube", "max_tokens": tokens, "stream": stream}
 }
 
 func status(ctx context.Context, client *demonstrator.Client, key string) int {
-	r, err := client.Caller(ctx, http.MethodPost, "/v1/completions", key, ask(1, false))
+	r, err := client.Caller(ctx, http.MethodPost, "/v1/completions", key, smallCompletion(1, false))
 	if err != nil {
 		return 0
 	}
@@ -85,7 +85,7 @@
 	for i, client := range clients {
 		streams.Go(func() {
 			first := true
-			errs[i] = client.Events(ctx, "/v1/completions", key, ask(100_000, true), func(data string) bool {
+			errs[i] = client.Events(ctx, "/v1/completions", key, smallCompletion(100_000, true), func(data string) bool {
 				if first {
 					first = false
 					started <- struct{}{}
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -86,8 +86,15 @@
 		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: route, period: period(s),
 		probing: make(map[string]context.CancelFunc),
 	}
+	use := newUsage(s, e.clock, log, store, e.peers, config)
 	e.isolator = &isolator.Isolator{}
-	parts := treeParts{clock: e.clock, log: log, config: config, platform: platform, listed: m.adopt, calling: peers.client}
+	parts := treeParts{
+		clock: e.clock, log: log, config: config, platform: platform, calling: peers.client,
+		listed: func(vms []platformclient.VM) {
+			m.adopt(vms)
+			use.candidacy.observe(vms)
+		},
+	}
 	if err := e.servePeers(s, parts, peers.server); err != nil {
 		cancel()
 		e.clock.Close()
@@ -102,7 +109,6 @@
 	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
 	metrics := exporter.NewEntry()
 	e.claims = claimer.NewClaimer(store.For(storer.PurposeClaim), codec.ClaimForm{}, e.clock)
-	use := newUsage(s, e.clock, log, store, e.peers, config)
 	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, use.wrap(rpcclient.NewAgents(e.peers)), config, route,
 		dispatcher.WithEnded(metrics.Ended), dispatcher.WithEnded(use.ended), dispatcher.WithClaims(e.claims),
 		dispatcher.WithIsolator(e.isolator), dispatcher.WithHeld(e.warn))
@@ -114,11 +120,14 @@
 	e.task(func() { use.flush(ctx) })
 	e.task(func() { use.report(ctx) })
 	e.task(func() { e.watchFreshness(ctx, auth, period(s)) })
+	order := newOrders(s, use, store.For(storer.PurposeOrder), log, m, config, e.dispatcher.Waiting)
+	e.task(func() { order.run(ctx) })
 
 	health := e.observe(metrics, config, m.tracker)
 	e.callers = httpserver.NewServer(metrics.Listener("callers"), health, httpserver.NewCallers(e.dispatcher, auth, config))
 	e.operators = httpserver.NewServer(metrics.Listener("operators"), health, httpserver.NewGuard(token),
-		httpserver.NewOperators(publish, config, pepper), httpserver.NewUsageOperators(use.reporter, use.calendar))
+		httpserver.NewOperators(publish, config, pepper), httpserver.NewUsageOperators(use.reporter, use.calendar),
+		httpserver.NewTargetOperators(order))
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
 	}
--- a/internal/runner/usage.go
+++ b/internal/runner/usage.go
@@ -47,6 +47,8 @@
 	settings loader.Usage
 	origin   executor.Origin
 	reporter *reporter.Reporter
+	// candidacy limits the campaigns; membership feeds it.
+	candidacy *candidacy
 }
 
 func newUsage(
@@ -57,10 +59,11 @@
 	node := identifier.Node(s.Name + "." + strconv.FormatInt(clock.Now().UnixNano(), 16))
 	u := &usage{
 		clock: clock, log: log, store: store.For(storer.PurposeUsage), platform: platformclient.NewClient(s.Platform, clock),
-		agents: rpcclient.NewUsage(peers), leaser: leaser.NewLeaser(node, store.For(storer.PurposeLease), clock),
+		agents: rpcclient.NewUsage(peers), candidacy: &candidacy{name: identifier.Node(s.Name), region: identifier.Region(s.Region)},
 		calendar: meter.Calendar{Length: time.Duration(s.Usage.Window)}, settings: s.Usage,
 		origin: executor.Origin{Meter: node, Region: identifier.Region(s.Region)},
 	}
+	u.leaser = leaser.NewLeaser(node, store.For(storer.PurposeLease), clock, leaser.WithEligible(u.candidacy.eligible))
 	if u.settings.Flush == 0 {
 		u.settings.Flush = loader.Duration(meter.DefaultFlush)
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -39,6 +39,8 @@
 	fence     atomic.Uint64
 	counts    sync.Map
 	prompts   sync.Map
+	unfenced  bool
+	changes   changes
 
 	mu      sync.Mutex
 	crashed chan struct{}
@@ -98,6 +100,8 @@
 	mux.HandleFunc("POST /generate", e.generate)
 	mux.HandleFunc("POST /abort_request", e.abort)
 	mux.HandleFunc("POST /update_weights_from_disk", e.update)
+	mux.HandleFunc("POST /load_lora_adapter", e.order)
+	mux.HandleFunc("POST /set_role", e.order)
 	mux.HandleFunc("GET /get_weight_version", e.showVersion)
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	outer := http.NewServeMux()
@@ -252,11 +256,11 @@
 		http.Error(w, "weight_version: a number is expected", http.StatusBadRequest)
 		return
 	}
-	if q.Fence < e.fence.Load() {
+	if !e.unfenced && q.Fence < e.fence.Load() {
 		http.Error(w, "fence: an old number", http.StatusConflict)
 		return
 	}
-	e.fence.Store(q.Fence)
+	e.fence.Store(max(q.Fence, e.fence.Load()))
 	ok := !e.Switches.TakeSwap()
 	if ok {
 		e.version.Store(version)
