--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 # golden rewrites the golden files after an intended change.
 golden:
-	$(GO) test $$(git ls-files '*/testdata/*.golden' | sed 's|/testdata/.*||; s|^|./|' | sort -u) -update
+	$(GO) test $$(git ls-files '*.golden' | sed 's|testdata/.*||; s|^|./|' | sort -u) -update
 
 lint:
 	$(LINT) run ./...
--- a/cmd/mimosalb/main.go
+++ b/cmd/mimosalb/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/mimosalb/mimosalb"
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/demonstrator"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
@@ -21,6 +22,9 @@
 	exitSettings = 2
 )
 
+// roleConfig stands for the operators' configuration in check.
+const roleConfig = "config"
+
 func main() {
 	app := kingpin.New("mimosalb", "Rollout service for reinforcement learning.")
 	files := make(map[string]*string)
@@ -32,9 +36,10 @@
 		cmd := app.Command(string(role), help)
 		files[string(role)] = cmd.Flag("config", "Settings file.").Short('c').Required().String()
 	}
-	check := app.Command("check", "Check a settings file and start nothing.")
-	checkFile := check.Flag("config", "Settings file.").Short('c').Required().String()
-	checkRole := check.Flag("role", "Role that the settings are for.").Default("entry").Enum("entry", "agent", "standin")
+	check := app.Command("check", "Check a settings or configuration file and start nothing.")
+	checkFile := check.Flag("config", "File to check.").Short('c').Required().String()
+	checkRole := check.Flag("role", "Role that the settings are for; config for the operators' configuration.").
+		Default("entry").Enum("entry", "agent", "standin", roleConfig)
 	demo := app.Command("demo", "Run every role in this process on loopback and do the main job.")
 	serve := demo.Flag("serve", "Keep the deployment up afterwards and print how to use it.").Bool()
 	verbose := demo.Flag("verbose", "Write events to the standard error output.").Bool()
@@ -43,6 +48,11 @@
 	defer stop()
 	switch cmd := kingpin.MustParse(app.Parse(os.Args[1:])); cmd {
 	case check.FullCommand():
+		if *checkRole == roleConfig {
+			_, problems, err := codec.Load(*checkFile)
+			report(problems, err)
+			return
+		}
 		load(*checkFile, loader.Role(*checkRole))
 	case demo.FullCommand():
 		log := os.Stderr
@@ -63,14 +73,21 @@
 // load reads settings and ends the process when they have faults.
 func load(file string, role loader.Role) loader.Settings {
 	settings, problems, err := loader.Load(file, role)
-	exit(err)
+	report(problems, err)
+	return settings
+}
+
+// report ends the process when a file has faults or can't be read.
+func report(problems []loader.Problem, err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mimosalb:", err)
+	}
 	for _, p := range problems {
 		fmt.Fprintln(os.Stderr, p)
 	}
-	if len(problems) > 0 {
+	if err != nil || len(problems) > 0 {
 		os.Exit(exitSettings)
 	}
-	return settings
 }
 
 // exit ends the process when err is set.
--- a/internal/adapter/codec/parse.go
+++ b/internal/adapter/codec/parse.go
@@ -3,12 +3,23 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
 
+// Load reads a configuration file. The error is for a file that can't be read.
+func Load(file string) (configurator.Document, []loader.Problem, error) {
+	data, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	if err != nil {
+		return configurator.Document{}, nil, fmt.Errorf("read configuration: %w", err)
+	}
+	doc, problems := Parse(file, data)
+	return doc, problems, nil
+}
+
 // Parse reads a configuration file in YAML or JSON. Each fault names the file, the line, the field and what is
 // expected there.
 func Parse(file string, data []byte) (configurator.Document, []loader.Problem) {
--- a/internal/commander/document.go
+++ b/internal/commander/document.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -60,11 +59,10 @@
 }
 
 func readDocument(file string) (configurator.Document, error) {
-	data, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	doc, problems, err := codec.Load(file)
 	if err != nil {
-		return configurator.Document{}, &Failure{Code: BadInput, Text: fmt.Sprintf("--file: %v", err)}
+		return doc, &Failure{Code: BadInput, Text: fmt.Sprintf("--file: %v", err)}
 	}
-	doc, problems := codec.Parse(file, data)
 	if len(problems) > 0 {
 		lines := make([]string, 0, len(problems))
 		for _, p := range problems {
