runner: secrets are checked at the start; completion scripts are clean

Cause: an empty pepper was accepted; mimosactl printed its usage after a completion script, so that a shell could not evaluate it; no test ran the main job over TLS or sent a body slowly. Change: an empty pepper stops the start like a short operators' token. The parser stops once it has printed a script. Deployments of the demonstration can use TLS.

--- a/internal/adapter/certifier/certifier_test.go
+++ b/internal/adapter/certifier/certifier_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/certifier"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/demonstrator"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/runner"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -144,3 +145,22 @@
 	}, nil)
 	c.Assert(err, qt.ErrorMatches, "set up TLS: .*")
 }
+
+// Guards against a part of the path from caller to back end that does not work over TLS.
+func TestMainJobOverTLS(t *testing.T) {
+	c := qt.New(t)
+	files := newAuthority(c, "own").issue(c.TempDir(), "node", time.Now().Add(time.Hour))
+	plan := demonstrator.DefaultPlan()
+	plan.TLS = loader.TLS{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority}
+	log := &events{}
+	d, err := demonstrator.NewDeployment(plan, log)
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Check(d.Close(), qt.IsNil) }()
+	s := &demonstrator.Session{Deployment: d, Client: demonstrator.NewClient(d), Keys: make(map[string]string)}
+	for _, step := range demonstrator.Steps() {
+		_, err := step.Run(context.Background(), s)
+		c.Assert(err, qt.IsNil, qt.Commentf(step.Name()))
+	}
+	c.Assert(log.count("E1004"), qt.Equals, 0)
+	c.Assert(log.count("E1007"), qt.Equals, 0)
+}
--- a/internal/adapter/httpserver/export_test.go
+++ b/internal/adapter/httpserver/export_test.go
@@ -10,6 +10,9 @@
 // SetHeaderTimeout shortens the time limit for headers, so that a test need not wait for the real one.
 func (s *Server) SetHeaderTimeout(d time.Duration) { s.http.ReadHeaderTimeout = d }
 
+// SetBodyTimeout shortens the time limit for whole requests.
+func (s *Server) SetBodyTimeout(d time.Duration) { s.http.ReadTimeout = d }
+
 // Handler returns the server's router.
 func (s *Server) Handler() http.Handler { return s.http.Handler }
 
--- a/internal/adapter/httpserver/malformed_test.go
+++ b/internal/adapter/httpserver/malformed_test.go
@@ -241,6 +241,19 @@
 	c.Assert(send(c, address, strings.NewReader(request("GET /healthz", "", "", ""))), qt.Contains, "200 ")
 }
 
+// Guards against clients that hold requests by sending their bodies slowly.
+func TestSlowBodiesGetAProblem(t *testing.T) {
+	c := qt.New(t)
+	s := newCallers()
+	s.SetBodyTimeout(50 * time.Millisecond)
+	address := start(c, s)
+	open, end := io.Pipe()
+	defer func() { _ = end.Close() }()
+	begin := "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"
+	c.Assert(send(c, address, io.MultiReader(text(begin), open)), qt.Equals, "408 not-run body-slow: the body did not arrive in 1m0s")
+	c.Assert(send(c, address, text(request("GET /healthz", "", "", ""))), qt.Contains, "200 ")
+}
+
 // Guards against a caller's body that panics, gets no problem or reaches the queue although it is not a request.
 func FuzzCompletionBody(f *testing.F) {
 	for _, seed := range []string{
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -28,8 +28,6 @@
 func Run(ctx context.Context, args []string, out, errOut io.Writer) Code {
 	app := kingpin.New("mimosactl", "Operate a mimosalb deployment.")
 	app.UsageWriter(out).ErrorWriter(errOut)
-	terminated := false
-	app.Terminate(func(int) { terminated = true })
 	o := &options{}
 	app.Flag("address", "URL of an entry's operators' interface.").Default("http://127.0.0.1:8090").
 		Envar("MIMOSA_ADDRESS").StringVar(&o.address)
@@ -46,9 +44,9 @@
 			verbs[v.clause.FullCommand()] = v
 		}
 	}
-	name, err := app.Parse(args)
+	name, done, err := parse(app, args)
 	switch {
-	case terminated:
+	case done:
 		return Done
 	case err != nil:
 		_, _ = fmt.Fprintf(errOut, "mimosactl: %v; see mimosactl --help\n", err)
@@ -63,6 +61,26 @@
 	return codeOf(err)
 }
 
+// terminated unwinds the parser.
+type terminated struct{}
+
+// parse parses args. It reports true when the parser has done all there is to do, as for --help and the completion
+// scripts. The parser expects its Terminate function not to return and would print its usage after a script otherwise.
+func parse(app *kingpin.Application, args []string) (name string, done bool, err error) {
+	app.Terminate(func(int) { panic(terminated{}) })
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case terminated:
+			done = true
+		default:
+			panic(r)
+		}
+	}()
+	name, err = app.Parse(args)
+	return name, false, err
+}
+
 func (o *options) execute(ctx context.Context, v verb, out io.Writer) error {
 	c, err := newClient(o.address, o.token)
 	if err != nil {
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -43,6 +43,15 @@
 	Token time.Duration
 	// Period is the time between probes.
 	Period time.Duration
+	// TLS protects the connections between the processes; the zero value leaves them in plain text.
+	TLS loader.TLS
+}
+
+func (p Plan) tls() loader.TLS {
+	if p.TLS == (loader.TLS{}) {
+		return loader.TLS{Plain: true}
+	}
+	return p.TLS
 }
 
 // Place is an availability zone and its region.
@@ -100,7 +109,7 @@
 			Name: "entry-" + strconv.Itoa(i+1), Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
+			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), TLS: p.tls(),
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
@@ -131,7 +140,7 @@
 func (d *Deployment) startAgent(p Plan, b Back, log *logger.Logger) error {
 	agent, err := runner.StartAgent(loader.Settings{
 		Name: "agent-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
-		Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
+		Period: loader.Duration(p.Period), TLS: p.tls(),
 		Target: loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
 	}, log)
 	if err != nil {
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"os"
 	"sync"
 	"sync/atomic"
 
@@ -48,9 +47,9 @@
 
 // StartEntry starts an entry. Stop ends it.
 func StartEntry(s loader.Settings, log *logger.Logger) (*Entry, error) {
-	pepper, err := os.ReadFile(s.Pepper)
+	pepper, err := readPepper(s.Pepper)
 	if err != nil {
-		return nil, fmt.Errorf("read pepper: %w", err)
+		return nil, err
 	}
 	token, err := operatorToken(s.Operator)
 	if err != nil {
--- a/internal/runner/operator.go
+++ b/internal/runner/secret.go
@@ -21,3 +21,15 @@
 	}
 	return token, nil
 }
+
+// readPepper reads the secret under which keys are hashed. With an empty one, hashes could be computed by anybody.
+func readPepper(file string) ([]byte, error) {
+	pepper, err := os.ReadFile(file) //nolint:gosec // the settings name the file
+	if err != nil {
+		return nil, fmt.Errorf("read pepper: %w", err)
+	}
+	if strings.TrimSpace(string(pepper)) == "" {
+		return nil, fmt.Errorf("read pepper: %s is empty", file)
+	}
+	return pepper, nil
+}
