httpserver: clients that read nothing are cut

Cause: a caller that reads nothing of its answer held its connection, its goroutine and the answer in memory for good, since a stream has no time limit. A test shows that a panic of a handler is a problem of type unknown and that the server goes on. make fuzz runs the four fuzz targets.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 LINT ?= $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: demo test golden lint format build spec bench
+.PHONY: demo test golden lint format build spec bench fuzz
 
 # demo runs the main job on embedded stand-ins.
 demo:
@@ -17,6 +17,13 @@
 golden:
 	$(GO) test $$(git ls-files '*.golden' | sed 's|testdata/.*||; s|^|./|' | sort -u) -update
 
+# fuzz runs each fuzz target for ten seconds.
+fuzz:
+	$(GO) test ./pkg/loader -run '^$$' -fuzz FuzzParse -fuzztime 10s
+	$(GO) test ./internal/adapter/codec -run '^$$' -fuzz FuzzDocument -fuzztime 10s
+	$(GO) test ./internal/adapter/httpserver -run '^$$' -fuzz FuzzCompletionBody -fuzztime 10s
+	$(GO) test ./internal/adapter/engineclient -run '^$$' -fuzz FuzzStream -fuzztime 10s
+
 lint:
 	$(LINT) run ./...
 
--- a/internal/adapter/httpserver/export_test.go
+++ b/internal/adapter/httpserver/export_test.go
@@ -13,6 +13,9 @@
 // SetBodyTimeout shortens the time limit for whole requests.
 func (s *Server) SetBodyTimeout(d time.Duration) { s.http.ReadTimeout = d }
 
+// SetWriteTimeout shortens the time limit for clients that read nothing.
+func (s *Server) SetWriteTimeout(d time.Duration) { s.write = d }
+
 // Handler returns the server's router.
 func (s *Server) Handler() http.Handler { return s.http.Handler }
 
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -22,6 +22,8 @@
 	bodyTimeout = 60 * time.Second
 	// idleTimeout closes connections without requests.
 	idleTimeout = 2 * time.Minute
+	// writeTimeout ends connections whose client reads nothing for so long. A stream has no time limit as a whole.
+	writeTimeout = 30 * time.Second
 	// headerLimit is the largest request header in bytes.
 	headerLimit = 64 << 10
 	// bodyLimit is the largest request body.
@@ -30,8 +32,9 @@
 
 // Server serves one echo router on one listener.
 type Server struct {
-	http *http.Server
-	done sync.WaitGroup
+	http  *http.Server
+	write time.Duration
+	done  sync.WaitGroup
 }
 
 // Route adds the routes of one part of the interface.
@@ -48,7 +51,7 @@
 	for _, r := range routes {
 		r.Register(e)
 	}
-	return &Server{http: &http.Server{
+	return &Server{write: writeTimeout, http: &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
@@ -62,7 +65,7 @@
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
-		_ = s.http.Serve(problemListener{l})
+		_ = s.http.Serve(problemListener{Listener: l, timeout: s.write})
 	}()
 }
 
--- /dev/null
+++ b/internal/adapter/httpserver/server_test.go
@@ -0,0 +1,58 @@
+package httpserver_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/labstack/echo/v4"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
+)
+
+// faulty has a route that never ends its answer and one that panics.
+type faulty struct{ ended chan error }
+
+func (f faulty) Register(e *echo.Echo) {
+	e.GET("/endless", func(c echo.Context) error {
+		for {
+			if _, err := io.Copy(c.Response(), io.LimitReader(zeros{}, 1<<20)); err != nil {
+				f.ended <- err
+				return err
+			}
+		}
+	})
+	e.GET("/panic", func(echo.Context) error { panic("fault of a handler") })
+}
+
+// Guards against callers that hold a connection for good by reading nothing of their answer.
+func TestClientsThatDoNotReadAreCut(t *testing.T) {
+	c := qt.New(t)
+	f := faulty{ended: make(chan error, 1)}
+	s := httpserver.NewServer(health(), f)
+	s.SetWriteTimeout(50 * time.Millisecond)
+	conn, err := net.Dial("tcp", start(c, s))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, request("GET /endless", "", "", ""))
+	c.Assert(err, qt.IsNil)
+	select {
+	case err := <-f.ended:
+		c.Assert(err, qt.ErrorMatches, ".*i/o timeout")
+	case <-time.After(20 * time.Second):
+		c.Fatal("the connection is still open")
+	}
+}
+
+// Guards against a fault of one handler that ends the process, or that is reported as a request that did not run.
+func TestPanicIsAProblem(t *testing.T) {
+	c := qt.New(t)
+	address := start(c, httpserver.NewServer(health(), faulty{}))
+	c.Assert(send(c, address, strings.NewReader(request("GET /panic", "", "", ""))), qt.Equals,
+		"500 unknown internal: "+http.StatusText(http.StatusInternalServerError))
+	c.Assert(send(c, address, strings.NewReader(request("GET /healthz", "", "", ""))), qt.Contains, "200 ")
+}
