httpserver: a panic is a numbered event without its value

Cause: the recovery of echo printed the value of a panic and all stacks to the standard output; a value may hold a prompt. A deployment whose client had opened a connection ahead took 5 s to stop, which is also the time limit of a stop: net/http waits that long for a connection without a request. Change: E1008 carries the stack without the value. The demonstration's client closes what it does not use, and the limit of a stop is above that wait.

--- a/internal/adapter/certifier/certifier_test.go
+++ b/internal/adapter/certifier/certifier_test.go
@@ -157,6 +157,7 @@
 	c.Assert(err, qt.IsNil)
 	defer func() { c.Check(d.Close(), qt.IsNil) }()
 	s := &demonstrator.Session{Deployment: d, Client: demonstrator.NewClient(d), Keys: make(map[string]string)}
+	defer s.Client.Close()
 	for _, step := range demonstrator.Steps() {
 		_, err := step.Run(context.Background(), s)
 		c.Assert(err, qt.IsNil, qt.Commentf(step.Name()))
--- a/internal/adapter/httpserver/api_test.go
+++ b/internal/adapter/httpserver/api_test.go
@@ -52,6 +52,7 @@
 	c.Assert(err, qt.IsNil)
 	defer func() { c.Check(d.Close(), qt.IsNil) }()
 	s := &demonstrator.Session{Deployment: d, Client: demonstrator.NewClient(d), Keys: make(map[string]string)}
+	defer s.Client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	_, err = demonstrator.Steps()[0].Run(ctx, s)
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -34,7 +34,9 @@
 type Server struct {
 	http  *http.Server
 	write time.Duration
-	done  sync.WaitGroup
+	// panicked is called with the stack of a handler that panicked.
+	panicked func(stack string)
+	done     sync.WaitGroup
 }
 
 // Route adds the routes of one part of the interface.
@@ -47,17 +49,31 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = handleError
-	e.Use(middleware.Recover(), middleware.BodyLimit(bodyLimit), traceContext)
+	s := &Server{write: writeTimeout}
+	e.Use(middleware.RecoverWithConfig(middleware.RecoverConfig{LogErrorFunc: s.reportPanic, DisableStackAll: true}),
+		middleware.BodyLimit(bodyLimit), traceContext)
 	for _, r := range routes {
 		r.Register(e)
 	}
-	return &Server{write: writeTimeout, http: &http.Server{
+	s.http = &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		MaxHeaderBytes:    headerLimit,
 		IdleTimeout:       idleTimeout,
-	}}
+	}
+	return s
+}
+
+// OnPanic sets a function that is called with the stack of a handler that panicked. It must be set before Start.
+func (s *Server) OnPanic(f func(stack string)) { s.panicked = f }
+
+// reportPanic passes the stack on. The value of the panic is left out: it may hold a prompt or a key.
+func (s *Server) reportPanic(_ echo.Context, err error, stack []byte) error {
+	if s.panicked != nil {
+		s.panicked(string(stack))
+	}
+	return err
 }
 
 // Start serves connections of l until Stop.
--- a/internal/demonstrator/client.go
+++ b/internal/demonstrator/client.go
@@ -26,10 +26,16 @@
 		callers:   "http://" + d.Entries[0].Callers,
 		operators: "http://" + d.Entries[0].Operators,
 		token:     d.Token,
-		http:      &http.Client{},
+		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}},
 	}
 }
 
+// idleConnections is the number of connections to a listener that stay open between calls.
+const idleConnections = 64
+
+// Close ends the connections that are not in use, which would delay the stop of the deployment.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Reply is a whole answer.
 type Reply struct {
 	Status int
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -36,7 +36,9 @@
 	if err != nil {
 		return err
 	}
-	err = f(&Session{Deployment: d, Client: NewClient(d), Keys: make(map[string]string)})
+	client := NewClient(d)
+	err = f(&Session{Deployment: d, Client: client, Keys: make(map[string]string)})
+	client.Close()
 	if closeErr := d.Close(); err == nil && closeErr != nil {
 		err = fmt.Errorf("stop the deployment: %w", closeErr)
 	}
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -154,8 +154,9 @@
 	return nil
 }
 
-// stopTimeout bounds the drain of each process when a deployment ends.
-const stopTimeout = 5 * time.Second
+// stopTimeout bounds the drain of a deployment's processes when it ends. net/http waits 5 s for a connection on which
+// no request has come yet, and HTTP clients open such connections ahead.
+const stopTimeout = 15 * time.Second
 
 // Close stops every process and removes the deployment's files.
 func (d *Deployment) Close() error {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -32,6 +32,11 @@
 		Action: "give the peer a certificate of the deployment's authority, or find out who connects",
 	}
 
+	HandlerPanicked = Event{
+		Number: 1008, Level: hclog.Error, Text: "handler panicked",
+		Action: "report the stack as a fault of mimosalb; the process goes on",
+	}
+
 	ConfigAdopted = Event{Number: 1101, Level: hclog.Info, Text: "configuration adopted", Action: "none"}
 
 	ListUnavailable = Event{
@@ -47,6 +52,6 @@
 func Events() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, PeersPlain, CertificateReloaded, CertificateUnreadable, PeerRefused,
-		ConfigAdopted, ListUnavailable, TargetSilent, TargetServing,
+		HandlerPanicked, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing,
 	}
 }
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -86,6 +86,9 @@
 	e.callers = httpserver.NewServer(metrics.Listener("callers"), health, httpserver.NewCallers(e.dispatcher, auth, config))
 	e.operators = httpserver.NewServer(
 		metrics.Listener("operators"), health, httpserver.NewGuard(token), httpserver.NewOperators(publish, config, pepper))
+	for _, server := range []*httpserver.Server{e.callers, e.operators} {
+		server.OnPanic(func(stack string) { log.Emit(logger.HandlerPanicked, "stack", stack) })
+	}
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
 	}
--- a/internal/tracer/hops_test.go
+++ b/internal/tracer/hops_test.go
@@ -47,6 +47,7 @@
 	c.Assert(r.Status, qt.Equals, http.StatusOK)
 	// A span ends after the bytes that its hop sends.
 	c.Assert(s.Client.Await(ctx, 5*time.Second, func() bool { return len(spans.GetSpans()) >= 6 }), qt.IsNil)
+	s.Client.Close()
 	c.Assert(d.Close(), qt.IsNil)
 
 	all := spans.GetSpans()
