runner: a stopping entry lingers; metrics only for operators

Change: the setting linger (0 to 20 s) is how long a stopping entry answers 503 on /readyz and still serves. /metrics is on the operators' listener and the agents' health address only.

--- a/internal/adapter/httpserver/health.go
+++ b/internal/adapter/httpserver/health.go
@@ -25,7 +25,8 @@
 	metrics prometheus.Gatherer
 }
 
-// NewHealth returns the health routes. ready tells whether the process takes new work.
+// NewHealth returns the health routes. ready tells whether the process takes new work. Without metrics there is no
+// /metrics: they name teams and services, which callers must not learn.
 func NewHealth(ready func() bool, metrics prometheus.Gatherer) *Health {
 	return &Health{ready: ready, metrics: metrics}
 }
@@ -39,5 +40,8 @@
 		}
 		return c.String(http.StatusOK, "ready\n")
 	})
+	if h.metrics == nil {
+		return
+	}
 	e.GET(pathMetrics, echo.WrapHandler(promhttp.HandlerFor(h.metrics, promhttp.HandlerOpts{})))
 }
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -43,6 +43,8 @@
 	Token time.Duration
 	// Period is the time between probes.
 	Period time.Duration
+	// Linger is how long a stopping entry goes on.
+	Linger time.Duration
 	// TLS protects the connections between the processes; the zero value leaves them in plain text.
 	TLS loader.TLS
 }
@@ -109,7 +111,7 @@
 			Name: "entry-" + strconv.Itoa(i+1), Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), TLS: p.tls(),
+			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Linger: loader.Duration(p.Linger), TLS: p.tls(),
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
@@ -41,6 +42,8 @@
 	callers    *httpserver.Server
 	operators  *httpserver.Server
 	ready      atomic.Bool
+	stopping   atomic.Bool
+	linger     time.Duration
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
 }
@@ -62,7 +65,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{log: log, clock: clock, cancel: cancel}
+	e := &Entry{log: log, clock: clock, cancel: cancel, linger: time.Duration(s.Linger)}
 	e.peers = rpcclient.NewClient(e.clock, peers.client...)
 
 	config := &configurator.Configurator{}
@@ -83,7 +86,8 @@
 	e.task(func() { m.run(ctx) })
 
 	health := e.observe(metrics, config, m.tracker)
-	e.callers = httpserver.NewServer(metrics.Listener("callers"), health, httpserver.NewCallers(e.dispatcher, auth, config))
+	e.callers = httpserver.NewServer(
+		metrics.Listener("callers"), httpserver.NewHealth(e.takesWork, nil), httpserver.NewCallers(e.dispatcher, auth, config))
 	e.operators = httpserver.NewServer(
 		metrics.Listener("operators"), health, httpserver.NewGuard(token), httpserver.NewOperators(publish, config, pepper))
 	for _, server := range []*httpserver.Server{e.callers, e.operators} {
@@ -96,10 +100,12 @@
 	return e, nil
 }
 
-// Stop takes no new requests, waits for the open ones until ctx ends, and ends the process's parts.
+// Stop first says that the entry is not ready and goes on for the time of linger. Then it takes no new requests, waits
+// for the open ones until ctx ends, and ends the process's parts.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.ready.Store(false)
+	e.stopping.Store(true)
 	e.log.Emit(logger.DrainStarted)
+	e.waitLinger(ctx)
 	err := errors.Join(e.callers.Stop(ctx), e.operators.Stop(ctx))
 	e.dispatcher.Close()
 	e.cancel()
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/mimosalb/mimosalb/internal/tracker"
 )
 
-// observe lets the entry's metrics read its parts and returns its health routes.
+// observe lets the entry's metrics read its parts and returns the health routes of the operators' listener.
 func (e *Entry) observe(x *exporter.Entry, config *configurator.Configurator, members *tracker.Tracker) *httpserver.Health {
 	x.Observe(exporter.EntryState{
 		Waiting:     e.dispatcher.Waiting,
@@ -29,7 +29,7 @@
 			return zones
 		},
 	})
-	return httpserver.NewHealth(e.ready.Load, x.Gatherer())
+	return httpserver.NewHealth(e.takesWork, x.Gatherer())
 }
 
 // serveHealth serves the agent's health routes when its settings name an address for them.
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"time"
 )
 
 // checker collects the faults of settings, with the lines of their fields.
@@ -24,6 +25,9 @@
 	if s.Period < 0 {
 		c.add("period", "a duration of zero or more")
 	}
+	if s.Linger < 0 || time.Duration(s.Linger) > MaxLinger {
+		c.add("linger", "a duration from 0s to "+MaxLinger.String())
+	}
 	switch role {
 	case RoleEntry:
 		c.checkNode(s)
--- a/pkg/loader/loader_test.go
+++ b/pkg/loader/loader_test.go
@@ -44,6 +44,7 @@
 		{"field twice", entry + "zone: beaufort\n"},
 		{"unknown field in a group", entry + "target:\n  colour: blue\n"},
 		{"two documents", entry + "---\n" + entry},
+		{"linger beyond the stop", entry + "linger: 1m\n"},
 		{"bad trace receiver", entry + "trace: {otlp: nowhere}\n"},
 		{"not YAML", "name: [\n"},
 		{"zone without region", strings.Replace(entry, "region: south\n", "", 1)},
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -27,6 +27,9 @@
 	Log string `yaml:"log"`
 	// Period is the time between two probes of a peer; zero means DefaultPeriod.
 	Period Duration `yaml:"period"`
+	// Linger is how long a stopping entry answers that it is not ready before it takes no new requests, so that the
+	// balancer takes it out first.
+	Linger Duration `yaml:"linger"`
 	// Workers bounds the requests that run at a time.
 	Workers int      `yaml:"workers"`
 	TLS     TLS      `yaml:"tls"`
@@ -35,6 +38,9 @@
 	Standin *Standin `yaml:"standin"`
 }
 
+// MaxLinger bounds the linger of an entry. A stop takes at most 30 s as a whole, and open requests need the rest.
+const MaxLinger = 20 * time.Second
+
 // DefaultPeriod is the time between two probes when the settings give none.
 const DefaultPeriod = time.Second
 
