--- a/internal/adapter/httpserver/malformed_test.go
+++ b/internal/adapter/httpserver/malformed_test.go
@@ -23,6 +23,7 @@
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/publisher"
+	"github.com/mimosalb/mimosalb/internal/scheduler"
 	"github.com/mimosalb/mimosalb/internal/storer"
 )
 
@@ -36,7 +37,7 @@
 type full struct{}
 
 func (full) Submit(context.Context, dispatcher.Request) (*dispatcher.Answer, dispatcher.Refusal) {
-	return nil, dispatcher.Refusal{Reason: dispatcher.ReasonQueueFull, RetryAfter: time.Second}
+	return nil, dispatcher.Refusal{Reason: scheduler.ReasonFull, RetryAfter: time.Second}
 }
 
 // noStore fails every edit, so that an edit which reaches it was well formed.
--- a/internal/adapter/rpcserver/agent.go
+++ b/internal/adapter/rpcserver/agent.go
@@ -57,6 +57,9 @@
 	for {
 		chunk, changed := stream.Read(args.From)
 		reply.Chunk = chunk
+		if chunk.Done() {
+			a.gate.Collect(args.Attempt)
+		}
 		if len(chunk.Pieces) > 0 || chunk.Done() {
 			return nil
 		}
@@ -71,7 +74,8 @@
 // Settle tells what became of an attempt and rules it out if it was not admitted.
 func (a *Agent) Settle(args messenger.SettleRequest, reply *messenger.SettleReply) error {
 	reply.Envelope = args.Envelope
-	reply.Settlement, _ = a.gate.Settle(args.Attempt, args.Incarnation, a.clock.Now())
+	offer := gatekeeper.Offer{Attempt: args.Attempt, Incarnation: args.Incarnation, Issued: args.Issued}
+	reply.Settlement = a.gate.Settle(offer, a.clock.Now())
 	return nil
 }
 
@@ -79,6 +83,7 @@
 func (a *Agent) Cancel(args messenger.CancelRequest, reply *messenger.CancelReply) error {
 	reply.Envelope = args.Envelope
 	a.runs.Cancel(args.Attempt)
+	a.gate.Collect(args.Attempt)
 	return nil
 }
 
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -9,11 +9,13 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/runner"
+	"github.com/mimosalb/mimosalb/internal/standin/link"
 	"github.com/mimosalb/mimosalb/internal/standin/platform"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
@@ -43,8 +45,10 @@
 	Token time.Duration
 	// Period is the time between probes.
 	Period time.Duration
-	// Linger is how long a stopping entry goes on.
+	// Linger is how long a stopping entry goes on; zero means two periods.
 	Linger time.Duration
+	// Linked puts a link stand-in between the entries and each agent.
+	Linked bool
 	// TLS protects the connections between the processes; the zero value leaves them in plain text.
 	TLS loader.TLS
 }
@@ -69,14 +73,19 @@
 	Entries []*runner.Entry
 	// Token is the operators' bearer token.
 	Token string
+	// Links holds the link to each agent by the name of its back end.
+	Links map[string]*link.Link
 
+	plan   Plan
+	log    *logger.Logger
 	folder string
 }
 
 // NewDeployment starts the stand-ins, agents and entries of a plan. Close ends them.
 func NewDeployment(p Plan, log io.Writer) (*Deployment, error) {
-	d := &Deployment{Agents: make(map[string]*runner.Agent)}
-	err := d.start(p, logger.NewLogger("demo", "info", log))
+	d := &Deployment{Agents: make(map[string]*runner.Agent), Links: make(map[string]*link.Link), plan: p}
+	d.log = logger.NewLogger("demo", "info", log)
+	err := d.start(p, d.log)
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
@@ -102,13 +111,14 @@
 		return err
 	}
 	for _, b := range p.Backs {
-		if err := d.startAgent(p, b, log); err != nil {
+		if err := d.startAgent(p, b); err != nil {
 			return err
 		}
 	}
 	for i, place := range p.Entries {
+		name := "entry-" + strconv.Itoa(i+1)
 		entry, err := runner.StartEntry(loader.Settings{
-			Name: "entry-" + strconv.Itoa(i+1), Zone: place.Zone, Region: place.Region,
+			Name: name, Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
 			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Linger: loader.Duration(p.Linger), TLS: p.tls(),
@@ -117,6 +127,9 @@
 			return fmt.Errorf("start entry: %w", err)
 		}
 		d.Entries = append(d.Entries, entry)
+		d.Standin.Platform.AddVM(platform.VM{
+			Name: name, Role: "entry", Zone: place.Zone, Region: place.Region, State: "live", Address: entry.Peers,
+		})
 	}
 	return nil
 }
@@ -139,23 +152,71 @@
 	return nil
 }
 
-func (d *Deployment) startAgent(p Plan, b Back, log *logger.Logger) error {
+func (d *Deployment) startAgent(p Plan, b Back) error {
+	agent, err := d.runAgent(b)
+	if err != nil {
+		return err
+	}
+	address := agent.Peers
+	if p.Linked {
+		if d.Links[b.Name], err = link.NewLink(agent.Peers); err != nil {
+			return fmt.Errorf("start link: %w", err)
+		}
+		address = d.Links[b.Name].Address()
+	}
+	d.Standin.Platform.AddVM(platform.VM{
+		Name: "vm-" + b.Name, Role: "target", Zone: b.Zone, Region: b.Region, State: "live",
+		Address: address, Service: b.Service, Target: b.Name,
+	})
+	return nil
+}
+
+// runAgent starts the process of the agent beside a back end.
+func (d *Deployment) runAgent(b Back) (*runner.Agent, error) {
 	agent, err := runner.StartAgent(loader.Settings{
 		Name: "agent-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
-		Period: loader.Duration(p.Period), TLS: p.tls(),
+		Period: loader.Duration(d.plan.Period), TLS: d.plan.tls(),
 		Target: loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
-	}, log)
+	}, d.log)
 	if err != nil {
-		return fmt.Errorf("start agent: %w", err)
+		return nil, fmt.Errorf("start agent: %w", err)
 	}
 	d.Agents[b.Name] = agent
-	d.Standin.Platform.AddVM(platform.VM{
-		Name: "vm-" + b.Name, Role: "target", Zone: b.Zone, Region: b.Region, State: "live",
-		Address: agent.Peers, Service: b.Service, Target: b.Name,
-	})
+	return agent, nil
+}
+
+// StopAgent stops the agent beside a back end. When ctx has ended before, it dies in the middle of its work.
+func (d *Deployment) StopAgent(ctx context.Context, name string) error {
+	agent := d.Agents[name]
+	delete(d.Agents, name)
+	if l := d.Links[name]; l != nil && ctx.Err() != nil {
+		defer l.Cut()
+	}
+	return agent.Stop(ctx) //nolint:wrapcheck // the agent names itself
+}
+
+// RestartAgent starts the agent of a linked deployment anew, with an empty ledger.
+func (d *Deployment) RestartAgent(name string) error {
+	for _, b := range d.plan.Backs {
+		if b.Name != name {
+			continue
+		}
+		agent, err := d.runAgent(b)
+		if err != nil {
+			return err
+		}
+		d.Links[name].Lead(agent.Peers)
+	}
 	return nil
 }
 
+// StopEntry stops an entry and forgets it. When ctx has ended before, it dies in the middle of its work.
+func (d *Deployment) StopEntry(ctx context.Context, i int) error {
+	entry := d.Entries[i]
+	d.Entries = slices.Delete(d.Entries, i, i+1)
+	return entry.Stop(ctx) //nolint:wrapcheck // the entry names itself
+}
+
 // stopTimeout bounds the drain of a deployment's processes when it ends. net/http waits 5 s for a connection on which
 // no request has come yet, and HTTP clients open such connections ahead.
 const stopTimeout = 15 * time.Second
@@ -171,6 +232,9 @@
 	for _, a := range d.Agents {
 		err = errors.Join(err, a.Stop(ctx))
 	}
+	for _, l := range d.Links {
+		l.Close()
+	}
 	if d.Standin != nil {
 		err = errors.Join(err, d.Standin.Stop(ctx))
 	}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -84,13 +84,10 @@
 	return a, nil
 }
 
-// Stop takes no new attempts, waits for the running ones until ctx ends, and ends the process's parts.
+// Stop drains the agent until ctx ends, and ends the process's parts.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.log.Emit(logger.DrainStarted)
-	select {
-	case <-a.gate.Drain():
-	case <-ctx.Done():
-	}
+	a.drain(ctx)
 	err := a.server.Close()
 	if a.health != nil {
 		err = errors.Join(err, a.health.Stop(ctx))
@@ -100,6 +97,9 @@
 	return err
 }
 
+// Load returns the number of running attempts and whether the agent is draining.
+func (a *Agent) Load() (running int, draining bool) { return a.gate.Load() }
+
 // close ends what runs below the server.
 func (a *Agent) close() {
 	a.runs.Close()
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -16,10 +16,13 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
+	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/publisher"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -34,16 +37,24 @@
 	// Callers and Operators are the addresses that the entry listens on.
 	Callers   string
 	Operators string
+	// Peers is the address at which other entries reach this one.
+	Peers string
 
 	log        *logger.Logger
 	clock      *timer.System
 	peers      *rpcclient.Client
 	dispatcher *dispatcher.Dispatcher
+	claims     *claimer.Claimer
+	isolator   *isolator.Isolator
+	others     atomic.Pointer[[]string]
+	server     *rpcserver.Server
+	serving    []rpcserver.Option
 	callers    *httpserver.Server
 	operators  *httpserver.Server
 	ready      atomic.Bool
 	stopping   atomic.Bool
 	linger     time.Duration
+	period     time.Duration
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
 }
@@ -65,7 +76,9 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{log: log, clock: clock, cancel: cancel, linger: time.Duration(s.Linger)}
+	e := &Entry{
+		log: log, clock: clock, period: period(s), linger: time.Duration(s.Linger), serving: peers.server, cancel: cancel,
+	}
 	e.peers = rpcclient.NewClient(e.clock, peers.client...)
 
 	config := &configurator.Configurator{}
@@ -75,7 +88,11 @@
 	publish := publisher.NewPublisher(store, codec.Form{}, config, e.clock)
 	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
 	metrics := exporter.NewEntry()
-	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route, dispatcher.WithEnded(metrics.Ended))
+	e.claims = claimer.NewClaimer(store, codec.ClaimForm{}, e.clock)
+	e.isolator = &isolator.Isolator{}
+	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route,
+		dispatcher.WithEnded(metrics.Ended), dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator),
+		dispatcher.WithHeld(e.warn))
 
 	m := &membership{
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
@@ -84,10 +101,11 @@
 	e.task(func() { publish.Follow(ctx) })
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
+	e.task(func() { e.shareEvidence(ctx, m.platform) })
 
 	health := e.observe(metrics, config, m.tracker)
 	e.callers = httpserver.NewServer(
-		metrics.Listener("callers"), httpserver.NewHealth(e.takesWork, nil), httpserver.NewCallers(e.dispatcher, auth, config))
+		metrics.Listener("callers"), httpserver.NewHealth(e.accepts, nil), httpserver.NewCallers(e.dispatcher, auth, config))
 	e.operators = httpserver.NewServer(
 		metrics.Listener("operators"), health, httpserver.NewGuard(token), httpserver.NewOperators(publish, config, pepper))
 	for _, server := range []*httpserver.Server{e.callers, e.operators} {
@@ -100,16 +118,16 @@
 	return e, nil
 }
 
-// Stop first says that the entry is not ready and goes on for the time of linger. Then it takes no new requests, waits
+// Stop first says that the entry is not ready and goes on until the balancer has noticed. Then it takes no new requests, waits
 // for the open ones until ctx ends, and ends the process's parts.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.stopping.Store(true)
 	e.log.Emit(logger.DrainStarted)
-	e.waitLinger(ctx)
-	err := errors.Join(e.callers.Stop(ctx), e.operators.Stop(ctx))
+	err := e.drain(ctx)
 	e.dispatcher.Close()
+	e.claims.Close()
 	e.cancel()
 	e.tasks.Wait()
+	err = errors.Join(err, e.closePeers())
 	e.peers.Close()
 	e.clock.Close()
 	e.log.Emit(logger.ProcessStopped)
@@ -126,6 +144,9 @@
 		_ = callers.Close()
 		return fmt.Errorf("listen for operators: %w", err)
 	}
+	if err := e.servePeers(s); err != nil {
+		return errors.Join(err, callers.Close(), operators.Close())
+	}
 	e.Callers, e.Operators = callers.Addr().String(), operators.Addr().String()
 	e.callers.Start(callers)
 	e.operators.Start(operators)
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -29,7 +29,7 @@
 			return zones
 		},
 	})
-	return httpserver.NewHealth(e.takesWork, x.Gatherer())
+	return httpserver.NewHealth(e.accepts, x.Gatherer())
 }
 
 // serveHealth serves the agent's health routes when its settings name an address for them.
--- a/operations_test.go
+++ b/operations_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -35,13 +37,22 @@
 
 var port = regexp.MustCompile(`\b17[0-9]{3}\b`)
 
+// The free ports lie below those that the system gives to listeners and connections that ask for any, so that no other
+// test takes one between the check and its use.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
 func (f freePorts) replace(c *qt.C, text string) string {
 	return port.ReplaceAllStringFunc(text, func(p string) string {
-		if f[p] == "" {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			c.Assert(err, qt.IsNil)
-			_, f[p], _ = net.SplitHostPort(l.Addr().String())
-			c.Assert(l.Close(), qt.IsNil)
+		for f[p] == "" {
+			candidate := strconv.Itoa(firstPort + rand.IntN(lastPort-firstPort))
+			l, err := net.Listen("tcp", "127.0.0.1:"+candidate)
+			if err == nil {
+				c.Assert(l.Close(), qt.IsNil)
+				f[p] = candidate
+			}
 		}
 		return f[p]
 	})
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -28,7 +28,7 @@
 	// Period is the time between two probes of a peer; zero means DefaultPeriod.
 	Period Duration `yaml:"period"`
 	// Linger is how long a stopping entry answers that it is not ready before it takes no new requests, so that the
-	// balancer takes it out first.
+	// balancer takes it out first; zero means two periods.
 	Linger Duration `yaml:"linger"`
 	// Workers bounds the requests that run at a time.
 	Workers int      `yaml:"workers"`
