--- a/internal/adapter/httpserver/malformed_test.go
+++ b/internal/adapter/httpserver/malformed_test.go
@@ -22,7 +22,9 @@
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/publisher"
+	"github.com/mimosalb/mimosalb/internal/reporter"
 	"github.com/mimosalb/mimosalb/internal/scheduler"
 	"github.com/mimosalb/mimosalb/internal/storer"
 )
@@ -47,6 +49,13 @@
 	return publisher.Result{Edit: configurator.Accepted, Outcome: storer.Unavailable}
 }
 
+// noWindows knows no usage window.
+type noWindows struct{}
+
+func (noWindows) Marks(context.Context) (closed, done meter.Window, ok bool) { return 0, 0, false }
+
+func (noWindows) Overview(context.Context, meter.Window) ([]reporter.Row, bool) { return nil, false }
+
 func config() *configurator.Configurator {
 	conf := &configurator.Configurator{}
 	conf.Adopt(configurator.Document{}.WithRevision(1).
@@ -67,7 +76,8 @@
 }
 
 func newOperators() *httpserver.Server {
-	return httpserver.NewServer(health(), httpserver.NewGuard(token), httpserver.NewOperators(noStore{}, config(), []byte(pepper)))
+	return httpserver.NewServer(health(), httpserver.NewGuard(token), httpserver.NewOperators(noStore{}, config(), []byte(pepper)),
+		httpserver.NewUsageOperators(noWindows{}, meter.Calendar{}))
 }
 
 func health() *httpserver.Health {
@@ -220,6 +230,8 @@
 		{"body of 100 MB", huge(line, token, false)},
 		{"chunked body of 100 MB", io.MultiReader(huge("PUT /v1/config", token+"\r\nIf-Match: 1", true))},
 		{"wrong method", text(request("DELETE /v1/config", token, "", ""))},
+		{"window that is no number", text(request("GET /v1/windows/last", token, "", ""))},
+		{"usage without a known window", text(request("GET /v1/usage", token, "", ""))},
 		{"truncated JSON of a key", text(request("POST /v1/keys", token, "", `{"name":`))},
 		{"unknown field of a key", text(request("POST /v1/keys", token, "", `{"name":"a","team":"b","role":"c"}`))},
 	}...))
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -49,6 +49,8 @@
 	Linger time.Duration
 	// Linked puts a link stand-in between the entries and each agent.
 	Linked bool
+	// Usage is the timing of usage reports.
+	Usage loader.Usage
 	// TLS protects the connections between the processes; the zero value leaves them in plain text.
 	TLS loader.TLS
 }
@@ -75,6 +77,8 @@
 	Token string
 	// Links holds the link to each agent by the name of its back end.
 	Links map[string]*link.Link
+	// Usage is the timing of usage reports.
+	Usage loader.Usage
 
 	plan   Plan
 	log    *logger.Logger
@@ -83,7 +87,9 @@
 
 // NewDeployment starts the stand-ins, agents and entries of a plan. Close ends them.
 func NewDeployment(p Plan, log io.Writer) (*Deployment, error) {
-	d := &Deployment{Agents: make(map[string]*runner.Agent), Links: make(map[string]*link.Link), plan: p}
+	d := &Deployment{
+		Agents: make(map[string]*runner.Agent), Links: make(map[string]*link.Link), Usage: p.Usage, plan: p,
+	}
 	d.log = logger.NewLogger("demo", "info", log)
 	err := d.start(p, d.log)
 	if err != nil {
@@ -121,7 +127,8 @@
 			Name: name, Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Linger: loader.Duration(p.Linger), TLS: p.tls(),
+			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Linger: loader.Duration(p.Linger),
+			Usage: p.Usage, TLS: p.tls(),
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
@@ -219,7 +226,7 @@
 
 // stopTimeout bounds the drain of a deployment's processes when it ends. net/http waits 5 s for a connection on which
 // no request has come yet, and HTTP clients open such connections ahead.
-const stopTimeout = 15 * time.Second
+const stopTimeout = 7 * time.Second
 
 // Close stops every process and removes the deployment's files.
 func (d *Deployment) Close() error {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -39,6 +39,8 @@
 	attempts int
 	ran      bool
 	used     []identifier.Target
+	// tried holds the target of each attempt by its number.
+	tried []router.Target
 	// entered are the targets that the job keeps other suspected requests away from.
 	entered  []identifier.Target
 	claim    claimer.Claim
@@ -84,7 +86,7 @@
 	j.answer.finish(result)
 	j.cancel()
 	for _, f := range d.ended {
-		f(Ended{Request: j.request, Result: result})
+		f(Ended{Request: j.request, Result: result, Tried: j.tried})
 	}
 	d.open.end()
 }
--- a/internal/dispatcher/progress.go
+++ b/internal/dispatcher/progress.go
@@ -62,6 +62,7 @@
 	if discard {
 		before = p.tokens - p.last.Tokens
 	}
+	final.Resumed = before
 	final.Prompt -= before
 	return final
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -41,6 +41,7 @@
 	pool   *worker.Pool[job]
 	jobs   container.Table[container.Connection, identifier.Attempt, job]
 	seen   isolator.Witness
+	region identifier.Region
 	ended  []func(Ended)
 }
 
@@ -56,13 +57,16 @@
 	Attempt identifier.Attempt
 	Call    Call
 	Final   streamer.Final
-	Took    time.Duration
 }
 
 // Option sets a property of an Executor.
 type Option func(*Executor)
 
-// WithEnded adds a function that is called after each attempt.
+// WithRegion sets the region of the target. Calls from other regions are charged by volume.
+func WithRegion(r identifier.Region) Option { return func(e *Executor) { e.region = r } }
+
+// WithEnded adds a function that is called after each attempt and before its final record can be read, so that the
+// reader of the record finds whatever the function kept.
 func WithEnded(f func(Ended)) Option { return func(e *Executor) { e.ended = append(e.ended, f) } }
 
 // NewExecutor starts size workers that run what gate admits on target.
@@ -156,10 +160,16 @@
 
 func (e *Executor) finish(j job, final streamer.Final, took time.Duration) {
 	j.cancel(nil)
+	final, size := j.stream.Counted(final)
+	cross := identifier.Bytes(0)
+	if from := j.call.Origin.Region; from != "" && from != e.region {
+		cross = j.call.Size() + size
+	}
+	final = final.WithUsage(took, cross)
+	for _, f := range e.ended {
+		f(Ended{Attempt: j.attempt, Call: j.call, Final: final})
+	}
 	e.jobs.Delete(j.attempt)
 	e.gate.End(j.attempt, e.clock.Now())
 	j.stream.Finish(final)
-	for _, f := range e.ended {
-		f(Ended{Attempt: j.attempt, Call: j.call, Final: final, Took: took})
-	}
 }
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -45,6 +45,13 @@
 	TargetSilent = Event{
 		Number: 1302, Level: hclog.Warn, Text: "agent does not answer", Action: "check the target's VM if it lasts",
 	}
+	MeterDeposed = Event{
+		Number: 1701, Level: hclog.Error, Text: "usage records taken over by another entry", Action: "restart the entry; what it counts is taken over",
+	}
+	ReportDelayed = Event{
+		Number: 1702, Level: hclog.Warn, Text: "usage report delayed", Action: "check the key-value service and the usage intake if it lasts",
+	}
+
 	TargetServing = Event{Number: 1303, Level: hclog.Info, Text: "agent answers", Action: "none"}
 )
 
@@ -53,5 +60,6 @@
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, PeersPlain, CertificateReloaded, CertificateUnreadable, PeerRefused,
 		HandlerPanicked, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing,
+		MeterDeposed, ReportDelayed,
 	}
 }
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -90,9 +90,10 @@
 	metrics := exporter.NewEntry()
 	e.claims = claimer.NewClaimer(store, codec.ClaimForm{}, e.clock)
 	e.isolator = &isolator.Isolator{}
-	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route,
-		dispatcher.WithEnded(metrics.Ended), dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator),
-		dispatcher.WithHeld(e.warn))
+	use := newUsage(s, e.clock, log, store, e.peers, config)
+	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, use.wrap(rpcclient.NewAgents(e.peers)), config, route,
+		dispatcher.WithEnded(metrics.Ended), dispatcher.WithEnded(use.ended), dispatcher.WithClaims(e.claims),
+		dispatcher.WithIsolator(e.isolator), dispatcher.WithHeld(e.warn))
 
 	m := &membership{
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
@@ -102,12 +103,15 @@
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
 	e.task(func() { e.shareEvidence(ctx, m.platform) })
+	e.task(func() { use.flush(ctx) })
+	e.task(func() { use.report(ctx) })
 
 	health := e.observe(metrics, config, m.tracker)
 	e.callers = httpserver.NewServer(
 		metrics.Listener("callers"), httpserver.NewHealth(e.accepts, nil), httpserver.NewCallers(e.dispatcher, auth, config))
 	e.operators = httpserver.NewServer(
-		metrics.Listener("operators"), health, httpserver.NewGuard(token), httpserver.NewOperators(publish, config, pepper))
+		metrics.Listener("operators"), health, httpserver.NewGuard(token), httpserver.NewOperators(publish, config, pepper),
+		httpserver.NewUsageOperators(use.reporter, use.calendar))
 	for _, server := range []*httpserver.Server{e.callers, e.operators} {
 		server.OnPanic(func(stack string) { log.Emit(logger.HandlerPanicked, "stack", stack) })
 	}
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -28,6 +28,9 @@
 	if s.Linger < 0 || time.Duration(s.Linger) > MaxLinger {
 		c.add("linger", "a duration from 0s to "+MaxLinger.String())
 	}
+	if s.Usage.Window < 0 || s.Usage.Grace < 0 || s.Usage.Flush < 0 {
+		c.add("usage", "durations of zero or more")
+	}
 	switch role {
 	case RoleEntry:
 		c.checkNode(s)
