--- a/internal/adapter/httpserver/malformed_test.go
+++ b/internal/adapter/httpserver/malformed_test.go
@@ -22,7 +22,9 @@
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/publisher"
+	"github.com/mimosalb/mimosalb/internal/reporter"
 	"github.com/mimosalb/mimosalb/internal/scheduler"
 	"github.com/mimosalb/mimosalb/internal/storer"
 )
@@ -47,6 +49,13 @@
 	return publisher.Result{Edit: configurator.Accepted, Outcome: storer.Unavailable}
 }
 
+// noWindows knows no usage window.
+type noWindows struct{}
+
+func (noWindows) Marks(context.Context) (closed, done meter.Window, ok bool) { return 0, 0, false }
+
+func (noWindows) Overview(context.Context, meter.Window) ([]reporter.Row, bool) { return nil, false }
+
 func config() *configurator.Configurator {
 	conf := &configurator.Configurator{}
 	conf.Adopt(configurator.Document{}.WithRevision(1).
@@ -67,7 +76,8 @@
 }
 
 func newOperators() *httpserver.Server {
-	return httpserver.NewServer(health(), httpserver.NewGuard(token), httpserver.NewOperators(noStore{}, config(), []byte(pepper)))
+	return httpserver.NewServer(health(), httpserver.NewGuard(token), httpserver.NewOperators(noStore{}, config(), []byte(pepper)),
+		httpserver.NewUsageOperators(noWindows{}, meter.Calendar{}))
 }
 
 func health() *httpserver.Health {
@@ -220,6 +230,8 @@
 		{"body of 100 MB", huge(line, token, false)},
 		{"chunked body of 100 MB", io.MultiReader(huge("PUT /v1/config", token+"\r\nIf-Match: 1", true))},
 		{"wrong method", text(request("DELETE /v1/config", token, "", ""))},
+		{"window that is no number", text(request("GET /v1/windows/last", token, "", ""))},
+		{"usage without a known window", text(request("GET /v1/usage", token, "", ""))},
 		{"truncated JSON of a key", text(request("POST /v1/keys", token, "", `{"name":`))},
 		{"unknown field of a key", text(request("POST /v1/keys", token, "", `{"name":"a","team":"b","role":"c"}`))},
 	}...))
@@ -242,6 +254,19 @@
 	c.Assert(send(c, address, strings.NewReader(request("GET /healthz", "", "", ""))), qt.Contains, "200 ")
 }
 
+// Guards against clients that hold requests by sending their bodies slowly.
+func TestSlowBodiesGetAProblem(t *testing.T) {
+	c := qt.New(t)
+	s := newCallers()
+	s.SetBodyTimeout(50 * time.Millisecond)
+	address := start(c, s)
+	open, end := io.Pipe()
+	defer func() { _ = end.Close() }()
+	begin := "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"
+	c.Assert(send(c, address, io.MultiReader(text(begin), open)), qt.Equals, "408 not-run body-slow: the body did not arrive in 1m0s")
+	c.Assert(send(c, address, text(request("GET /healthz", "", "", ""))), qt.Contains, "200 ")
+}
+
 // Guards against a caller's body that panics, gets no problem or reaches the queue although it is not a request.
 func FuzzCompletionBody(f *testing.F) {
 	for _, seed := range []string{
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -22,6 +22,8 @@
 	bodyTimeout = 60 * time.Second
 	// idleTimeout closes connections without requests.
 	idleTimeout = 2 * time.Minute
+	// writeTimeout ends connections whose client reads nothing for so long. A stream has no time limit as a whole.
+	writeTimeout = 30 * time.Second
 	// headerLimit is the largest request header in bytes.
 	headerLimit = 64 << 10
 	// bodyLimit is the largest request body.
@@ -30,8 +32,11 @@
 
 // Server serves one echo router on one listener.
 type Server struct {
-	http *http.Server
-	done sync.WaitGroup
+	http  *http.Server
+	write time.Duration
+	// panicked is called with the stack of a handler that panicked.
+	panicked func(stack string)
+	done     sync.WaitGroup
 }
 
 // Route adds the routes of one part of the interface.
@@ -44,17 +49,31 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = handleError
-	e.Use(middleware.Recover(), middleware.BodyLimit(bodyLimit), traceContext)
+	s := &Server{write: writeTimeout}
+	e.Use(middleware.RecoverWithConfig(middleware.RecoverConfig{LogErrorFunc: s.reportPanic, DisableStackAll: true}),
+		middleware.BodyLimit(bodyLimit), traceContext)
 	for _, r := range routes {
 		r.Register(e)
 	}
-	return &Server{http: &http.Server{
+	s.http = &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		MaxHeaderBytes:    headerLimit,
 		IdleTimeout:       idleTimeout,
-	}}
+	}
+	return s
+}
+
+// OnPanic sets a function that is called with the stack of a handler that panicked. It must be set before Start.
+func (s *Server) OnPanic(f func(stack string)) { s.panicked = f }
+
+// reportPanic passes the stack on. The value of the panic is left out: it may hold a prompt or a key.
+func (s *Server) reportPanic(_ echo.Context, err error, stack []byte) error {
+	if s.panicked != nil {
+		s.panicked(string(stack))
+	}
+	return err
 }
 
 // Start serves connections of l until Stop.
@@ -62,7 +81,7 @@
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
-		_ = s.http.Serve(problemListener{l})
+		_ = s.http.Serve(problemListener{Listener: l, timeout: s.write})
 	}()
 }
 
--- a/internal/adapter/httpserver/windows.go
+++ b/internal/adapter/httpserver/windows.go
@@ -35,6 +35,7 @@
 func (u *UsageOperators) Register(e *echo.Echo) {
 	e.GET("/v1/windows", u.list)
 	e.GET("/v1/windows/:window", u.show)
+	e.GET("/v1/usage", u.rows)
 }
 
 type windowsReply struct {
@@ -65,19 +66,24 @@
 const listWindows = 5
 
 func (u *UsageOperators) list(c echo.Context) error {
-	closed, done, ok := u.windows.Marks(c.Request().Context())
+	reply, ok := u.recent(c.Request().Context())
 	if !ok {
 		return refused(http.StatusServiceUnavailable, "store-unavailable", "no usage window is known").write(c, storeRetry)
 	}
+	return c.JSON(http.StatusOK, reply)
+}
+
+// recent returns the last windows; false when the key-value service does not answer.
+func (u *UsageOperators) recent(ctx context.Context) (windowsReply, bool) {
+	closed, done, ok := u.windows.Marks(ctx)
 	reply := windowsReply{Closed: closed, Done: done}
-	for w := max(done-listWindows+2, 0); w <= done+1; w++ {
-		window, ok := u.window(c.Request().Context(), w)
-		if !ok {
-			return refused(http.StatusServiceUnavailable, "store-unavailable", "").write(c, storeRetry)
+	for w := max(done-listWindows+2, 0); ok && w <= done+1; w++ {
+		var window windowReply
+		if window, ok = u.window(ctx, w); ok {
+			reply.Windows = append(reply.Windows, window)
 		}
-		reply.Windows = append(reply.Windows, window)
 	}
-	return c.JSON(http.StatusOK, reply)
+	return reply, ok
 }
 
 func (u *UsageOperators) show(c echo.Context) error {
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -45,6 +45,8 @@
 	Token time.Duration
 	// Period is the time between probes.
 	Period time.Duration
+	// Linger is how long a stopping entry goes on; zero means two periods.
+	Linger time.Duration
 	// Linked puts a link stand-in between the entries and each agent.
 	Linked bool
 	// Usage is the timing of usage reports.
@@ -53,6 +55,15 @@
 	KeyGrace time.Duration
 	// Orders says how the entries order targets.
 	Orders loader.Orders
+	// TLS protects the connections between the processes; the zero value leaves them in plain text.
+	TLS loader.TLS
+}
+
+func (p Plan) tls() loader.TLS {
+	if p.TLS == (loader.TLS{}) {
+		return loader.TLS{Plain: true}
+	}
+	return p.TLS
 }
 
 // Place is an availability zone and its region.
@@ -120,9 +131,8 @@
 			Name: name, Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Usage: p.Usage, Orders: p.Orders,
-			KeyGrace: loader.Duration(p.KeyGrace),
-			TLS:      loader.TLS{Plain: true},
+			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Linger: loader.Duration(p.Linger),
+			Usage: p.Usage, Orders: p.Orders, KeyGrace: loader.Duration(p.KeyGrace), TLS: p.tls(),
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
@@ -176,7 +186,7 @@
 func (d *Deployment) runAgent(b Back) (*runner.Agent, error) {
 	agent, err := runner.StartAgent(loader.Settings{
 		Name: "agent-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
-		Period: loader.Duration(d.plan.Period), TLS: loader.TLS{Plain: true},
+		Period: loader.Duration(d.plan.Period), TLS: d.plan.tls(),
 		Target: loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
 	}, d.log)
 	if err != nil {
@@ -218,8 +228,9 @@
 	return entry.Stop(ctx) //nolint:wrapcheck // the entry names itself
 }
 
-// stopTimeout bounds the drain of each process when a deployment ends.
-const stopTimeout = 5 * time.Second
+// stopTimeout bounds the drain of a deployment's processes when it ends. net/http waits 5 s for a connection on which
+// no request has come yet, and HTTP clients open such connections ahead.
+const stopTimeout = 7 * time.Second
 
 // Close stops every process and removes the deployment's files.
 func (d *Deployment) Close() error {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -32,6 +32,11 @@
 		Action: "give the peer a certificate of the deployment's authority, or find out who connects",
 	}
 
+	HandlerPanicked = Event{
+		Number: 1008, Level: hclog.Error, Text: "handler panicked",
+		Action: "report the stack as a fault of mimosalb; the process goes on",
+	}
+
 	ConfigAdopted   = Event{Number: 1101, Level: hclog.Info, Text: "configuration adopted", Action: "none"}
 	DocumentRefused = Event{
 		Number: 1102, Level: hclog.Error, Text: "relayed document refused",
@@ -84,7 +89,7 @@
 func Events() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, PeersPlain, CertificateReloaded, CertificateUnreadable, PeerRefused,
-		ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
+		HandlerPanicked, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
 		ListUnavailable, TargetSilent, TargetServing, ParentSilent,
 		TargetNotDrained, TargetNotStarted, OrderRefused, OrdersHeld, MeterDeposed, ReportDelayed,
 	}
--- a/internal/runner/drain.go
+++ b/internal/runner/drain.go
@@ -14,7 +14,8 @@
 	// collectTime bounds the wait for entries to read the ends of streams. Entries read all the time; one that has not
 	// done so for this long is gone.
 	collectTime = 2 * time.Second
-	// noticePeriods is how many periods an entry that is not ready goes on serving, so that the balancer sees it first.
+	// noticePeriods is how many periods an entry that is not ready goes on serving, so that the balancer sees it first,
+	// when the settings name no linger.
 	noticePeriods = 2
 )
 
@@ -50,10 +51,18 @@
 // accepts reports whether the entry takes new work.
 func (e *Entry) accepts() bool { return e.ready.Load() && !e.stopping.Load() }
 
+// notice is how long the entry goes on serving after it is not ready.
+func (e *Entry) notice() time.Duration {
+	if e.linger > 0 {
+		return e.linger
+	}
+	return noticePeriods * e.period
+}
+
 // drain turns the entry not ready, goes on serving until the balancer has noticed, and then finishes what it accepted.
 func (e *Entry) drain(ctx context.Context) error {
 	e.stopping.Store(true)
-	notice := e.clock.After(noticePeriods * e.period)
+	notice := e.clock.After(e.notice())
 	defer notice.Stop()
 	select {
 	case <-notice.C():
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +51,7 @@
 	operators  *httpserver.Server
 	ready      atomic.Bool
 	stopping   atomic.Bool
+	linger     time.Duration
 	period     time.Duration
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
@@ -59,9 +59,9 @@
 
 // StartEntry starts an entry. Stop ends it.
 func StartEntry(s loader.Settings, log *logger.Logger) (*Entry, error) {
-	pepper, err := os.ReadFile(s.Pepper)
+	pepper, err := readPepper(s.Pepper)
 	if err != nil {
-		return nil, fmt.Errorf("read pepper: %w", err)
+		return nil, err
 	}
 	token, err := operatorToken(s.Operator)
 	if err != nil {
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{log: log, clock: clock, period: period(s), cancel: cancel}
+	e := &Entry{log: log, clock: clock, period: period(s), linger: time.Duration(s.Linger), cancel: cancel}
 	e.peers = rpcclient.NewClient(e.clock, peers.client...)
 
 	config := &configurator.Configurator{}
@@ -124,10 +124,14 @@
 	e.task(func() { order.run(ctx) })
 
 	health := e.observe(metrics, config, m.tracker)
-	e.callers = httpserver.NewServer(metrics.Listener("callers"), health, httpserver.NewCallers(e.dispatcher, auth, config))
+	e.callers = httpserver.NewServer(
+		metrics.Listener("callers"), httpserver.NewHealth(e.accepts, nil), httpserver.NewCallers(e.dispatcher, auth, config))
 	e.operators = httpserver.NewServer(metrics.Listener("operators"), health, httpserver.NewGuard(token),
 		httpserver.NewOperators(publish, config, pepper), httpserver.NewUsageOperators(use.reporter, use.calendar),
 		httpserver.NewTargetOperators(order))
+	for _, server := range []*httpserver.Server{e.callers, e.operators} {
+		server.OnPanic(func(stack string) { log.Emit(logger.HandlerPanicked, "stack", stack) })
+	}
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
 	}
@@ -135,7 +139,8 @@
 	return e, nil
 }
 
-// Stop takes no new requests, waits for the open ones until ctx ends, and ends the process's parts.
+// Stop first says that the entry is not ready and goes on until the balancer has noticed. Then it takes no new requests, waits
+// for the open ones until ctx ends, and ends the process's parts.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.log.Emit(logger.DrainStarted)
 	err := e.drain(ctx)
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/mimosalb/mimosalb/internal/tracker"
 )
 
-// observe lets the entry's metrics read its parts and returns its health routes.
+// observe lets the entry's metrics read its parts and returns the health routes of the operators' listener.
 func (e *Entry) observe(x *exporter.Entry, config *configurator.Configurator, members *tracker.Tracker) *httpserver.Health {
 	x.Observe(exporter.EntryState{
 		Waiting:     e.dispatcher.Waiting,
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"time"
 )
 
 // checker collects the faults of settings, with the lines of their fields.
@@ -27,6 +28,9 @@
 	if s.Orders.Enabled && s.Orders.Capacity <= 0 {
 		c.add("orders.capacity", "the number of attempts that keep a target just busy")
 	}
+	if s.Linger < 0 || time.Duration(s.Linger) > MaxLinger {
+		c.add("linger", "a duration from 0s to "+MaxLinger.String())
+	}
 	if s.Usage.Window < 0 || s.Usage.Grace < 0 || s.Usage.Flush < 0 {
 		c.add("usage", "durations of zero or more")
 	}
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -29,6 +29,9 @@
 	Period Duration `yaml:"period"`
 	// KeyGrace is how long keys work after the last proof that no withdrawal was missed; zero means 15 minutes.
 	KeyGrace Duration `yaml:"keygrace"`
+	// Linger is how long a stopping entry answers that it is not ready before it takes no new requests, so that the
+	// balancer takes it out first; zero means two periods.
+	Linger Duration `yaml:"linger"`
 	// Workers bounds the requests that run at a time.
 	Workers int      `yaml:"workers"`
 	TLS     TLS      `yaml:"tls"`
@@ -39,6 +42,9 @@
 	Standin *Standin `yaml:"standin"`
 }
 
+// MaxLinger bounds the linger of an entry. A stop takes at most 30 s as a whole, and open requests need the rest.
+const MaxLinger = 20 * time.Second
+
 // DefaultPeriod is the time between two probes when the settings give none.
 const DefaultPeriod = time.Second
 
