--- /dev/null
+++ b/internal/claimer/claimer_test.go
@@ -0,0 +1,121 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/claimer"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// store keeps claims in memory and counts the transactions.
+type store struct {
+	mu      sync.Mutex
+	rows    map[string]storer.Entry
+	commits int
+	largest int
+	hidden  bool
+	gate    chan struct{}
+}
+
+func (s *store) Get(_ context.Context, key string) (storer.Entry, storer.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hidden {
+		return storer.Entry{}, storer.Unavailable
+	}
+	return s.rows[key], storer.Applied
+}
+
+func (s *store) Swap(ctx context.Context, key string, changed int64, value []byte, lease storer.Lease) storer.Outcome {
+	return s.Commit(ctx, storer.Transaction{}.WithGuard(key, changed).WithPut(key, value, lease))
+}
+
+func (s *store) Commit(_ context.Context, t storer.Transaction) storer.Outcome {
+	<-s.gate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	s.largest = max(s.largest, len(t.Puts))
+	for _, g := range t.Guards {
+		if s.rows[g.Key].Changed != g.Changed {
+			return storer.Conflict
+		}
+	}
+	for _, p := range t.Puts {
+		s.rows[p.Key] = storer.Entry{Key: p.Key, Value: p.Value, Changed: int64(s.commits)}
+	}
+	return storer.Applied
+}
+
+func (*store) Grant(context.Context, time.Duration) (storer.Lease, storer.Outcome) {
+	return 1, storer.Applied
+}
+
+func newClaimer(c *qt.C) (*store, *claimer.Claimer) {
+	s := &store{rows: map[string]storer.Entry{}, gate: make(chan struct{})}
+	cl := claimer.NewClaimer(s, codec.ClaimForm{}, &timer.Manual{})
+	c.Cleanup(cl.Close)
+	return s, cl
+}
+
+func claim(key, request string, attempt int) claimer.Claim {
+	return claimer.Claim{Key: claimer.NewKey("billing", key)}.
+		WithAttempt(identifier.Attempt{Request: identifier.Request(request), Number: attempt}, time.Unix(1000, 0))
+}
+
+// Guards against a store write per claim, a transaction above the store's limit, and a claim that is refused because
+// another one of its batch is taken.
+func TestClaimsAreBatched(t *testing.T) {
+	c := qt.New(t)
+	s, cl := newClaimer(c)
+	taken := claim("7", "earlier", 0)
+	s.rows["/claim/"+string(taken.Key)] = storer.Entry{Value: codec.ClaimForm{}.Encode(taken), Changed: 1}
+	const claims = 1000
+	results := make([]claimer.Result, claims)
+	var asked sync.WaitGroup
+	for i := range claims {
+		asked.Go(func() { results[i] = cl.Claim(context.Background(), claim(fmt.Sprint(i), "r", i)) })
+	}
+	// The four writers hold a batch each while the rest gathers.
+	for range 4 {
+		s.gate <- struct{}{}
+	}
+	close(s.gate)
+	asked.Wait()
+	for i, r := range results {
+		want := claimer.Held
+		if i == 7 {
+			want = claimer.Taken
+			c.Assert(r.Claim.Attempt.Request, qt.Equals, identifier.Request("earlier"))
+		}
+		c.Assert(r.Standing, qt.Equals, want, qt.Commentf("claim %d", i))
+	}
+	c.Assert(s.largest <= 128, qt.IsTrue)
+	c.Assert(s.commits < claims/10, qt.IsTrue, qt.Commentf("%d transactions", s.commits))
+}
+
+// Guards against two entries that both move a claim, and against "not run" about a claim that can't be read.
+func TestMoveNeedsTheClaimItReplaces(t *testing.T) {
+	c := qt.New(t)
+	s, cl := newClaimer(c)
+	close(s.gate)
+	ctx := context.Background()
+	first := claim("k", "first", 0)
+	c.Assert(cl.Claim(ctx, first).Standing, qt.Equals, claimer.Held)
+	c.Assert(cl.Move(ctx, first, claim("k", "second", 0)).Standing, qt.Equals, claimer.Held)
+	lost := cl.Move(ctx, first, claim("k", "third", 0))
+	c.Assert(lost.Standing, qt.Equals, claimer.Taken)
+	c.Assert(lost.Claim.Attempt.Request, qt.Equals, identifier.Request("second"))
+	s.hidden = true
+	c.Assert(cl.Claim(ctx, claim("k", "fourth", 0)).Standing, qt.Equals, claimer.Hidden)
+	c.Assert(cl.Move(ctx, first, claim("k", "fifth", 0)).Standing, qt.Equals, claimer.Hidden)
+}
--- a/internal/demonstrator/stream_test.go
+++ b/internal/demonstrator/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/demonstrator"
+	"github.com/mimosalb/mimosalb/internal/standin/switcher"
 )
 
 // Guards against a stream that loses or repeats tokens, or ends early, when its target crashes.
@@ -135,3 +137,30 @@
 		return true
 	})
 }
+
+// Guards against a request that waits for a target that does not begin, and against hedges on healthy targets.
+func TestHedgeOvertakesSlowTarget(t *testing.T) {
+	b := newBed(t, wide())
+	runs := func() (n int64) {
+		for _, e := range b.Standin.Engines {
+			n += e.RunsOfPrompt("hedge")
+		}
+		return n
+	}
+	const warm, slow = 40, 12
+	for i := range warm {
+		b.Assert(b.complete(0, fmt.Sprintf("hedge%d", i), 2).status, qt.Equals, http.StatusOK)
+	}
+	b.Assert(runs() <= warm+warm/10+10, qt.IsTrue, qt.Commentf("%d runs of %d requests", runs(), warm))
+	b.Standin.Engines["sortmind-1"].Switches.Set(switcher.Switches{Delay: time.Minute})
+	start := time.Now()
+	for i := range slow {
+		r := b.complete(0, fmt.Sprintf("hedge%d", warm+i), 2)
+		b.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+	}
+	b.Assert(time.Since(start) < time.Minute, qt.IsTrue)
+	b.await(5*time.Second, func() bool {
+		running, _ := b.Agents["sortmind-1"].Load()
+		return running == 0
+	})
+}
