dispatcher: look at a call's claim before holding the call back; release read answers

Change: the claim comes first; a request that is held back while it waits is not sent. The ledger drops records in order of time and the answers of repeatable attempts once their end was read. E1401 names a request that is held back. Conclusion: "not run" stays true for a key that ran.

--- a/internal/adapter/engineclient/engineclient_test.go
+++ b/internal/adapter/engineclient/engineclient_test.go
@@ -20,8 +20,8 @@
 
 const (
 	token  = `data: {"text":" a","output_ids":[1],"meta_info":{"id":"r/0","weight_version":"3","completion_tokens":1}}` + "\n\n"
-	last   = `data: {"text":" b","output_ids":[2],"meta_info":{"id":"r/0","weight_version":"3","completion_tokens":2,"finish_reason":{"type":"length"}}}` + "\n\n"
-	gap    = `data: {"text":" c","output_ids":[3],"meta_info":{"id":"r/0","weight_version":"3","completion_tokens":3,"finish_reason":{"type":"length"}}}` + "\n\n"
+	last   = `data: {"text":" b","output_ids":[2],"meta_info":{"id":"r/0","completion_tokens":2,"finish_reason":{"type":"length"}}}` + "\n\n"
+	gap    = `data: {"text":" c","output_ids":[3],"meta_info":{"id":"r/0","completion_tokens":3,"finish_reason":{"type":"length"}}}` + "\n\n"
 	other  = `data: {"text":" x","output_ids":[9],"meta_info":{"id":"s/0","weight_version":"3","completion_tokens":2}}` + "\n\n"
 	closed = "data: [DONE]\n\n"
 )
--- a/internal/adapter/httpserver/problem.go
+++ b/internal/adapter/httpserver/problem.go
@@ -68,7 +68,7 @@
 	switch r.Ran {
 	case dispatcher.NotRun:
 		p.Type, p.Title, p.Status = TypeNotRun, "The request did not run", http.StatusServiceUnavailable
-		if r.Reason == dispatcher.ReasonKeyReused {
+		if _, explained := refusalDetails[r.Reason]; explained {
 			p.Status = refusalStatus(r.Reason)
 		}
 	case dispatcher.RanYes:
--- a/internal/adapter/rpcserver/agent.go
+++ b/internal/adapter/rpcserver/agent.go
@@ -37,7 +37,7 @@
 	ctx, span := tracer.Start(args.Context(), "agent")
 	defer span.End()
 	reply.Envelope = args.Envelope
-	offer := gatekeeper.Offer{Attempt: args.Attempt, Incarnation: args.Incarnation, Issued: args.Issued}
+	offer := gatekeeper.Offer{Attempt: args.Attempt, Incarnation: args.Incarnation, Issued: args.Issued, Once: args.Call.Once}
 	reply.Verdict = a.runs.Start(ctx, offer, args.Call, args.Timeout)
 	return nil
 }
--- a/internal/demonstrator/crash_test.go
+++ b/internal/demonstrator/crash_test.go
@@ -55,3 +55,27 @@
 		b.Assert(b.complete(i%2, prompt, 3).status, qt.Equals, http.StatusOK, qt.Commentf("%s is not condemned", prompt))
 	}
 }
+
+// Guards against an untrue "not run" about a call that ran under its key before the same call, under other keys, was held
+// back.
+func TestHeldCallThatRanIsUnknown(t *testing.T) {
+	b := newBed(t, wide())
+	b.plain(switcher.Switches{Mute: "harm"})
+	kind, reason := b.claimed(0, "key 0", "harm").problem()
+	b.Assert(kind, qt.Equals, "unknown")
+	for i := 1; reason != "crashes-targets" || kind != "not-run"; i++ {
+		b.Assert(i < 20, qt.IsTrue, qt.Commentf("not held back"))
+		kind, reason = b.claimed(i%2, fmt.Sprint("key ", i), "harm").problem()
+	}
+	for entry := range 2 {
+		kind, _ = b.claimed(entry, "key 0", "harm").problem()
+		b.Assert(kind, qt.Equals, "unknown")
+	}
+	crashed := 0
+	for _, s := range b.Standin.Services {
+		if s.RunsOf("harm") > 0 {
+			crashed++
+		}
+	}
+	b.Assert(crashed, qt.Equals, 2)
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -154,12 +154,13 @@
 // did not run and will not.
 func (d *Dispatcher) Submit(ctx context.Context, r Request) (*Answer, Refusal) {
 	r.Call = r.Call.WithIdentity(r.Service.Once)
+	if r.key() != "" {
+		// A call that is held back may have run under this key, so that its claim is looked at first.
+		return d.submitClaimed(ctx, r)
+	}
 	if wait, held := d.isolator.Held(r.Call.Fingerprint, d.clock.Now()); held {
 		return nil, Refusal{Reason: ReasonSuspect, RetryAfter: wait}
 	}
-	if r.Service.Once && r.Key != "" {
-		return d.submitClaimed(ctx, r)
-	}
 	j := &job{ctx: ctx, caller: ctx, request: r, answer: newAnswer()}
 	if refusal := d.enqueue(j); refusal.Refused() {
 		return nil, refusal
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -98,6 +98,10 @@
 			d.leave(j, target.ID)
 			return result
 		}
+		if wait, held := d.isolator.Held(j.request.Call.Fingerprint, d.clock.Now()); held {
+			d.leave(j, target.ID)
+			return failure(j.notRun(), ReasonSuspect).withRetryAfter(wait)
+		}
 		t := d.try(j, target, id)
 		if result, done := d.conclude(j, t); done {
 			return result
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -157,8 +157,8 @@
 func (e *Executor) finish(j job, final streamer.Final, took time.Duration) {
 	j.cancel(nil)
 	e.jobs.Delete(j.attempt)
-	e.gate.End(j.attempt, e.clock.Now())
 	j.stream.Finish(final)
+	e.gate.End(j.attempt, e.clock.Now())
 	if e.ended != nil {
 		e.ended(Ended{Attempt: j.attempt, Call: j.call, Final: final, Took: took})
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -24,14 +24,30 @@
 	// Issued is the entry's wall clock when it made the attempt. An offer further than half the retention from the
 	// agent's clock is refused, because its record may have been dropped.
 	Issued time.Time
+	// Once keeps the answer for the whole retention, for another entry that asks for the outcome.
+	Once bool
+}
+
+// due is when the record of an attempt may be dropped.
+type due struct {
+	attempt identifier.Attempt
+	drop    time.Time
 }
 
 // record is what the ledger keeps about an attempt. A nil stream marks a barred attempt.
 type record struct {
 	stream *streamer.Stream
+	once   bool
 	ended  bool
 	read   bool
-	drop   time.Time
+}
+
+// release drops the answer of a collected attempt that may be repeated: an entry that did not get its end resumes it
+// elsewhere. Kept for the retention, the answers of an engine that makes 3,500 tokens a second would take some 200 MB.
+func (r *record) release() {
+	if !r.once {
+		r.stream.Release()
+	}
 }
 
 // Gatekeeper is the admission ledger of one incarnation of an agent. The zero value refuses every offer, since no
@@ -48,7 +64,9 @@
 	running     int
 	draining    bool
 	records     map[identifier.Attempt]*record
-	idle        chan struct{}
+	// dues are the records that may be dropped some day, earliest first.
+	dues container.Queue[due]
+	idle chan struct{}
 	// unread counts the ended attempts whose final record no entry has read or given up.
 	unread    int
 	collected chan struct{}
@@ -91,6 +109,7 @@
 	if o.Incarnation != g.incarnation {
 		return Forgotten, nil
 	}
+	g.forget(now)
 	if r, ok := g.records[o.Attempt]; ok {
 		if r.stream == nil {
 			return Barred, nil
@@ -104,17 +123,17 @@
 		g.bar(o.Attempt, now)
 		return Draining, nil
 	}
-	if g.full(now) {
+	if g.full() {
 		g.bar(o.Attempt, now)
 		return Full, nil
 	}
-	r := &record{stream: &streamer.Stream{}}
+	r := &record{stream: &streamer.Stream{}, once: o.Once}
 	g.records[o.Attempt] = r
 	g.running++
 	return Admitted, r.stream
 }
 
-// End records that an admitted attempt has ended.
+// End records that an admitted attempt has ended. Its stream has its final record by then.
 func (g *Gatekeeper) End(a identifier.Attempt, now time.Time) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
@@ -122,10 +141,13 @@
 	if !ok || r.stream == nil || r.ended {
 		panic("invariant at-most-once: only a running attempt ends: " + a.String())
 	}
-	r.ended, r.drop = true, now.Add(g.retention)
+	r.ended = true
+	g.dues.Push(due{attempt: a, drop: now.Add(g.retention)})
 	g.running--
 	if !r.read {
 		g.unread++
+	} else {
+		r.release()
 	}
 	if g.running == 0 && g.idle != nil {
 		close(g.idle)
@@ -171,6 +193,7 @@
 		return
 	}
 	g.unread--
+	r.release()
 	if g.unread == 0 && g.collected != nil {
 		close(g.collected)
 		g.collected = nil
@@ -231,24 +254,26 @@
 // bar rules out an attempt. A barred record outlives every offer of its attempt, because offers older than half the
 // retention are refused.
 func (g *Gatekeeper) bar(a identifier.Attempt, now time.Time) {
-	g.records[a] = &record{drop: now.Add(g.retention)}
+	g.records[a] = &record{}
+	g.dues.Push(due{attempt: a, drop: now.Add(g.retention)})
 }
 
-// full reports whether there is no room for one more attempt, after dropping records past their retention.
-func (g *Gatekeeper) full(now time.Time) bool {
-	if g.concurrency > 0 && g.running >= g.concurrency {
-		return true
-	}
-	if len(g.records) < g.capacity {
-		return false
-	}
-	for a, r := range g.records {
-		if !r.drop.IsZero() && now.After(r.drop) {
-			if r.ended && !r.read {
-				g.unread--
-			}
-			delete(g.records, a)
+// full reports whether there is no room for one more attempt.
+func (g *Gatekeeper) full() bool {
+	return g.concurrency > 0 && g.running >= g.concurrency || len(g.records) >= g.capacity
+}
+
+// forget drops the records past their retention.
+func (g *Gatekeeper) forget(now time.Time) {
+	for {
+		d, ok := g.dues.Peek()
+		if !ok || !now.After(d.drop) {
+			return
+		}
+		g.dues.Pop()
+		if r := g.records[d.attempt]; r.ended && !r.read {
+			g.unread--
 		}
+		delete(g.records, d.attempt)
 	}
-	return len(g.records) >= g.capacity
 }
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/streamer"
 )
 
 var start = time.Unix(1000, 0)
@@ -110,3 +111,28 @@
 	g.End(o.Attempt, start)
 	<-idle
 }
+
+// Guards against a ledger that keeps every answer for the whole retention, and against one that drops the outcome of a
+// call that may not be repeated, which another entry may still ask for.
+func TestCollectedAnswersAreReleased(t *testing.T) {
+	c := qt.New(t)
+	g := gatekeeper.NewGatekeeper(1)
+	for once, left := range map[bool]int{false: 0, true: 1} {
+		o := offer(fmt.Sprint(once), 0, 1)
+		o.Once = once
+		_, stream := g.Admit(o, start)
+		stream.Append(streamer.Piece{Data: []byte("a")})
+		stream.Finish(streamer.Final{}.WithEnd(streamer.Complete, "answered"))
+		g.End(o.Attempt, start)
+		g.Collect(o.Attempt)
+		c.Assert(g.Settle(o, start), qt.Equals, gatekeeper.Ran)
+		chunk, _ := stream.Read(0)
+		c.Assert(chunk.Pieces, qt.HasLen, left)
+		c.Assert(chunk.Final.Pieces, qt.Equals, 1)
+		select {
+		case <-g.Collected():
+		default:
+			c.Fatal("a collected attempt is waited for")
+		}
+	}
+}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -27,9 +27,13 @@
 		Number: 1302, Level: hclog.Warn, Text: "agent does not answer", Action: "check the target's VM if it lasts",
 	}
 	TargetServing = Event{Number: 1303, Level: hclog.Info, Text: "agent answers", Action: "none"}
+
+	RequestHeld = Event{
+		Number: 1401, Level: hclog.Warn, Text: "request held back after crashes", Action: "ask the team for the request; check the engine's log",
+	}
 )
 
 // Events returns every event in order of its number.
 func Events() []Event {
-	return []Event{ProcessStarted, ProcessStopped, DrainStarted, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing}
+	return []Event{ProcessStarted, ProcessStopped, DrainStarted, ConfigAdopted, ListUnavailable, TargetSilent, TargetServing, RequestHeld}
 }
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -79,7 +79,8 @@
 	e.claims = claimer.NewClaimer(store, codec.ClaimForm{}, e.clock)
 	e.isolator = &isolator.Isolator{}
 	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, rpcclient.NewAgents(e.peers), config, route,
-		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator), dispatcher.WithHeld(e.warn))
+		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator),
+		dispatcher.WithHeld(e.warn), dispatcher.WithEnded(e.logHeld))
 
 	m := &membership{
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -9,7 +9,9 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
@@ -86,6 +88,14 @@
 	_ = e.exchange(ctx, *peers)
 }
 
+// logHeld logs a request that is held back from now on.
+func (e *Entry) logHeld(ended dispatcher.Ended) {
+	if ended.Result.Reason == dispatcher.ReasonSuspect {
+		r := ended.Request
+		e.log.Emit(logger.RequestHeld, "request", r.ID, "team", r.Identity.Team, "service", r.Service.Name, "target", ended.Result.Target)
+	}
+}
+
 // exchange swaps evidence with the given entries. Those that do not answer are tried again in the next period.
 func (e *Entry) exchange(ctx context.Context, peers []string) error {
 	var via exchanger = rpcclient.NewExchanger(e.peers)
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -132,6 +132,15 @@
 	return true
 }
 
+// Release drops the pieces of a stream that has ended and was read. Later readers get its final record only.
+func (s *Stream) Release() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.final.End != 0 {
+		s.pieces = nil
+	}
+}
+
 // Read returns the pieces from position from on, the final record if the stream has ended, and a channel that is
 // closed at the next change.
 func (s *Stream) Read(from int) (Chunk, <-chan struct{}) {
