claimer: a store that does not answer makes a call unknown, not "not run"

Cause: a trial run on a loaded machine took 55 s and refused calls that came a second time as not run, because the store had not answered in time; the call had run under its key. Change: only a store that refuses the write leads to "not run"; no answer leads to "unknown". The transcript of held requests shows a clearance that changes the outcome.

--- a/internal/claimer/claim.go
+++ b/internal/claimer/claim.go
@@ -56,10 +56,10 @@
 	Held Standing = iota + 1
 	// Taken means that the stored claim names another attempt.
 	Taken
-	// Hidden means that a claim of the key is stored, and that it can't be read at present.
+	// Hidden means that the store did not answer, or did not let the stored claim be read: the call may have run under
+	// its key before, and the attempt must not be sent.
 	Hidden
-	// Unavailable means that no claim of the key is known of. This one may or may not be stored; its attempt must not be
-	// sent.
+	// Unavailable means that the store took no write. The attempt must not be sent.
 	Unavailable
 )
 
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -76,8 +76,8 @@
 
 // Move replaces the stored claim from by to, for a call whose attempt under from never runs.
 func (c *Claimer) Move(ctx context.Context, from, to Claim) Result {
-	lease, ok := c.leaseFor(ctx)
-	if !ok {
+	lease, out := c.leaseFor(ctx)
+	if out != storer.Applied {
 		return Result{Standing: Hidden}
 	}
 	stored, changed, ok := c.read(ctx, from.Key)
@@ -100,16 +100,16 @@
 // commit stores a batch. One claim whose key is taken fails the whole transaction, so the batch is then halved until
 // that claim stands alone.
 func (c *Claimer) commit(ctx context.Context, batch []ask) {
-	lease, ok := c.leaseFor(ctx)
-	if !ok {
-		answer(batch, Result{Standing: Unavailable})
+	lease, out := c.leaseFor(ctx)
+	if out != storer.Applied {
+		answer(batch, Result{Standing: refused(out)})
 		return
 	}
 	var t storer.Transaction
 	for _, a := range batch {
 		t = t.WithGuard(a.claim.Key.path(), 0).WithPut(a.claim.Key.path(), c.form.Encode(a.claim), lease)
 	}
-	switch out := c.store.Commit(ctx, t); {
+	switch out = c.store.Commit(ctx, t); {
 	case out == storer.Applied:
 		answer(batch, Result{Standing: Held})
 	case out == storer.Conflict && len(batch) == 1:
@@ -118,8 +118,16 @@
 		c.commit(ctx, batch[:len(batch)/2])
 		c.commit(ctx, batch[len(batch)/2:])
 	default:
-		answer(batch, Result{Standing: Unavailable})
+		answer(batch, Result{Standing: refused(out)})
+	}
+}
+
+// refused is how a claim stands after a write that is not known to be applied.
+func refused(out storer.Outcome) Standing {
+	if out == storer.Unavailable {
+		return Unavailable
 	}
+	return Hidden
 }
 
 // other returns the claim that stands in the way of claim. If there is none, it was the lease that was refused.
@@ -157,22 +165,22 @@
 }
 
 // leaseFor returns the lease for new claims. It outlives them by the retention.
-func (c *Claimer) leaseFor(ctx context.Context) (storer.Lease, bool) {
+func (c *Claimer) leaseFor(ctx context.Context) (storer.Lease, storer.Outcome) {
 	c.lock.Lock()
 	lease, age := c.lease, c.clock.Boot()-c.granted
 	c.lock.Unlock()
 	if lease != 0 && age < rotation {
-		return lease, true
+		return lease, storer.Applied
 	}
 	now := c.clock.Boot()
 	lease, out := c.store.Grant(ctx, DefaultRetention+rotation)
 	if out != storer.Applied {
-		return 0, false
+		return 0, out
 	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.lease, c.granted = lease, now
-	return lease, true
+	return lease, out
 }
 
 func (c *Claimer) dropLease() {
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -23,6 +23,7 @@
 	commits int
 	largest int
 	hidden  bool
+	outcome storer.Outcome
 	gate    chan struct{}
 }
 
@@ -43,6 +44,9 @@
 	<-s.gate
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.outcome != 0 {
+		return s.outcome
+	}
 	s.commits++
 	s.largest = max(s.largest, len(t.Puts))
 	for _, g := range t.Guards {
@@ -103,7 +107,8 @@
 	c.Assert(s.commits < claims/10, qt.IsTrue, qt.Commentf("%d transactions", s.commits))
 }
 
-// Guards against two entries that both move a claim, and against "not run" about a claim that can't be read.
+// Guards against two entries that both move a claim, and against "not run" about a claim that can't be read
+// or a store that does not answer.
 func TestMoveNeedsTheClaimItReplaces(t *testing.T) {
 	c := qt.New(t)
 	s, cl := newClaimer(c)
@@ -115,6 +120,11 @@
 	lost := cl.Move(ctx, first, claim("k", "third", 0))
 	c.Assert(lost.Standing, qt.Equals, claimer.Taken)
 	c.Assert(lost.Claim.Attempt.Request, qt.Equals, identifier.Request("second"))
+	s.outcome = storer.Unknown
+	c.Assert(cl.Claim(ctx, claim("new", "silent", 0)).Standing, qt.Equals, claimer.Hidden)
+	s.outcome = storer.Unavailable
+	c.Assert(cl.Claim(ctx, claim("new", "down", 0)).Standing, qt.Equals, claimer.Unavailable)
+	s.outcome = 0
 	s.hidden = true
 	c.Assert(cl.Claim(ctx, claim("k", "fourth", 0)).Standing, qt.Equals, claimer.Hidden)
 	c.Assert(cl.Move(ctx, first, claim("k", "fifth", 0)).Standing, qt.Equals, claimer.Hidden)
--- a/internal/dispatcher/claim.go
+++ b/internal/dispatcher/claim.go
@@ -79,6 +79,8 @@
 			return failure(RanUnknown, ReasonStore).withRetryAfter(storeRetry), true
 		default:
 			if j.ctx.Err() != nil {
+				// The call may have run under its key before.
+				j.ran = true
 				return j.abandoned(), true
 			}
 			return failure(j.notRun(), ReasonStore).withRetryAfter(storeRetry), true
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -63,6 +63,8 @@
 		j.Record(crash(fmt.Sprint(n), target, 0, "a", "b"), start)
 		show(&j, fmt.Sprintf("a and b were on %s when it crashed", target), 0)
 	}
+	j.Clear(mark("a"))
+	show(&j, "a ran to its end", 0)
 	goldie.New(t).Assert(t, "held", []byte(out.String()))
 }
 
