dispatcher: warn the other entries in the second place that holds a request back

Cause: a request that is held back while it waits for its next target was reported without a warning to other entries, and the list of entries to warn was cut to the one whose turn it was. Change: both places warn; the list is whole. Conclusion: not solved; the warning is not sent each time, and the reason is not known yet.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -100,6 +100,7 @@
 		}
 		if wait, held := d.isolator.Held(j.request.Call.Fingerprint, d.clock.Now()); held {
 			d.leave(j, target.ID)
+			d.held(j.ctx)
 			return failure(j.notRun(), ReasonSuspect).withRetryAfter(wait)
 		}
 		t := d.try(j, target, id)
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -64,8 +64,9 @@
 		if err != nil {
 			continue
 		}
-		peers := e.otherEntries(vms)
-		e.others.Store(&peers)
+		all := e.otherEntries(vms)
+		e.others.Store(&all)
+		peers := all
 		if known == shared && len(peers) > 0 {
 			turn++
 			peers = peers[turn%len(peers):][:1]
