runner: the warning reads the list of entries when it is needed

Cause: the warning used the list kept by the periodic exchange, which was still empty when the test needed it; why the periodic exchange had not run by then is not known yet. Change: the warning asks the platform for the list. Conclusion: warnings arrive in the test; the periodic exchange needs a test of its own.

--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -49,7 +49,7 @@
 	dispatcher *dispatcher.Dispatcher
 	claims     *claimer.Claimer
 	isolator   *isolator.Isolator
-	others     atomic.Pointer[[]string]
+	list       *platformclient.Client
 	server     *rpcserver.Server
 	callers    *httpserver.Server
 	operators  *httpserver.Server
@@ -86,6 +86,7 @@
 		clock: e.clock, log: log, peers: e.peers, platform: platformclient.NewClient(s.Platform, e.clock),
 		tracker: &tracker.Tracker{}, router: route, period: period(s), probing: make(map[string]context.CancelFunc),
 	}
+	e.list = m.platform
 	e.task(func() { publish.Follow(ctx) })
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -64,9 +64,7 @@
 		if err != nil {
 			continue
 		}
-		all := e.otherEntries(vms)
-		e.others.Store(&all)
-		peers := all
+		peers := e.otherEntries(vms)
 		if known == shared && len(peers) > 0 {
 			turn++
 			peers = peers[turn%len(peers):][:1]
@@ -79,14 +77,14 @@
 
 // warn tells the other entries at once about a request that is held back.
 func (e *Entry) warn(ctx context.Context) {
-	peers := e.others.Load()
-	if peers == nil {
-		return
-	}
 	ctx, cancel := timer.WithTimeout(ctx, e.clock, warnTimeout)
 	defer cancel()
+	vms, err := e.list.VMs(ctx)
+	if err != nil {
+		return
+	}
 	// Those that it does not reach get the evidence in the next period.
-	_ = e.exchange(ctx, *peers)
+	_ = e.exchange(ctx, e.otherEntries(vms))
 }
 
 // logHeld logs a request that is held back from now on.
