--- a/internal/claimer/claim.go
+++ b/internal/claimer/claim.go
@@ -56,11 +56,14 @@
 	Held Standing = iota + 1
 	// Taken means that the stored claim names another attempt.
 	Taken
-	// Unavailable means that the claim may or may not be stored; its attempt must not be sent.
+	// Hidden means that the store did not answer, or did not let the stored claim be read: the call may have run under
+	// its key before, and the attempt must not be sent.
+	Hidden
+	// Unavailable means that the store took no write. The attempt must not be sent.
 	Unavailable
 )
 
-var standingNames = [...]string{"none", "held", "taken", "unavailable"}
+var standingNames = [...]string{"none", "held", "taken", "hidden", "unavailable"}
 
 // String returns the name of the standing.
 func (s Standing) String() string {
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -47,6 +47,8 @@
 	Period time.Duration
 	// Linger is how long a stopping entry goes on; zero means two periods.
 	Linger time.Duration
+	// Workers bounds the requests that run at a time at each entry; zero is the default.
+	Workers int
 	// Linked puts a link stand-in between the entries and each agent.
 	Linked bool
 	// Usage is the timing of usage reports.
@@ -131,8 +133,9 @@
 			Name: name, Zone: place.Zone, Region: place.Region,
 			Callers: loopback, Operators: loopback, Peers: loopback,
 			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Operator: operator, Period: loader.Duration(p.Period), Linger: loader.Duration(p.Linger),
-			Usage: p.Usage, Orders: p.Orders, KeyGrace: loader.Duration(p.KeyGrace), TLS: p.tls(),
+			Pepper: pepper, Operator: operator, Workers: p.Workers, Period: loader.Duration(p.Period),
+			Linger: loader.Duration(p.Linger), Usage: p.Usage, Orders: p.Orders, KeyGrace: loader.Duration(p.KeyGrace),
+			TLS: p.tls(),
 		}, log)
 		if err != nil {
 			return fmt.Errorf("start entry: %w", err)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -170,6 +170,6 @@
 		f(Ended{Attempt: j.attempt, Call: j.call, Final: final})
 	}
 	e.jobs.Delete(j.attempt)
-	e.gate.End(j.attempt, e.clock.Now())
 	j.stream.Finish(final)
+	e.gate.End(j.attempt, e.clock.Now())
 }
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -83,6 +83,10 @@
 	ParentSilent  = Event{
 		Number: 1311, Level: hclog.Warn, Text: "relay does not answer", Action: "check the VM of the relay if it lasts; the node asks another",
 	}
+
+	RequestHeld = Event{
+		Number: 1401, Level: hclog.Warn, Text: "request held back after crashes", Action: "ask the team for the request; check the engine's log",
+	}
 )
 
 // Events returns every event in order of its number.
@@ -90,7 +94,7 @@
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, PeersPlain, CertificateReloaded, CertificateUnreadable, PeerRefused,
 		HandlerPanicked, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
-		ListUnavailable, TargetSilent, TargetServing, ParentSilent,
+		ListUnavailable, TargetSilent, TargetServing, ParentSilent, RequestHeld,
 		TargetNotDrained, TargetNotStarted, OrderRefused, OrdersHeld, MeterDeposed, ReportDelayed,
 	}
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -33,6 +33,7 @@
 	gate   *gatekeeper.Gatekeeper
 	runs   *executor.Executor
 	keeper *meter.Keeper
+	calls  *rpcserver.Agent
 	server *rpcserver.Server
 	health *httpserver.Server
 	tree   *tree
@@ -69,7 +70,8 @@
 	a.runs = executor.NewExecutor(a.gate, back, a.clock, size, executor.WithRegion(identifier.Region(s.Region)),
 		executor.WithEnded(metrics.Ended), executor.WithEnded(keep(a.keeper, a.clock)))
 	a.server = rpcserver.NewServer(peers.server...)
-	if err := a.server.Register("Agent", rpcserver.NewAgent(a.gate, a.runs, a.clock, back.Version)); err != nil {
+	a.calls = rpcserver.NewAgent(a.gate, a.runs, a.clock, back.Version)
+	if err := a.server.Register("Agent", a.calls); err != nil {
 		a.close()
 		return nil, fmt.Errorf("serve agent: %w", err)
 	}
@@ -106,6 +108,7 @@
 	a.log.Emit(logger.DrainStarted)
 	a.drain(ctx)
 	a.awaitConfirmed(ctx)
+	a.calls.Close()
 	err := a.leave()
 	if a.health != nil {
 		err = errors.Join(err, a.health.Stop(ctx))
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -10,25 +10,16 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/mimosalb/mimosalb/internal/adapter/codec"
-	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
-	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
 	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
-	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
-	"github.com/mimosalb/mimosalb/internal/leaser"
 	"github.com/mimosalb/mimosalb/internal/logger"
-	"github.com/mimosalb/mimosalb/internal/publisher"
-	"github.com/mimosalb/mimosalb/internal/router"
-	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
-	"github.com/mimosalb/mimosalb/internal/tracker"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
 
@@ -46,7 +37,7 @@
 	dispatcher *dispatcher.Dispatcher
 	claims     *claimer.Claimer
 	isolator   *isolator.Isolator
-	others     atomic.Pointer[[]string]
+	list       *platformclient.Client
 	callers    *httpserver.Server
 	operators  *httpserver.Server
 	ready      atomic.Bool
@@ -59,84 +50,23 @@
 
 // StartEntry starts an entry. Stop ends it.
 func StartEntry(s loader.Settings, log *logger.Logger) (*Entry, error) {
-	pepper, err := readPepper(s.Pepper)
+	b, err := newEntryBuilder(s, log)
 	if err != nil {
 		return nil, err
 	}
-	token, err := operatorToken(s.Operator)
-	if err != nil {
-		return nil, err
-	}
-	clock := timer.NewSystem()
-	peers, err := newPeerOptions(s.TLS, clock, log)
-	if err != nil {
-		clock.Close()
-		return nil, err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{log: log, clock: clock, period: period(s), linger: time.Duration(s.Linger), cancel: cancel}
-	e.peers = rpcclient.NewClient(e.clock, peers.client...)
-
-	config := &configurator.Configurator{}
-	route := router.NewRouter(router.WithSeed(seed(s.Name)))
-	store := storer.NewStorer(kvclient.NewDriver(s.Store), e.clock)
-	platform := platformclient.NewClient(s.Platform, e.clock)
-	m := &membership{
-		clock: e.clock, log: log, peers: e.peers, zone: identifier.Zone(s.Zone), region: identifier.Region(s.Region),
-		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: route, period: period(s),
-		probing: make(map[string]context.CancelFunc),
-	}
-	use := newUsage(s, e.clock, log, store, e.peers, config)
-	e.isolator = &isolator.Isolator{}
-	parts := treeParts{
-		clock: e.clock, log: log, config: config, platform: platform, calling: peers.client,
-		listed: func(vms []platformclient.VM) {
-			m.adopt(vms)
-			use.candidacy.observe(vms)
-		},
-	}
-	if err := e.servePeers(s, parts, peers.server); err != nil {
-		cancel()
-		e.clock.Close()
+	if err := b.join(); err != nil {
+		b.entry.cancel()
+		b.entry.clock.Close()
 		return nil, err
 	}
-	m.reports = e.tree.Assembler
-	auth := authenticator.NewAuthenticator(authenticator.WithPepper(pepper),
-		authenticator.WithFresh(authenticator.Grace(keyGrace(s), e.tree.Age)))
-	publish := publisher.NewPublisher(store.For(storer.PurposeConfig), codec.Form{}, e.tree.Relay, e.clock)
-	leases := leaser.NewLeaser(identifier.Node(s.Name), store.For(storer.PurposeLease), e.clock,
-		leaser.WithEligible(func(identifier.Duty) bool { return e.tree.Candidate() }))
-	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
-	metrics := exporter.NewEntry()
-	e.claims = claimer.NewClaimer(store.For(storer.PurposeClaim), codec.ClaimForm{}, e.clock)
-	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, use.wrap(rpcclient.NewAgents(e.peers)), config, route,
-		dispatcher.WithEnded(metrics.Ended), dispatcher.WithEnded(use.ended), dispatcher.WithClaims(e.claims),
-		dispatcher.WithIsolator(e.isolator), dispatcher.WithHeld(e.warn))
-
-	e.tree.Start(publish, leases)
-	e.task(func() { e.adopt(ctx, config, auth) })
-	e.task(func() { m.run(ctx) })
-	e.task(func() { e.shareEvidence(ctx, platform) })
-	e.task(func() { use.flush(ctx) })
-	e.task(func() { use.report(ctx) })
-	e.task(func() { e.watchFreshness(ctx, auth, period(s)) })
-	order := newOrders(s, use, store.For(storer.PurposeOrder), log, m, config, e.dispatcher.Waiting)
-	e.task(func() { order.run(ctx) })
-
-	health := e.observe(metrics, config, m.tracker)
-	e.callers = httpserver.NewServer(
-		metrics.Listener("callers"), httpserver.NewHealth(e.accepts, nil), httpserver.NewCallers(e.dispatcher, auth, config))
-	e.operators = httpserver.NewServer(metrics.Listener("operators"), health, httpserver.NewGuard(token),
-		httpserver.NewOperators(publish, config, pepper), httpserver.NewUsageOperators(use.reporter, use.calendar),
-		httpserver.NewTargetOperators(order))
-	for _, server := range []*httpserver.Server{e.callers, e.operators} {
-		server.OnPanic(func(stack string) { log.Emit(logger.HandlerPanicked, "stack", stack) })
-	}
-	if err := e.listen(s); err != nil {
-		return nil, errors.Join(err, e.Stop(context.Background()))
+	b.dispatch()
+	b.runTasks()
+	b.openFrontEnds()
+	if err := b.entry.listen(s); err != nil {
+		return nil, errors.Join(err, b.entry.Stop(context.Background()))
 	}
-	log.Emit(logger.ProcessStarted, "role", "entry", "name", s.Name, "callers", e.Callers)
-	return e, nil
+	log.Emit(logger.ProcessStarted, "role", "entry", "name", s.Name, "callers", b.entry.Callers)
+	return b.entry, nil
 }
 
 // Stop first says that the entry is not ready and goes on until the balancer has noticed. Then it takes no new requests, waits
--- /dev/null
+++ b/internal/runner/entrybuilder.go
@@ -0,0 +1,148 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
+	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
+	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/authenticator"
+	"github.com/mimosalb/mimosalb/internal/claimer"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/publisher"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+	"github.com/mimosalb/mimosalb/internal/tracker"
+	"github.com/mimosalb/mimosalb/pkg/loader"
+)
+
+// entryBuilder holds the parts of an entry while they are put together.
+type entryBuilder struct {
+	entry    *Entry
+	settings loader.Settings
+	log      *logger.Logger
+	ctx      context.Context
+	pepper   []byte
+	token    string
+	peers    peerOptions
+	config   *configurator.Configurator
+	router   *router.Router
+	store    *storer.Storer
+	platform *platformclient.Client
+	members  *membership
+	usage    *usage
+	auth     *authenticator.Authenticator
+	publish  *publisher.Publisher
+	metrics  *exporter.Entry
+	orders   *orders
+}
+
+// newEntryBuilder reads the secrets and makes the parts that need no connection.
+func newEntryBuilder(s loader.Settings, log *logger.Logger) (*entryBuilder, error) {
+	pepper, err := readPepper(s.Pepper)
+	if err != nil {
+		return nil, err
+	}
+	token, err := operatorToken(s.Operator)
+	if err != nil {
+		return nil, err
+	}
+	clock := timer.NewSystem()
+	peers, err := newPeerOptions(s.TLS, clock, log)
+	if err != nil {
+		clock.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &entryBuilder{
+		entry: &Entry{
+			log: log, clock: clock, period: period(s), linger: time.Duration(s.Linger), cancel: cancel,
+			isolator: &isolator.Isolator{}, list: platformclient.NewClient(s.Platform, clock),
+		},
+		settings: s, log: log, ctx: ctx, pepper: pepper, token: token, peers: peers,
+		config:  &configurator.Configurator{},
+		router:  router.NewRouter(router.WithSeed(seed(s.Name))),
+		store:   storer.NewStorer(kvclient.NewDriver(s.Store), clock),
+		metrics: exporter.NewEntry(),
+	}
+	e := b.entry
+	b.platform = e.list
+	e.peers = rpcclient.NewClient(clock, peers.client...)
+	b.members = &membership{
+		clock: clock, log: log, peers: e.peers, zone: identifier.Zone(s.Zone), region: identifier.Region(s.Region),
+		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: b.router, period: period(s),
+		probing: make(map[string]context.CancelFunc),
+	}
+	b.usage = newUsage(s, clock, log, b.store, e.peers, b.config)
+	return b, nil
+}
+
+// join makes the entry a node of the relay tree and serves the calls of other nodes.
+func (b *entryBuilder) join() error {
+	e := b.entry
+	parts := treeParts{
+		clock: e.clock, log: b.log, config: b.config, platform: b.platform, calling: b.peers.client,
+		listed: func(vms []platformclient.VM) {
+			b.members.adopt(vms)
+			b.usage.candidacy.observe(vms)
+		},
+	}
+	if err := e.servePeers(b.settings, parts, b.peers.server); err != nil {
+		return err
+	}
+	b.members.reports = e.tree.Assembler
+	b.auth = authenticator.NewAuthenticator(authenticator.WithPepper(b.pepper),
+		authenticator.WithFresh(authenticator.Grace(keyGrace(b.settings), e.tree.Age)))
+	b.publish = publisher.NewPublisher(b.store.For(storer.PurposeConfig), codec.Form{}, e.tree.Relay, e.clock)
+	return nil
+}
+
+// dispatch makes the parts that lead requests to targets.
+func (b *entryBuilder) dispatch() {
+	e, s := b.entry, b.settings
+	place := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
+	e.claims = claimer.NewClaimer(b.store.For(storer.PurposeClaim), codec.ClaimForm{}, e.clock)
+	e.dispatcher = dispatcher.NewDispatcher(place, e.clock, b.usage.wrap(rpcclient.NewAgents(e.peers)), b.config, b.router,
+		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator), dispatcher.WithHeld(e.warn),
+		dispatcher.WithEnded(b.metrics.Ended), dispatcher.WithEnded(b.usage.ended), dispatcher.WithEnded(e.logHeld))
+	b.orders = newOrders(s, b.usage, b.store.For(storer.PurposeOrder), b.log, b.members, b.config, e.dispatcher.Waiting)
+}
+
+// runTasks starts the entry's periodic work.
+func (b *entryBuilder) runTasks() {
+	e := b.entry
+	leases := leaser.NewLeaser(identifier.Node(b.settings.Name), b.store.For(storer.PurposeLease), e.clock,
+		leaser.WithEligible(func(identifier.Duty) bool { return e.tree.Candidate() }))
+	e.tree.Start(b.publish, leases)
+	e.task(func() { e.adopt(b.ctx, b.config, b.auth) })
+	e.task(func() { b.members.run(b.ctx) })
+	e.task(func() { e.shareEvidence(b.ctx, b.platform) })
+	e.task(func() { e.watchFreshness(b.ctx, b.auth, period(b.settings)) })
+	e.task(func() { b.usage.flush(b.ctx) })
+	e.task(func() { b.usage.report(b.ctx) })
+	e.task(func() { b.orders.run(b.ctx) })
+}
+
+// openFrontEnds makes the HTTP servers of callers and operators.
+func (b *entryBuilder) openFrontEnds() {
+	e := b.entry
+	health := e.observe(b.metrics, b.config, b.members.tracker)
+	e.callers = httpserver.NewServer(b.metrics.Listener("callers"),
+		httpserver.NewHealth(e.accepts, nil), httpserver.NewCallers(e.dispatcher, b.auth, b.config))
+	e.operators = httpserver.NewServer(b.metrics.Listener("operators"), health, httpserver.NewGuard(b.token),
+		httpserver.NewOperators(b.publish, b.config, b.pepper),
+		httpserver.NewUsageOperators(b.usage.reporter, b.usage.calendar), httpserver.NewTargetOperators(b.orders))
+	for _, server := range []*httpserver.Server{e.callers, e.operators} {
+		server.OnPanic(func(stack string) { b.log.Emit(logger.HandlerPanicked, "stack", stack) })
+	}
+}
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -9,7 +9,9 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
@@ -55,7 +57,6 @@
 			continue
 		}
 		peers := e.otherEntries(vms)
-		e.others.Store(&peers)
 		if known == shared && len(peers) > 0 {
 			turn++
 			peers = peers[turn%len(peers):][:1]
@@ -68,14 +69,22 @@
 
 // warn tells the other entries at once about a request that is held back.
 func (e *Entry) warn(ctx context.Context) {
-	peers := e.others.Load()
-	if peers == nil {
-		return
-	}
 	ctx, cancel := timer.WithTimeout(ctx, e.clock, warnTimeout)
 	defer cancel()
+	vms, err := e.list.VMs(ctx)
+	if err != nil {
+		return
+	}
 	// Those that it does not reach get the evidence in the next period.
-	_ = e.exchange(ctx, *peers)
+	_ = e.exchange(ctx, e.otherEntries(vms))
+}
+
+// logHeld logs a request that is held back from now on.
+func (e *Entry) logHeld(ended dispatcher.Ended) {
+	if ended.Result.Reason == dispatcher.ReasonSuspect {
+		r := ended.Request
+		e.log.Emit(logger.RequestHeld, "request", r.ID, "team", r.Identity.Team, "service", r.Service.Name, "target", ended.Result.Target)
+	}
 }
 
 // exchange swaps evidence with the given entries. Those that do not answer are tried again in the next period.
