--- /dev/null
+++ b/internal/collector/spec.go
@@ -0,0 +1,57 @@
+package collector
+
+import (
+	"fmt"
+	"regexp"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+const (
+	// maxGroup bounds the samples of a group.
+	maxGroup = 1024
+	// maxStep bounds the samples of a step; four times the size that the design page names.
+	maxStep = 32768
+)
+
+// name matches the names of runs, which are part of store keys and URLs.
+var name = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Spec is what a trainer sets when it opens a run. It is immutable.
+type Spec struct {
+	Run     RunID
+	Team    identifier.Team
+	Service identifier.Service
+	// Adapter names the adapter that the engines apply; empty is none.
+	Adapter string
+	// Bound is the largest age of a delivered sample in weight versions.
+	Bound uint64
+	// Group is the number of samples of a group and Step that of a step, which consists of whole groups.
+	Group int
+	Step  int
+}
+
+// WithTeam returns a copy of s that belongs to the given team.
+func (s Spec) WithTeam(t identifier.Team) Spec {
+	s.Team = t
+	return s
+}
+
+// Problem says what is wrong with the spec; empty when nothing is.
+func (s Spec) Problem() string {
+	switch {
+	case !name.MatchString(string(s.Run)):
+		return "run: want lower-case letters, digits and hyphens, at most 63"
+	case s.Service == "":
+		return "service: want the name of a model service"
+	case s.Group < 1 || s.Group > maxGroup:
+		return fmt.Sprintf("group: want 1 to %d samples", maxGroup)
+	case s.Step < s.Group || s.Step > maxStep || s.Step%s.Group != 0:
+		return fmt.Sprintf("step: want a multiple of the group size, at most %d samples", maxStep)
+	default:
+		return ""
+	}
+}
+
+// Groups returns the number of groups of a step.
+func (s Spec) Groups() int { return s.Step / s.Group }
--- a/internal/dispatcher/follower.go
+++ b/internal/dispatcher/follower.go
@@ -88,6 +88,7 @@
 func (f *follower) deliver(pieces []streamer.Piece) {
 	for _, p := range pieces {
 		f.read++
+		p.Target, p.Incarnation = f.target.ID, f.target.Incarnation
 		if !f.job.answer.Append(p) {
 			continue
 		}
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -15,6 +15,11 @@
 	Tokens identifier.Tokens
 	// Version is the weight version that made the tokens, as the engine reported it; zero when it did not.
 	Version identifier.Version
+	// Adapter is the adapter that the engine reported with the tokens.
+	Adapter string
+	// Target and Incarnation say where the tokens were made. The reader of an attempt sets them.
+	Target      identifier.Target
+	Incarnation identifier.Incarnation
 }
 
 // End tells how an answer ended.
