httpserver: trainers' interface, forwarded to the owner of a run

Cause: the aggregate of a run had no front end and no process that runs it.

Change: routes under /v1/runs, the trainers' client in pkg/client, forwarding over net/rpc, the wiring in internal/runner, metrics, and a step of the main job. An owner that ends its term wakes the pulls that wait. Answers name the adapter that the engine reports. The demonstrator's golden test blanks the width of the time column, which depended on the length of the durations; it compares the same words as before.

--- a/internal/adapter/engineclient/engine.go
+++ b/internal/adapter/engineclient/engine.go
@@ -40,6 +40,7 @@
 	Text     string         `json:"text"`
 	Stream   bool           `json:"stream"`
 	Priority int            `json:"priority,omitempty"`
+	Adapter  string         `json:"lora_path,omitempty"`
 	Sampling samplingParams `json:"sampling_params"`
 }
 
@@ -53,6 +54,7 @@
 	Meta struct {
 		ID            string            `json:"id"`
 		WeightVersion string            `json:"weight_version"`
+		Adapter       string            `json:"lora_path"`
 		Prompt        identifier.Tokens `json:"prompt_tokens"`
 		Cached        identifier.Tokens `json:"cached_tokens"`
 		Completion    identifier.Tokens `json:"completion_tokens"`
@@ -69,6 +71,7 @@
 		Text:     call.Prompt,
 		Stream:   true,
 		Priority: call.Priority,
+		Adapter:  call.Adapter,
 		Sampling: samplingParams{MaxNewTokens: call.Limit},
 	})
 	if err != nil {
@@ -112,7 +115,7 @@
 		version := parseVersion(event.Meta.WeightVersion)
 		e.version.Store(uint64(version))
 		if len(event.IDs) > 0 {
-			emit(streamer.Piece{Data: []byte(event.Text), Tokens: identifier.Tokens(len(event.IDs)), Version: version})
+			emit(streamer.Piece{Data: []byte(event.Text), Tokens: identifier.Tokens(len(event.IDs)), Version: version, Adapter: event.Meta.Adapter})
 		}
 	}
 	return broken(ctx)
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -151,7 +151,7 @@
 	if k.spec.Team != call.Team {
 		return refuse(ReasonTeam)
 	}
-	if o := k.owner.Load(); o != nil && o.valid() {
+	if o := k.owner.Load(); o != nil && o.Valid() {
 		return serve(ctx, o, call)
 	}
 	if call.Forwarded {
--- a/internal/collector/crew.go
+++ b/internal/collector/crew.go
@@ -57,6 +57,7 @@
 		return
 	}
 	k.owner.Store(o)
+	defer o.End()
 	defer k.owner.Store(nil)
 	tick := c.clock.Every(tickPeriod)
 	defer tick.Stop()
--- a/internal/collector/owner.go
+++ b/internal/collector/owner.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -84,6 +85,7 @@
 	cursors uint64
 	stored  string
 	unsure  *write
+	ended   atomic.Bool
 }
 
 // write is a cursor write whose outcome is not known yet.
@@ -155,6 +157,15 @@
 	return storer.Applied
 }
 
+// End makes the owner answer no more calls and wakes the pulls that wait.
+func (o *Owner) End() {
+	o.ended.Store(true)
+	o.run.wake()
+}
+
+// Valid reports whether the owner may act.
+func (o *Owner) Valid() bool { return !o.ended.Load() && o.valid() }
+
 // Run returns the owned run.
 func (o *Owner) Run() *Run { return o.run }
 
@@ -283,7 +294,7 @@
 		changed := o.run.Changed()
 		batch, ok := o.run.Offer(o.clock.Boot(), p.Statement.Number, p.Most)
 		switch {
-		case !o.valid():
+		case !o.Valid():
 			return Delivery{Receipt: Receipt{Outcome: Moved}}
 		case ok:
 			return Delivery{Receipt: o.receipt(Done, ""), Batch: batch}
@@ -315,7 +326,7 @@
 	case <-ctx.Done():
 		return false
 	}
-	if !o.valid() {
+	if !o.Valid() {
 		o.unlock()
 		return false
 	}
--- a/internal/collector/run.go
+++ b/internal/collector/run.go
@@ -246,6 +246,13 @@
 	}
 }
 
+// wake lets whoever waits for a change look again.
+func (r *Run) wake() {
+	r.lock.Lock()
+	defer r.unlock()
+	r.notify()
+}
+
 func (r *Run) notify() {
 	if r.changed != nil {
 		close(r.changed)
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -41,7 +41,7 @@
 
 // Steps returns the parts of the main job in order.
 func Steps() []Step {
-	return []Step{configure{}, streamAnswer{}, callOnce{}, withdrawKey{}, switchPreset{}}
+	return []Step{configure{}, streamAnswer{}, callOnce{}, withdrawKey{}, switchPreset{}, collectStep{}}
 }
 
 // DefaultPlan is the deployment of the main job: one entry and four back ends in two availability zones.
--- a/internal/demonstrator/demonstrator_test.go
+++ b/internal/demonstrator/demonstrator_test.go
@@ -13,8 +13,9 @@
 	"github.com/mimosalb/mimosalb/internal/demonstrator"
 )
 
-// times matches the durations of a table, which differ from run to run, with the space before the next column.
-var times = regexp.MustCompile(`[0-9.]+(ms|s)\b *`)
+// times matches the durations of a table and the head of their column, whose widths differ from run to run, with the
+// space before the next column.
+var times = regexp.MustCompile(`([0-9.]+(ms|s)\b|TIME) *`)
 
 // Guards against a broken promise on the whole path from caller to back end.
 func TestMainJob(t *testing.T) {
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -13,6 +13,8 @@
 	Limit    identifier.Tokens
 	Priority int
 	Version  identifier.Version
+	// Adapter names the adapter that a model service is to apply; empty is none.
+	Adapter string
 	// Method, Path, Header and Body are for plain services.
 	Method string
 	Path   string
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -43,6 +43,7 @@
 	dispatcher *dispatcher.Dispatcher
 	callers    *httpserver.Server
 	operators  *httpserver.Server
+	rollouts   *rollouts
 	ready      atomic.Bool
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
@@ -74,10 +75,15 @@
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
 
+	if err := e.startRollouts(s, store, config, m.tracker); err != nil {
+		return nil, errors.Join(err, e.Stop(context.Background()))
+	}
 	metrics := prometheus.NewRegistry()
+	metrics.MustRegister(newRunMetrics(e.rollouts.collector.Statuses))
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	health := httpserver.NewHealth(e.ready.Load, metrics)
-	e.callers = httpserver.NewServer(health, httpserver.NewCallers(e.dispatcher, auth, config))
+	e.callers = httpserver.NewServer(health, httpserver.NewCallers(e.dispatcher, auth, config),
+		httpserver.NewTrainers(e.rollouts.collector, auth, config))
 	e.operators = httpserver.NewServer(health, httpserver.NewOperators(publish, config, pepper))
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
@@ -90,7 +96,12 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	e.ready.Store(false)
 	e.log.Emit(logger.DrainStarted)
-	err := errors.Join(e.callers.Stop(ctx), e.operators.Stop(ctx))
+	err := e.rollouts.stop()
+	for _, srv := range []*httpserver.Server{e.callers, e.operators} {
+		if srv != nil {
+			err = errors.Join(err, srv.Stop(ctx))
+		}
+	}
 	e.dispatcher.Close()
 	e.cancel()
 	e.tasks.Wait()
--- /dev/null
+++ b/internal/runner/rollouts.go
@@ -0,0 +1,132 @@
+package runner
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
+	"github.com/mimosalb/mimosalb/internal/authenticator"
+	"github.com/mimosalb/mimosalb/internal/collector"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+	"github.com/mimosalb/mimosalb/internal/tracker"
+	"github.com/mimosalb/mimosalb/pkg/loader"
+)
+
+const (
+	// classScoring orders rollouts of scoring services before all other work in training windows.
+	classScoring = -1
+	// versionAge is how long the versions of the fleet are used without reading the view again.
+	versionAge = 100 * time.Millisecond
+)
+
+// rollouts is the part of an entry that serves training runs.
+type rollouts struct {
+	collector *collector.Collector
+	server    *rpcserver.Server
+}
+
+// startRollouts listens for other entries and begins to serve training runs.
+func (e *Entry) startRollouts(s loader.Settings, store *storer.Storer, config *configurator.Configurator, members *tracker.Tracker) error {
+	l, err := listen(s.Peers)
+	if err != nil {
+		return fmt.Errorf("listen for entries: %w", err)
+	}
+	workers := s.Workers
+	if workers <= 0 {
+		workers = dispatcher.DefaultWorkers
+	}
+	// Rollouts take at most their share of the entry's workers, so that callers' requests find a free one.
+	workers = max(1, int(configurator.DefaultRolloutShare*float64(workers)))
+	duties := leaser.NewLeaser(identifier.Node(s.Name), store, e.clock)
+	view := &fleet{clock: e.clock, config: config, members: members}
+	c := collector.NewCollector(collector.Settings{Address: l.Addr().String(), Workers: workers},
+		store, codec.Rollouts{}, e.clock, duties, e.dispatcher, rpcclient.NewOwners(e.peers), view)
+	e.rollouts = &rollouts{collector: c, server: rpcserver.NewServer()}
+	if err := e.rollouts.server.Register("Runs", rpcserver.NewRuns(c)); err != nil {
+		_ = l.Close()
+		c.Close()
+		e.rollouts = nil
+		return fmt.Errorf("serve runs: %w", err)
+	}
+	e.rollouts.server.Start(l)
+	return nil
+}
+
+// stop gives the owned runs up, so that another entry can take them at once.
+func (r *rollouts) stop() error {
+	if r == nil {
+		return nil
+	}
+	r.collector.Close()
+	return r.server.Close()
+}
+
+// fleet is what the collector sees of the engines.
+type fleet struct {
+	clock   timer.Service
+	config  *configurator.Configurator
+	members *tracker.Tracker
+
+	mu       sync.Mutex
+	versions map[identifier.Service]span
+	read     time.Duration
+}
+
+// span holds the oldest and the newest weight version of a service.
+type span struct{ oldest, newest identifier.Version }
+
+// Request returns the request of a rollout.
+func (f *fleet) Request(s collector.Spec, t collector.Task) (dispatcher.Request, bool) {
+	doc := f.config.Current()
+	service, ok := doc.Service(s.Service)
+	if !ok || service.Kind != configurator.Model {
+		return dispatcher.Request{}, false
+	}
+	r := dispatcher.Request{
+		ID:       identifier.NewRequest(),
+		Identity: authenticator.Identity{Team: s.Team, Caller: identifier.Caller(s.Run.Duty())},
+		Service:  service,
+		Call:     executor.Call{Service: s.Service, Team: s.Team, Adapter: s.Adapter, Prompt: t.Prompt.Text, Limit: t.Prompt.Limit},
+		Expected: t.Prompt.Limit,
+	}
+	if service.Scoring && doc.Rule().Training {
+		r.Class = classScoring
+	}
+	return r, true
+}
+
+// Versions returns the oldest and the newest weight version among the serving engines of a service.
+func (f *fleet) Versions(s identifier.Service) (oldest, newest, due identifier.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := f.clock.Boot(); f.versions == nil || now-f.read >= versionAge {
+		f.refresh()
+		f.read = now
+	}
+	v := f.versions[s]
+	return v.oldest, v.newest, v.newest
+}
+
+func (f *fleet) refresh() {
+	f.versions = make(map[identifier.Service]span)
+	for _, t := range f.members.View().Targets() {
+		if t.Version == 0 {
+			continue
+		}
+		v := f.versions[t.Service]
+		if v.oldest == 0 || t.Version < v.oldest {
+			v.oldest = t.Version
+		}
+		v.newest = max(v.newest, t.Version)
+		f.versions[t.Service] = v
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -90,6 +90,7 @@
 	RID      string `json:"rid"`
 	Text     string `json:"text"`
 	Stream   bool   `json:"stream"`
+	Adapter  string `json:"lora_path"`
 	Sampling struct {
 		MaxNewTokens int `json:"max_new_tokens"`
 	} `json:"sampling_params"`
@@ -98,6 +99,7 @@
 type metaInfo struct {
 	ID            string  `json:"id"`
 	WeightVersion string  `json:"weight_version"`
+	Adapter       string  `json:"lora_path,omitempty"`
 	Prompt        int     `json:"prompt_tokens"`
 	Cached        int     `json:"cached_tokens"`
 	Completion    int     `json:"completion_tokens"`
@@ -129,7 +131,7 @@
 	defer e.running.Add(-1)
 
 	words := strings.Fields(q.Text)
-	meta := metaInfo{ID: q.RID, Prompt: len(words), Cached: e.cache.hit(words)}
+	meta := metaInfo{ID: q.RID, Adapter: q.Adapter, Prompt: len(words), Cached: e.cache.hit(words)}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	tick := e.clock.Every(e.tokenTime)
