leaser: no race between the start of a term and its first renewal

Cause: the closure that starts lead read the variable that the renewals assign.

Change: lead gets its own copy of the first term.

Before/after: before, TestOneHolderAtATime reported the data race under -race; after, 20 runs passed under -race -tags lockcheck.

Conclusion: the existing test guards against it.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -112,9 +112,11 @@
 	leadCtx, cancel := context.WithCancel(ctx)
 	l.terms.Put(term.Duty, term)
 	var leading sync.WaitGroup
+	// The renewals below replace term while lead starts.
+	first := term
 	leading.Go(func() {
 		defer cancel()
-		lead(leadCtx, term)
+		lead(leadCtx, first)
 	})
 	for leadCtx.Err() == nil {
 		term = l.renew(leadCtx, term, lease)
