updater: announced weights reach every engine through its agent

Cause: the weight change had no messages and no processes.

Change: trainers announce a manifest under /v1/runs/RUN/weights, the holder of duty weights-SERVICE leads the change, agents fetch chunks over net/rpc and switch their engine; the engine's own report counts. The due version reaches the start check.

--- a/internal/adapter/httpserver/trainer.go
+++ b/internal/adapter/httpserver/trainer.go
@@ -30,14 +30,15 @@
 
 // Trainers is the interface for trainers.
 type Trainers struct {
-	runs   RunService
-	auth   *authenticator.Authenticator
-	config *configurator.Configurator
+	runs    RunService
+	weights Announcer
+	auth    *authenticator.Authenticator
+	config  *configurator.Configurator
 }
 
 // NewTrainers returns the trainers' routes.
-func NewTrainers(runs RunService, auth *authenticator.Authenticator, config *configurator.Configurator) *Trainers {
-	return &Trainers{runs: runs, auth: auth, config: config}
+func NewTrainers(runs RunService, weights Announcer, auth *authenticator.Authenticator, config *configurator.Configurator) *Trainers {
+	return &Trainers{runs: runs, weights: weights, auth: auth, config: config}
 }
 
 // Register adds the trainers' routes.
@@ -46,6 +47,7 @@
 	e.GET("/v1/runs/:run", ts.status)
 	e.POST("/v1/runs/:run/submissions", ts.submit)
 	e.POST("/v1/runs/:run/pull", ts.pull)
+	e.POST("/v1/runs/:run/weights", ts.announce)
 	e.POST("/v1/runs/:run/acknowledgements", ts.acknowledge)
 }
 
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -101,7 +101,7 @@
 }
 
 func (d *Deployment) startStandin(p Plan, log *logger.Logger) error {
-	s := loader.Standin{Store: loopback, Platform: loopback}
+	s := loader.Standin{Store: loopback, Platform: loopback, Weights: loopback}
 	for _, b := range p.Backs {
 		t := loader.StandinTarget{Name: b.Name, Address: loopback, Token: loader.Duration(p.Token)}
 		if b.Kind == "model" {
@@ -122,7 +122,8 @@
 	agent, err := runner.StartAgent(loader.Settings{
 		Name: "agent-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
 		Period: loader.Duration(p.Period), TLS: loader.TLS{Plain: true},
-		Target: loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
+		Target:  loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
+		Weights: "http://" + d.Standin.Addresses["weights"],
 	}, log)
 	if err != nil {
 		return fmt.Errorf("start agent: %w", err)
--- a/internal/demonstrator/rollout.go
+++ b/internal/demonstrator/rollout.go
@@ -5,15 +5,19 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/standin/switcher"
 	"github.com/mimosalb/mimosalb/pkg/client"
 )
 
 const (
 	// rolloutTokens is the length of a rollout of the main job.
 	rolloutTokens = 40
+	// weightBytes and weightChunk are the sizes of the weights and their chunks.
+	weightBytes = 1 << 20
+	weightChunk = 64 << 10
 	// rolloutLimit bounds the wait for the steps of the main job.
 	rolloutLimit = 30 * time.Second
 )
@@ -37,8 +41,10 @@
 	}
 	check := &rolloutCheck{prompts: make(map[client.Group]string), versions: make(map[uint64]int)}
 	for step := 1; step <= 2; step++ {
-		if err := changeWeights(ctx, s, step); err != nil {
-			return "", err
+		if step > 1 {
+			if err := changeWeights(ctx, s, trainer, uint64(step)); err != nil {
+				return "", err
+			}
 		}
 		prompts := make([]client.Prompt, spec.Step/spec.Group)
 		for i := range prompts {
@@ -124,20 +130,24 @@
 	return nil
 }
 
-// changeWeights tells every engine to load another weight version.
-func changeWeights(ctx context.Context, s *Session, version int) error {
-	for name := range s.Deployment.Standin.Engines {
-		url := "http://" + s.Deployment.Standin.Addresses[name] + "/update_weights_from_disk"
-		body := fmt.Sprintf(`{"weight_version":"%d"}`, version)
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
-		if err != nil {
-			return fmt.Errorf("make request: %w", err)
-		}
-		resp, err := s.Client.http.Do(req)
-		if err != nil {
-			return fmt.Errorf("change weights: %w", err)
-		}
-		_ = resp.Body.Close()
+// changeWeights publishes a weight version and waits until every engine has switched. The first switch of one engine
+// fails.
+func changeWeights(ctx context.Context, s *Session, trainer *client.Trainer, version uint64) error {
+	data := bytes.Repeat([]byte(strconv.FormatUint(version, 10)), weightBytes)
+	s.Deployment.Standin.Weights.Put(version, data)
+	for _, e := range s.Deployment.Standin.Engines {
+		e.Switches.Set(switcher.Switches{Swap: 1})
+		break
 	}
-	return nil
+	if err := trainer.Publish(ctx, client.NewWeights(version, data, weightChunk)); err != nil {
+		return fmt.Errorf("publish weights: %w", err)
+	}
+	return s.Client.Await(ctx, rolloutLimit, func() bool {
+		for _, e := range s.Deployment.Standin.Engines {
+			if e.Version() != version {
+				return false
+			}
+		}
+		return true
+	})
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/engineclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
@@ -27,6 +28,7 @@
 	gate   *gatekeeper.Gatekeeper
 	runs   *executor.Executor
 	server *rpcserver.Server
+	peers  *rpcclient.Client
 }
 
 // target is the back end beside an agent.
@@ -55,6 +57,10 @@
 		a.close()
 		return nil, fmt.Errorf("serve agent: %w", err)
 	}
+	if err := a.registerWeights(s, back); err != nil {
+		a.close()
+		return nil, err
+	}
 	l, err := listen(s.Peers)
 	if err != nil {
 		a.close()
@@ -82,5 +88,8 @@
 // close ends what runs below the server.
 func (a *Agent) close() {
 	a.runs.Close()
+	if a.peers != nil {
+		a.peers.Close()
+	}
 	a.clock.Close()
 }
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -75,7 +75,7 @@
 	e.task(func() { e.adopt(ctx, config, auth) })
 	e.task(func() { m.run(ctx) })
 
-	if err := e.startRollouts(s, store, config, m.tracker); err != nil {
+	if err := e.startRollouts(ctx, s, store, config, m.tracker); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
 	}
 	metrics := prometheus.NewRegistry()
@@ -83,7 +83,7 @@
 	metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	health := httpserver.NewHealth(e.ready.Load, metrics)
 	e.callers = httpserver.NewServer(health, httpserver.NewCallers(e.dispatcher, auth, config),
-		httpserver.NewTrainers(e.rollouts.collector, auth, config))
+		httpserver.NewTrainers(e.rollouts.collector, e.rollouts.weights, auth, config))
 	e.operators = httpserver.NewServer(health, httpserver.NewOperators(publish, config, pepper))
 	if err := e.listen(s); err != nil {
 		return nil, errors.Join(err, e.Stop(context.Background()))
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/internal/tracker"
+	"github.com/mimosalb/mimosalb/internal/updater"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
 
@@ -32,10 +34,13 @@
 type rollouts struct {
 	collector *collector.Collector
 	server    *rpcserver.Server
+	weights   *updater.Leader
 }
 
 // startRollouts listens for other entries and begins to serve training runs.
-func (e *Entry) startRollouts(s loader.Settings, store *storer.Storer, config *configurator.Configurator, members *tracker.Tracker) error {
+func (e *Entry) startRollouts(
+	ctx context.Context, s loader.Settings, store *storer.Storer, config *configurator.Configurator, members *tracker.Tracker,
+) error {
 	l, err := listen(s.Peers)
 	if err != nil {
 		return fmt.Errorf("listen for entries: %w", err)
@@ -48,9 +53,11 @@
 	workers = max(1, int(configurator.DefaultRolloutShare*float64(workers)))
 	duties := leaser.NewLeaser(identifier.Node(s.Name), store, e.clock)
 	view := &fleet{clock: e.clock, config: config, members: members}
+	view.weights = updater.NewLeader(store, codec.Rollouts{}, view, rpcclient.NewWeights(e.peers), e.clock)
+	e.task(func() { e.leadWeights(ctx, config, duties, view.weights) })
 	c := collector.NewCollector(collector.Settings{Address: l.Addr().String(), Workers: workers},
 		store, codec.Rollouts{}, e.clock, duties, e.dispatcher, rpcclient.NewOwners(e.peers), view)
-	e.rollouts = &rollouts{collector: c, server: rpcserver.NewServer()}
+	e.rollouts = &rollouts{collector: c, server: rpcserver.NewServer(), weights: view.weights}
 	if err := e.rollouts.server.Register("Runs", rpcserver.NewRuns(c)); err != nil {
 		_ = l.Close()
 		c.Close()
@@ -75,6 +82,7 @@
 	clock   timer.Service
 	config  *configurator.Configurator
 	members *tracker.Tracker
+	weights *updater.Leader
 
 	mu       sync.Mutex
 	versions map[identifier.Service]span
@@ -113,7 +121,7 @@
 		f.read = now
 	}
 	v := f.versions[s]
-	return v.oldest, v.newest, v.newest
+	return v.oldest, v.newest, max(v.newest, f.weights.Due(s))
 }
 
 func (f *fleet) refresh() {
--- a/internal/runner/standin.go
+++ b/internal/runner/standin.go
@@ -12,6 +12,7 @@
 	"github.com/mimosalb/mimosalb/internal/standin/platform"
 	"github.com/mimosalb/mimosalb/internal/standin/service"
 	"github.com/mimosalb/mimosalb/internal/standin/store"
+	"github.com/mimosalb/mimosalb/internal/standin/weights"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
@@ -20,6 +21,7 @@
 type Standin struct {
 	Store    *store.Store
 	Platform *platform.Platform
+	Weights  *weights.Store
 	Engines  map[string]*engine.Engine
 	Services map[string]*service.Service
 	// Addresses holds the listening address of "store", "platform" and each back end by name.
@@ -36,6 +38,7 @@
 	st := &Standin{
 		Store:     store.NewStore(clock),
 		Platform:  platform.NewPlatform(),
+		Weights:   weights.NewStore(clock, s.WeightRate),
 		Engines:   make(map[string]*engine.Engine),
 		Services:  make(map[string]*service.Service),
 		Addresses: make(map[string]string),
@@ -45,7 +48,8 @@
 	for _, vm := range s.VMs {
 		st.Platform.AddVM(platform.VM(vm))
 	}
-	err := errors.Join(st.serve("store", s.Store, st.Store.Handler()), st.serve("platform", s.Platform, st.Platform.Handler()))
+	err := errors.Join(st.serve("store", s.Store, st.Store.Handler()), st.serve("platform", s.Platform, st.Platform.Handler()),
+		st.serve("weights", s.Weights, st.Weights.Handler()))
 	for _, t := range s.Engines {
 		opts := []engine.Option{}
 		if t.Token > 0 {
--- a/internal/updater/updater_test.go
+++ b/internal/updater/updater_test.go
@@ -18,7 +18,7 @@
 )
 
 func members(perRegion int) []updater.Member {
-	var all []updater.Member
+	all := make([]updater.Member, 0, 2*perRegion)
 	for _, r := range []identifier.Region{"lagos", "kano"} {
 		for i := range perRegion {
 			all = append(all, updater.Member{
--- a/pkg/client/wire.go
+++ b/pkg/client/wire.go
@@ -135,3 +135,11 @@
 	Detail string `json:"detail"`
 	Status int    `json:"status"`
 }
+
+// Weights is the manifest of a weight version: the SHA-256 digest of each chunk in hexadecimal form.
+type Weights struct {
+	Version uint64   `json:"version"`
+	Size    int64    `json:"size"`
+	Chunk   int64    `json:"chunk_size"`
+	Digests []string `json:"digests"`
+}
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -17,6 +17,8 @@
 	// Store and Platform are the base URLs of the key-value service and of the platform's interfaces.
 	Store    string `yaml:"store"`
 	Platform string `yaml:"platform"`
+	// Weights is the base URL of the weight store, from which agents fetch weights.
+	Weights string `yaml:"weights"`
 	// Pepper is the file with the secret under which keys are hashed.
 	Pepper string `yaml:"pepper"`
 	// Data is the folder for bulk data; empty means that the VM has no disk.
@@ -66,11 +68,14 @@
 
 // Standin lists the stand-ins that one process serves.
 type Standin struct {
-	Store    string          `yaml:"store"`
-	Platform string          `yaml:"platform"`
-	VMs      []VM            `yaml:"vms"`
-	Engines  []StandinTarget `yaml:"engines"`
-	Services []StandinTarget `yaml:"services"`
+	Store    string `yaml:"store"`
+	Platform string `yaml:"platform"`
+	// Weights is the address of the weight store and WeightRate its limit in bytes per second; zero is no limit.
+	Weights    string          `yaml:"weights"`
+	WeightRate float64         `yaml:"weightrate"`
+	VMs        []VM            `yaml:"vms"`
+	Engines    []StandinTarget `yaml:"engines"`
+	Services   []StandinTarget `yaml:"services"`
 }
 
 // StandinTarget is a stand-in back end and the address that it listens on.
