--- a/internal/collector/rollout.go
+++ b/internal/collector/rollout.go
@@ -41,9 +41,14 @@
 type try struct {
 	started time.Duration
 	tokens  identifier.Tokens
-	oldest  identifier.Version
-	hedge   bool
-	slow    bool
+	// begun is when the first tokens came and first their number.
+	begun time.Duration
+	first identifier.Tokens
+	// seen is when the last tokens came.
+	seen   time.Duration
+	oldest identifier.Version
+	hedge  bool
+	slow   bool
 }
 
 // slot is the place of one sample in its group.
--- a/internal/collector/work.go
+++ b/internal/collector/work.go
@@ -39,6 +39,18 @@
 	return Task{}, false
 }
 
+// hopeless reports whether every try at a sample is a straggler and another one is allowed. A hedge can itself meet a
+// slow engine.
+func (r *Run) hopeless(id Rollout) bool {
+	tries := r.groups[id.Group].slots[id.Index].tries
+	for _, t := range tries {
+		if !t.slow {
+			return false
+		}
+	}
+	return len(tries) < maxTries
+}
+
 func (r *Run) start(p place, g *group, now time.Duration, hedge bool) Task {
 	s := &g.slots[p.index]
 	id := Rollout{Group: p.group, Index: p.index, Try: s.next}
@@ -46,7 +58,7 @@
 	if s.tries == nil {
 		s.tries = make(map[int]*try)
 	}
-	t := &try{started: now, hedge: hedge}
+	t := &try{started: now, seen: now, hedge: hedge}
 	s.tries[id.Try] = t
 	r.running[id] = t
 	g.begun = true
@@ -82,24 +94,28 @@
 	var slow []Rollout
 	for id, t := range r.running {
 		g := r.groups[id.Group]
-		if len(g.slots[id.Index].tries) > 1 {
-			continue
+		p := Progress{
+			Elapsed: now - t.started, Silence: now - t.seen, Tokens: t.tokens, Writing: t.seen - t.begun,
+			Written: t.tokens - t.first, Limit: g.prompt.Limit, Median: usual, Pace: pace,
 		}
-		p := Progress{Elapsed: now - t.started, Tokens: t.tokens, Limit: g.prompt.Limit, Median: usual, Pace: pace}
 		if 2*len(g.took) >= len(g.slots) {
 			p.Median = median(g.took)
 		}
-		if straggler, decided := r.judge.Decide(p); decided && straggler {
-			t.slow = true
+		straggler, decided := r.judge.Decide(p)
+		t.slow = decided && straggler
+	}
+	for id, t := range r.running {
+		if t.slow && r.hopeless(id) {
 			slow = append(slow, id)
 		}
 	}
 	if len(slow) == 0 || float64(r.counts.Hedges+1) > hedgeShare*float64(r.counts.Started-r.counts.Hedges) {
 		return Task{}, false
 	}
-	// The one that has run longest holds its step up most.
+	// The one with the fewest tokens holds its step up most.
 	id := slices.MinFunc(slow, func(a, b Rollout) int {
-		return cmp.Or(cmp.Compare(r.running[a].started, r.running[b].started), cmp.Compare(a.Group.Submission, b.Group.Submission),
+		return cmp.Or(cmp.Compare(r.running[a].tokens, r.running[b].tokens),
+			cmp.Compare(r.running[a].started, r.running[b].started), cmp.Compare(a.Group.Submission, b.Group.Submission),
 			cmp.Compare(a.Group.Index, b.Group.Index), cmp.Compare(a.Index, b.Index))
 	})
 	return r.start(place{group: id.Group, index: id.Index}, r.groups[id.Group], now, true), true
@@ -107,13 +123,19 @@
 
 // Progress records how far a running rollout is and the oldest version in it so far; zero when no token has come. A
 // false result means that the rollout is no longer needed.
-func (r *Run) Progress(id Rollout, tokens identifier.Tokens, oldest identifier.Version) bool {
+func (r *Run) Progress(id Rollout, tokens identifier.Tokens, oldest identifier.Version, now time.Duration) bool {
 	r.lock.Lock()
 	defer r.unlock()
 	t, ok := r.running[id]
 	if !ok {
 		return false
 	}
+	if t.tokens == 0 && tokens > 0 {
+		t.begun, t.first = now, tokens
+	}
+	if tokens > t.tokens {
+		t.seen = now
+	}
 	t.tokens, t.oldest = tokens, oldest
 	if oldest != 0 && r.tooOld(oldest, r.due) {
 		r.giveUp(id, t)
