updater: pinned callers keep their version

Cause: a switch could change the weights under a call that is pinned to a version.

Change: an agent does not switch while such a call runs; a pinned call fails before its first token of another version.

Conclusion: pins hold at the agent; routing by version is the router's part.

--- a/internal/adapter/engineclient/engine.go
+++ b/internal/adapter/engineclient/engine.go
@@ -91,11 +91,11 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, lineLimit))
 		return streamer.Final{}.WithEnd(streamer.Failed, "status-"+strconv.Itoa(resp.StatusCode))
 	}
-	return e.follow(ctx, id, resp.Body, emit)
+	return e.follow(ctx, id, call, resp.Body, emit)
 }
 
-// follow reads the events of an answer until its end.
-func (e *Engine) follow(ctx context.Context, id identifier.Attempt, body io.Reader, emit func(streamer.Piece)) streamer.Final {
+// follow reads the events of an answer until its end. A call that is pinned to a version gets no token of another one.
+func (e *Engine) follow(ctx context.Context, id identifier.Attempt, call executor.Call, body io.Reader, emit func(streamer.Piece)) streamer.Final {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, lineLimit)
 	var last generateEvent
@@ -114,6 +114,9 @@
 		last = event
 		version := parseVersion(event.Meta.WeightVersion)
 		e.version.Store(uint64(version))
+		if call.Version != 0 && version != call.Version {
+			return streamer.Final{}.WithEnd(streamer.Failed, "version")
+		}
 		if len(event.IDs) > 0 {
 			emit(streamer.Piece{Data: []byte(event.Text), Tokens: identifier.Tokens(len(event.IDs)), Version: version, Adapter: event.Meta.Adapter})
 		}
--- a/internal/adapter/rpcserver/weights.go
+++ b/internal/adapter/rpcserver/weights.go
@@ -24,12 +24,16 @@
 	origin updater.Origin
 	peers  updater.Peers
 	engine WeightEngine
+	pinned func(v identifier.Version) bool
 	clock  timer.Service
 }
 
-// NewWeights returns the receiver for an agent's shelf and engine.
-func NewWeights(s *updater.Shelf, o updater.Origin, p updater.Peers, e WeightEngine, clock timer.Service) *Weights {
-	return &Weights{shelf: s, origin: o, peers: p, engine: e, clock: clock}
+// NewWeights returns the receiver for an agent's shelf and engine. pinned reports whether callers need another version
+// than the given one.
+func NewWeights(
+	s *updater.Shelf, o updater.Origin, p updater.Peers, e WeightEngine, pinned func(identifier.Version) bool, clock timer.Service,
+) *Weights {
+	return &Weights{shelf: s, origin: o, peers: p, engine: e, pinned: pinned, clock: clock}
 }
 
 // Prefetch fetches the chunks of a version.
@@ -51,10 +55,10 @@
 	return nil
 }
 
-// Switch switches the engine if every chunk of the version is there.
+// Switch switches the engine if every chunk of the version is there and no caller is pinned to another version.
 func (w *Weights) Switch(args messenger.SwitchRequest, reply *messenger.SwitchReply) error {
 	reply.Envelope = args.Envelope
-	if w.shelf.Whole(args.Version) {
+	if w.shelf.Whole(args.Version) && !w.pinned(args.Version) {
 		reply.Reported = w.engine.Load(args.Context(), args.Version, args.Fence)
 	}
 	return nil
--- /dev/null
+++ b/internal/executor/pin.go
@@ -0,0 +1,13 @@
+package executor
+
+import "github.com/mimosalb/mimosalb/internal/identifier"
+
+// Pinned reports whether a queued or running call is pinned to another weight version than v.
+func (e *Executor) Pinned(v identifier.Version) bool {
+	found := false
+	e.jobs.Each(func(_ identifier.Attempt, j job) bool {
+		found = j.call.Version != 0 && j.call.Version != v
+		return !found
+	})
+	return found
+}
--- a/internal/runner/weights.go
+++ b/internal/runner/weights.go
@@ -23,7 +23,8 @@
 		return nil
 	}
 	a.peers = rpcclient.NewClient(a.clock)
-	receiver := rpcserver.NewWeights(&updater.Shelf{}, engineclient.NewOrigin(s.Weights), rpcclient.NewWeights(a.peers), engine, a.clock)
+	origin, peers := engineclient.NewOrigin(s.Weights), rpcclient.NewWeights(a.peers)
+	receiver := rpcserver.NewWeights(&updater.Shelf{}, origin, peers, engine, a.runs.Pinned, a.clock)
 	if err := a.server.Register("Weights", receiver); err != nil {
 		return fmt.Errorf("serve weights: %w", err)
 	}
