--- a/internal/adapter/engineclient/engine.go
+++ b/internal/adapter/engineclient/engine.go
@@ -40,6 +40,7 @@
 	Text     string         `json:"text"`
 	Stream   bool           `json:"stream"`
 	Priority int            `json:"priority,omitempty"`
+	Adapter  string         `json:"lora_path,omitempty"`
 	Sampling samplingParams `json:"sampling_params"`
 }
 
@@ -53,6 +54,7 @@
 	Meta struct {
 		ID            string            `json:"id"`
 		WeightVersion string            `json:"weight_version"`
+		Adapter       string            `json:"lora_path"`
 		Prompt        identifier.Tokens `json:"prompt_tokens"`
 		Cached        identifier.Tokens `json:"cached_tokens"`
 		Completion    identifier.Tokens `json:"completion_tokens"`
@@ -71,6 +73,7 @@
 		Text:     call.Prompt,
 		Stream:   true,
 		Priority: call.Priority,
+		Adapter:  call.Adapter,
 		Sampling: samplingParams{MaxNewTokens: call.Limit},
 	})
 	if err != nil {
@@ -90,11 +93,11 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, lineLimit))
 		return streamer.Final{}.WithEnd(streamer.Failed, "status-"+strconv.Itoa(resp.StatusCode))
 	}
-	return e.follow(ctx, id, resp.Body, emit)
+	return e.follow(ctx, id, call, resp.Body, emit)
 }
 
-// follow reads the events of an answer until its end.
-func (e *Engine) follow(ctx context.Context, id identifier.Attempt, body io.Reader, emit func(streamer.Piece)) streamer.Final {
+// follow reads the events of an answer until its end. A call that is pinned to a version gets no token of another one.
+func (e *Engine) follow(ctx context.Context, id identifier.Attempt, call executor.Call, body io.Reader, emit func(streamer.Piece)) streamer.Final {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, lineLimit)
 	var last generateEvent
@@ -114,9 +117,14 @@
 		last = event
 		version := parseVersion(event.Meta.WeightVersion)
 		e.version.Store(uint64(version))
+		if call.Version != 0 && version != call.Version {
+			return streamer.Final{}.WithEnd(streamer.Failed, "version")
+		}
 		if len(event.IDs) > 0 {
 			count += identifier.Tokens(len(event.IDs))
-			emit(streamer.Piece{Data: []byte(event.Text), Tokens: identifier.Tokens(len(event.IDs)), Version: version})
+			emit(streamer.Piece{
+				Data: []byte(event.Text), Tokens: identifier.Tokens(len(event.IDs)), Version: version, Adapter: event.Meta.Adapter,
+			})
 		}
 	}
 	return broken(ctx, lines.Err())
--- a/internal/adapter/engineclient/engine_test.go
+++ b/internal/adapter/engineclient/engine_test.go
@@ -20,10 +20,10 @@
 const whole = `data: {"text":" a","output_ids":[1],"meta_info":{"id":"r/0","weight_version":"v3",` +
 	`"completion_tokens":1,"finish_reason":{"type":"length"}}}` + "\n\ndata: [DONE]\n\n"
 
-// engine answers every call with the same bytes.
-type engine struct{ stream []byte }
+// scriptedEngine answers every call with the same bytes.
+type scriptedEngine struct{ stream []byte }
 
-func (e *engine) ServeHTTP(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(e.stream) }
+func (e *scriptedEngine) ServeHTTP(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(e.stream) }
 
 func run(back *engineclient.Engine) streamer.Final {
 	id := identifier.Attempt{Request: "r"}
@@ -34,7 +34,7 @@
 // request.
 func TestOnlyAnOrderlyStreamIsComplete(t *testing.T) {
 	c := qt.New(t)
-	e := &engine{}
+	e := &scriptedEngine{}
 	s := httptest.NewServer(e)
 	defer s.Close()
 	back := engineclient.NewEngine(s.URL)
@@ -62,7 +62,7 @@
 	for _, seed := range []string{whole, whole[:60], "", "data:", "data: {}\n", "data: [DONE]\n", "\xff\n", strings.ReplaceAll(whole, "r/0", "q/0")} {
 		f.Add([]byte(seed))
 	}
-	e := &engine{}
+	e := &scriptedEngine{}
 	back := engineclient.NewEngine("http://engine.test")
 	engineclient.SetTransport(back, roundTrip(func(r *http.Request) (*http.Response, error) {
 		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(e.stream))), Request: r}, nil
--- a/internal/adapter/exporter/entry.go
+++ b/internal/adapter/exporter/entry.go
@@ -46,6 +46,9 @@
 	e.registry.MustRegister(newCounts(listed, s.Listed), newCounts(serving, s.Serving))
 }
 
+// Add exports the metrics of c too.
+func (e *Entry) Add(c prometheus.Collector) { e.registry.MustRegister(c) }
+
 // Gatherer returns the metrics for the health routes.
 func (e *Entry) Gatherer() prometheus.Gatherer { return e.registry }
 
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -49,7 +49,7 @@
 
 // Steps returns the parts of the main job in order.
 func Steps() []Step {
-	return []Step{configure{}, streamAnswer{}, callOnce{}, withdrawKey{}, switchPreset{}, reportUsage{}}
+	return []Step{configure{}, streamAnswer{}, callOnce{}, withdrawKey{}, switchPreset{}, collectStep{}, reportUsage{}}
 }
 
 // DefaultPlan is the deployment of the main job: one entry and four back ends in two availability zones.
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -149,7 +149,7 @@
 }
 
 func (d *Deployment) startStandin(p Plan, log *logger.Logger) error {
-	s := loader.Standin{Store: loopback, Platform: loopback}
+	s := loader.Standin{Store: loopback, Platform: loopback, Weights: loopback}
 	for _, b := range p.Backs {
 		t := loader.StandinTarget{Name: b.Name, Address: loopback, Token: loader.Duration(p.Token)}
 		if b.Kind == "model" {
@@ -188,7 +188,8 @@
 // runAgent starts the process of the agent beside a back end.
 func (d *Deployment) runAgent(b Back) (*runner.Agent, error) {
 	agent, err := runner.StartAgent(loader.Settings{
-		Name: "agent-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
+		Name: "vm-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
+		Platform: "http://" + d.Standin.Addresses["platform"], Weights: "http://" + d.Standin.Addresses["weights"],
 		Period: loader.Duration(d.plan.Period), TLS: d.plan.tls(),
 		Target: loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
 	}, d.log)
--- a/internal/dispatcher/follower.go
+++ b/internal/dispatcher/follower.go
@@ -85,6 +85,9 @@
 		return chunk, retrier.Gone
 	default:
 		f.settles = 0
+		for i := range chunk.Pieces {
+			chunk.Pieces[i].Target, chunk.Pieces[i].Incarnation = f.target.ID, f.target.Incarnation
+		}
 		return chunk, retrier.Running
 	}
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -8,6 +8,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/engineclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
@@ -37,6 +38,7 @@
 	server *rpcserver.Server
 	health *httpserver.Server
 	tree   *tree
+	peers  *rpcclient.Client
 }
 
 // target is the back end beside an agent.
@@ -84,6 +86,10 @@
 		a.close()
 		return nil, fmt.Errorf("serve orders: %w", err)
 	}
+	if err := a.registerWeights(s, back, peers.client); err != nil {
+		a.close()
+		return nil, err
+	}
 	l, err := listen(s.Peers)
 	if err != nil {
 		a.close()
@@ -124,5 +130,8 @@
 // close ends what runs below the server.
 func (a *Agent) close() {
 	a.runs.Close()
+	if a.peers != nil {
+		a.peers.Close()
+	}
 	a.clock.Close()
 }
--- a/internal/runner/candidates.go
+++ b/internal/runner/candidates.go
@@ -6,31 +6,41 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/orderer"
-	"github.com/mimosalb/mimosalb/internal/reporter"
 )
 
 // candidacy limits the entries that campaign for a duty, so that calls to the key-value service do not grow with the
 // fleet. The zero value lets the process campaign for everything.
 type candidacy struct {
-	name   identifier.Node
-	region identifier.Region
-	duties atomic.Pointer[map[identifier.Duty]bool]
+	name    identifier.Node
+	region  identifier.Region
+	entries atomic.Pointer[[]platformclient.VM]
 }
 
 // candidates is the number of entries that campaign for a duty. A zone failure takes one or two of them.
 const candidates = 5
 
-// observe takes over the VM list.
+// observe takes over the entries of the VM list.
 func (c *candidacy) observe(vms []platformclient.VM) {
-	order := orderer.Duty(c.region)
-	duties := map[identifier.Duty]bool{reporter.Duty: c.among(reporter.Duty, vms, ""), order: c.among(order, vms, c.region)}
-	c.duties.Store(&duties)
+	var entries []platformclient.VM
+	for _, vm := range vms {
+		if vm.Role == platformclient.RoleEntry {
+			entries = append(entries, vm)
+		}
+	}
+	c.entries.Store(&entries)
 }
 
 // eligible reports whether the process campaigns for a duty. Before the first VM list it campaigns for none.
 func (c *candidacy) eligible(d identifier.Duty) bool {
-	duties := c.duties.Load()
-	return duties != nil && (*duties)[d]
+	entries := c.entries.Load()
+	if entries == nil {
+		return false
+	}
+	region := identifier.Region("")
+	if d == orderer.Duty(c.region) {
+		region = c.region
+	}
+	return c.among(d, *entries, region)
 }
 
 // among reports whether the process is one of the first entries for a duty, in an order that differs between duties.
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -40,6 +40,7 @@
 	list       *platformclient.Client
 	callers    *httpserver.Server
 	operators  *httpserver.Server
+	rollouts   *rollouts
 	ready      atomic.Bool
 	stopping   atomic.Bool
 	linger     time.Duration
@@ -60,9 +61,13 @@
 		return nil, err
 	}
 	b.dispatch()
+	err = b.collect()
 	b.runTasks()
 	b.openFrontEnds()
-	if err := b.entry.listen(s); err != nil {
+	if err == nil {
+		err = b.entry.listen(s)
+	}
+	if err != nil {
 		return nil, errors.Join(err, b.entry.Stop(context.Background()))
 	}
 	log.Emit(logger.ProcessStarted, "role", "entry", "name", s.Name, "callers", b.entry.Callers)
@@ -73,6 +78,7 @@
 // for the open ones until ctx ends, and ends the process's parts.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.log.Emit(logger.DrainStarted)
+	e.rollouts.stop()
 	err := e.drain(ctx)
 	e.dispatcher.Close()
 	e.claims.Close()
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -131,14 +131,17 @@
 	e.task(func() { b.usage.flush(b.ctx) })
 	e.task(func() { b.usage.report(b.ctx) })
 	e.task(func() { b.orders.run(b.ctx) })
+	e.task(func() { e.leadWeights(b.ctx, b.config, b.usage.leaser, e.rollouts.weights) })
 }
 
 // openFrontEnds makes the HTTP servers of callers and operators.
 func (b *entryBuilder) openFrontEnds() {
 	e := b.entry
+	b.metrics.Add(newRunMetrics(e.rollouts.collector.Statuses))
 	health := e.observe(b.metrics, b.config, b.members.tracker)
 	e.callers = httpserver.NewServer(b.metrics.Listener("callers"),
-		httpserver.NewHealth(e.accepts, nil), httpserver.NewCallers(e.dispatcher, b.auth, b.config))
+		httpserver.NewHealth(e.accepts, nil), httpserver.NewCallers(e.dispatcher, b.auth, b.config),
+		httpserver.NewTrainers(e.rollouts.collector, e.rollouts.weights, b.auth, b.config))
 	e.operators = httpserver.NewServer(b.metrics.Listener("operators"), health, httpserver.NewGuard(b.token),
 		httpserver.NewOperators(b.publish, b.config, b.pepper),
 		httpserver.NewUsageOperators(b.usage.reporter, b.usage.calendar), httpserver.NewTargetOperators(b.orders))
--- /dev/null
+++ b/internal/runner/rollouts.go
@@ -0,0 +1,126 @@
+package runner
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
+	"github.com/mimosalb/mimosalb/internal/authenticator"
+	"github.com/mimosalb/mimosalb/internal/collector"
+	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/scheduler"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+	"github.com/mimosalb/mimosalb/internal/tracker"
+	"github.com/mimosalb/mimosalb/internal/updater"
+)
+
+const (
+	// versionAge is how long the versions of the fleet are used without reading the view again.
+	versionAge = 100 * time.Millisecond
+)
+
+// rollouts is the part of an entry that serves training runs.
+type rollouts struct {
+	collector *collector.Collector
+	weights   *updater.Leader
+}
+
+// collect makes the parts that serve training runs, and serves the calls of other entries for them.
+func (b *entryBuilder) collect() error {
+	e := b.entry
+	workers := b.settings.Workers
+	if workers <= 0 {
+		workers = dispatcher.DefaultWorkers
+	}
+	// Rollouts take at most their share of the entry's workers, so that callers' requests find a free one.
+	workers = max(1, int(configurator.DefaultRolloutShare*float64(workers)))
+	store := b.store.For(storer.PurposeRun)
+	duties := leaser.NewLeaser(identifier.Node(b.settings.Name), b.store.For(storer.PurposeLease), e.clock)
+	view := &fleet{clock: e.clock, config: b.config, members: b.members.tracker}
+	view.weights = updater.NewLeader(store, codec.Rollouts{}, view, rpcclient.NewWeights(e.peers), e.clock)
+	c := collector.NewCollector(collector.Settings{Address: e.Peers, Workers: workers},
+		store, codec.Rollouts{}, e.clock, duties, e.dispatcher, rpcclient.NewOwners(e.peers), view)
+	e.rollouts = &rollouts{collector: c, weights: view.weights}
+	if err := e.tree.server.Register("Runs", rpcserver.NewRuns(c)); err != nil {
+		return fmt.Errorf("serve runs: %w", err)
+	}
+	return nil
+}
+
+// stop gives the owned runs up, so that another entry can take them at once.
+func (r *rollouts) stop() {
+	if r != nil {
+		r.collector.Close()
+	}
+}
+
+// fleet is what the collector sees of the engines.
+type fleet struct {
+	clock   timer.Service
+	config  *configurator.Configurator
+	members *tracker.Tracker
+	weights *updater.Leader
+
+	mu       sync.Mutex
+	versions map[identifier.Service]span
+	read     time.Duration
+}
+
+// span holds the oldest and the newest weight version of a service.
+type span struct{ oldest, newest identifier.Version }
+
+// Request returns the request of a rollout.
+func (f *fleet) Request(s collector.Spec, t collector.Task) (dispatcher.Request, bool) {
+	doc := f.config.Current()
+	service, ok := doc.Service(s.Service)
+	if !ok || service.Kind != configurator.Model {
+		return dispatcher.Request{}, false
+	}
+	r := dispatcher.Request{
+		ID:       identifier.NewRequest(),
+		Identity: authenticator.Identity{Team: s.Team, Caller: identifier.Caller(s.Run.Duty())},
+		Service:  service,
+		Rollout:  true,
+		Call:     executor.Call{Service: s.Service, Team: s.Team, Adapter: s.Adapter, Prompt: t.Prompt.Text, Limit: t.Prompt.Limit},
+		Expected: t.Prompt.Limit,
+	}
+	if service.Scoring && doc.Rule().Training {
+		r.Class = scheduler.ClassScoring
+	}
+	return r, true
+}
+
+// Versions returns the oldest and the newest weight version among the serving engines of a service.
+func (f *fleet) Versions(s identifier.Service) (oldest, newest, due identifier.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := f.clock.Boot(); f.versions == nil || now-f.read >= versionAge {
+		f.refresh()
+		f.read = now
+	}
+	v := f.versions[s]
+	return v.oldest, v.newest, max(v.newest, f.weights.Due(s))
+}
+
+func (f *fleet) refresh() {
+	f.versions = make(map[identifier.Service]span)
+	for _, t := range f.members.View().Targets() {
+		if t.Version == 0 {
+			continue
+		}
+		v := f.versions[t.Service]
+		if v.oldest == 0 || t.Version < v.oldest {
+			v.oldest = t.Version
+		}
+		v.newest = max(v.newest, t.Version)
+		f.versions[t.Service] = v
+	}
+}
