--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -5,7 +5,7 @@
 
 // Settings are the settings of one process. Which fields are required depends on the role.
 type Settings struct {
-	// Name identifies the process; it is unique in the deployment.
+	// Name identifies the process. It is the name of its VM in the platform's VM list, by which the others know it.
 	Name   string `yaml:"name"`
 	Zone   string `yaml:"zone"`
 	Region string `yaml:"region"`
