docs: CAPACITY.md, pages for crashes, usage and weights; rows of the target plan

Cause: the capacity page and three operators' pages were missing; "mimosactl target list" and "target plan" asked for arrays that the server did not send. Change: /v1/targets sends an array and /v1/targets/plan the plan as rows; the pages; design.md says what admission, fairness and routing do, and that limits are not shared between entries yet. Before/after: driven as ten separate processes, target list, plan, drain and status print their rows; before, the first two failed.

--- a/internal/adapter/httpserver/targets.go
+++ b/internal/adapter/httpserver/targets.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -45,13 +46,17 @@
 func (t *TargetOperators) Register(e *echo.Echo) {
 	e.GET("/v1/targets", t.list)
 	e.POST("/v1/targets/:target/drain", t.drain)
+	e.GET("/v1/targets/plan", t.planRows)
 	e.GET("/v1/plan", t.plan)
 }
 
 func (t *TargetOperators) list(c echo.Context) error {
 	all := t.targets.List()
 	slices.SortFunc(all, func(a, b Target) int { return cmp.Compare(a.Target, b.Target) })
-	return c.JSON(http.StatusOK, map[string][]Target{"targets": all})
+	if all == nil {
+		all = []Target{}
+	}
+	return c.JSON(http.StatusOK, all)
 }
 
 func (t *TargetOperators) drain(c echo.Context) error {
@@ -122,3 +127,40 @@
 	}
 	return c.JSON(http.StatusOK, reply)
 }
+
+// planRow is one line of the plan for mimosactl: what a service needs, or an order.
+type planRow struct {
+	// Row is need, wanted or open.
+	Row     string             `json:"row"`
+	Service identifier.Service `json:"service"`
+	Zone    identifier.Zone    `json:"zone,omitempty"`
+	Target  identifier.Target  `json:"target,omitempty"`
+	// What is the kind of an order, or the wanted and present number of targets.
+	What   string `json:"what"`
+	Reason string `json:"reason"`
+}
+
+// planRows shows the plan as flat rows.
+func (t *TargetOperators) planRows(c echo.Context) error {
+	plan, open, ok := t.targets.Plan(c.Request().Context())
+	if !ok {
+		return refused(http.StatusServiceUnavailable, "store-unavailable", "").write(c, storeRetry)
+	}
+	rows := make([]planRow, 0, len(plan.Needs)+len(plan.Orders)+len(open))
+	for _, n := range plan.Needs {
+		rows = append(rows, planRow{
+			Row: "need", Service: n.Service, What: fmt.Sprintf("wants %d, has %d", n.Wanted, n.Have), Reason: n.Reason,
+		})
+	}
+	for _, o := range plan.Orders {
+		rows = append(rows, planRow{
+			Row: "wanted", Service: o.Service, Zone: o.Zone, Target: o.Target, What: fmt.Sprint(o.Kind), Reason: o.Reason,
+		})
+	}
+	for _, o := range open {
+		rows = append(rows, planRow{
+			Row: "open", Service: o.Service, Zone: o.Zone, Target: o.Target, What: o.State.String(), Reason: o.Reason,
+		})
+	}
+	return c.JSON(http.StatusOK, rows)
+}
--- a/links_test.go
+++ b/links_test.go
@@ -9,12 +9,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a page that points to a file which is not there. CONTRIBUTING.md joins the list with docs/CAPACITY.md,
-// which it names and which is not written yet.
+// Guards against a page that points to a file which is not there.
 func TestPagesPointToFiles(t *testing.T) {
 	c := qt.New(t)
 	var pages []string
-	for _, pattern := range []string{"README.md", "docs/*.md", "docs/operators/*.md"} {
+	for _, pattern := range []string{"README.md", "CONTRIBUTING.md", "docs/*.md", "docs/operators/*.md"} {
 		found, err := filepath.Glob(pattern)
 		c.Assert(err, qt.IsNil)
 		pages = append(pages, found...)
