--- a/spec/config.pml
+++ b/spec/config.pml
@@ -1,7 +1,7 @@
 /*
  * config: revisions of the configuration from two racing operators, through a relay, to a node that restarts.
  *
- * Models internal/publisher (Edit), internal/configurator (Propose, Adopt) and internal/distributor (Sync). Each
+ * Models internal/publisher (Edit), internal/configurator (Propose, Adopt) and internal/distributor (Relay.Take, Merge, Prove). Each
  * operator's edit sets one bit of the document. A write's answer may be lost after it took effect; it is settled by
  * reading back. The relay may lag; the leaf may restart with no copy. A restarted node serves only after a sync that
  * reached the store since its restart.
--- a/spec/gate.pml
+++ b/spec/gate.pml
@@ -1,8 +1,8 @@
 /*
  * gate: a call that may not be repeated runs at most once, and "not run" is true.
  *
- * Models internal/gatekeeper (Admit, Settle), internal/dispatcher (attempts) and the claims of calls with an
- * Idempotency-Key. Two entries get the same key from one caller. Start messages may be lost or late; agents may
+ * Models internal/gatekeeper (Admit, Settle), internal/dispatcher (attempts) and internal/claimer (Claim, Move) for calls
+ * with an Idempotency-Key. Two entries get the same key from one caller. Start messages may be lost or late; agents may
  * restart and forget their ledger at any step, with a new incarnation.
  *
  * Faults: FAULT_ADMIT (the gate admits an attempt twice), FAULT_BAR (settling does not rule the attempt out),
--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -1,7 +1,7 @@
 /*
  * handover: each sample group of a training run is delivered once.
  *
- * Models internal/collector (Submit, Pull, Acknowledge). Two owners follow each other at any step, the old one may
+ * Models internal/collector (Owner.Submit, Owner.Valid, Run: pull and acknowledge). Two owners follow each other at any step, the old one may
  * still answer. The store holds the submitted and the acknowledged groups. The trainer has one pull outstanding; each
  * pull has a rising number and says which groups the trainer holds. Answers may be lost or late.
  *
--- a/spec/report.pml
+++ b/spec/report.pml
@@ -1,7 +1,7 @@
 /*
  * report: one report per team and window, with frozen figures.
  *
- * Models internal/reporter (seal, send, confirm) under the duty of internal/leaser. Two reporters follow one window;
+ * Models internal/reporter (Reporter.report, deliver, valid) under the duty of internal/leaser. Two reporters follow one window;
  * usage may still arrive late; answers may be lost; a reporter may die and start anew at any step. The intake takes
  * whatever reaches it and does not check fencing numbers.
  *
