demonstrator: agents of a closing deployment wait one second

Cause: each test deployment took its whole stop limit of 7 s: the entries end first, and the agents then waited for usage confirmations that nobody could send. Change: agents get one second once the entries have ended.

--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -236,6 +236,9 @@
 // no request has come yet, and HTTP clients open such connections ahead.
 const stopTimeout = 7 * time.Second
 
+// agentStopTimeout bounds the drain of the agents after the entries have ended.
+const agentStopTimeout = time.Second
+
 // Close stops every process and removes the deployment's files.
 func (d *Deployment) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
@@ -244,8 +247,11 @@
 	for _, e := range d.Entries {
 		err = errors.Join(err, e.Stop(ctx))
 	}
+	// With the entries gone nobody confirms the agents' usage records, so waiting for that is in vain.
+	agents, cancelAgents := context.WithTimeout(ctx, agentStopTimeout)
+	defer cancelAgents()
 	for _, a := range d.Agents {
-		err = errors.Join(err, a.Stop(ctx))
+		err = errors.Join(err, a.Stop(agents))
 	}
 	for _, l := range d.Links {
 		l.Close()
