--- a/internal/dispatcher/claim.go
+++ b/internal/dispatcher/claim.go
@@ -175,3 +175,10 @@
 		}
 	}
 }
+
+// reclaim writes the job's claim once more before "not run" is said about its call. It fails if another entry has moved
+// the claim, which may have run the call under the same key.
+func (d *Dispatcher) reclaim(j *job) bool {
+	again := j.claim.WithAttempt(j.claim.Attempt, d.clock.Now())
+	return d.claims.Move(context.WithoutCancel(j.ctx), j.claim, again).Standing == claimer.Held
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -83,8 +83,7 @@
 	if key := j.request.key(); key != "" {
 		d.shares.Delete(key)
 	}
-	if j.claim.Key != "" && result.Ran == NotRun {
-		// The claim stays behind, so another entry may move it and run the call under the same key.
+	if j.claim.Key != "" && result.Ran == NotRun && !d.reclaim(j) {
 		result.Ran = RanUnknown
 	}
 	j.answer.finish(result)
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -43,6 +43,7 @@
 	usage    *usage
 	auth     *authenticator.Authenticator
 	publish  *publisher.Publisher
+	editor   *publisher.Publisher
 	metrics  *exporter.Entry
 	orders   *orders
 }
@@ -104,6 +105,7 @@
 	b.auth = authenticator.NewAuthenticator(authenticator.WithPepper(b.pepper),
 		authenticator.WithFresh(authenticator.Grace(keyGrace(b.settings), e.tree.Age)))
 	b.publish = publisher.NewPublisher(b.store.For(storer.PurposeConfig), codec.Form{}, e.tree.Relay, e.clock)
+	b.editor = publisher.NewPublisher(b.store.For(storer.PurposeConfig).Probing(), codec.Form{}, e.tree.Relay, e.clock)
 	return nil
 }
 
@@ -143,7 +145,7 @@
 		httpserver.NewHealth(e.accepts, nil), httpserver.NewCallers(e.dispatcher, b.auth, b.config),
 		httpserver.NewTrainers(e.rollouts.collector, e.rollouts.weights, b.auth, b.config))
 	e.operators = httpserver.NewServer(b.metrics.Listener("operators"), health, httpserver.NewGuard(b.token),
-		httpserver.NewOperators(b.publish, b.config, b.pepper),
+		httpserver.NewOperators(b.editor, b.config, b.pepper),
 		httpserver.NewUsageOperators(b.usage.reporter, b.usage.calendar), httpserver.NewTargetOperators(b.orders))
 	for _, server := range []*httpserver.Server{e.callers, e.operators} {
 		server.OnPanic(func(stack string) { b.log.Emit(logger.HandlerPanicked, "stack", stack) })
--- a/internal/storer/backoff.go
+++ b/internal/storer/backoff.go
@@ -15,15 +15,13 @@
 	firstPause = 100 * time.Millisecond
 	// longestPause bounds the pause, so that a recovered service is found within that time.
 	longestPause = 10 * time.Second
-	// longestLeasePause bounds it for leases and configuration: a holder must find a recovered service within its TTL of
-	// 6 s, and an operator's edit just after a recovery must not be refused for long.
+	// longestLeasePause bounds it for leases: a holder must find a recovered service within its TTL of 6 s.
 	longestLeasePause = time.Second
 )
 
 // Backoff holds calls back while the key-value service is down. The zero value holds none back.
 //
-// Invariant: while the service is down, at most one call per pause and class (leases and configuration, all
-// others) is let through.
+// Invariant: while the service is down, at most one call per pause and class (leases, all others) is let through.
 // Lock rank: container.RankStorer.
 type Backoff struct {
 	lock     container.Lock[container.Storer]
@@ -41,7 +39,7 @@
 		return true
 	}
 	until, longest := &b.others, longestPause
-	if p.known() <= PurposeConfig {
+	if p.known() == PurposeLease {
 		until, longest = &b.lease, longestLeasePause
 	}
 	if now < *until {
--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -22,6 +22,7 @@
 	driver  Driver
 	clock   timer.Service
 	purpose Purpose
+	probing bool
 	shared  *shared
 }
 
@@ -43,6 +44,14 @@
 	return &c
 }
 
+// Probing returns a Storer that is not held back while the service counts as down. It is for calls that a person waits
+// for: they are few, and each one finds out whether the service is back.
+func (s *Storer) Probing() *Storer {
+	c := *s
+	c.probing = true
+	return &c
+}
+
 // Get returns the entry of key; an entry with Changed zero does not exist.
 func (s *Storer) Get(ctx context.Context, key string) (Entry, Outcome) {
 	return read(ctx, s, func(ctx context.Context) (Entry, Outcome) { return s.driver.Get(ctx, key) })
@@ -139,7 +148,7 @@
 		now := s.clock.Boot()
 		wait := s.shared.budget.Take(s.purpose, now)
 		if wait == 0 {
-			return s.shared.backoff.Admit(s.purpose, now)
+			return s.shared.backoff.Admit(s.purpose, now) || s.probing
 		}
 		if now+wait > deadline || !s.wait(ctx, wait) {
 			return false
