claims: no "not run" before the claim was looked at

Cause: TestRunsMatchAnswers found 1 untrue "not run" in 10,000 requests: a call sent again found no target, and so said "not run" before it had read its claim, under which another entry had run it. Change: "not run" about a keyed call needs the job to hold its claim; else it is "unknown". A key reused for another call is still refused, since that call is another one.

--- a/internal/dispatcher/claim.go
+++ b/internal/dispatcher/claim.go
@@ -176,9 +176,16 @@
 	}
 }
 
-// reclaim writes the job's claim once more before "not run" is said about its call. It fails if another entry has moved
-// the claim, which may have run the call under the same key.
-func (d *Dispatcher) reclaim(j *job) bool {
+// provenNotRun reports whether "not run" is true for the job's key too. A key whose claim this job does not hold may have
+// run through another entry. Before "not run" is said the claim is written once more, which fails if another entry has
+// moved it.
+func (d *Dispatcher) provenNotRun(j *job) bool {
+	if j.request.key() == "" {
+		return true
+	}
+	if j.claim.Key == "" {
+		return false
+	}
 	again := j.claim.WithAttempt(j.claim.Attempt, d.clock.Now())
 	return d.claims.Move(context.WithoutCancel(j.ctx), j.claim, again).Standing == claimer.Held
 }
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -83,7 +83,7 @@
 	if key := j.request.key(); key != "" {
 		d.shares.Delete(key)
 	}
-	if j.claim.Key != "" && result.Ran == NotRun && !d.reclaim(j) {
+	if result.Ran == NotRun && result.Reason != ReasonKeyReused && !d.provenNotRun(j) {
 		result.Ran = RanUnknown
 	}
 	j.answer.finish(result)
