--- /dev/null
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -0,0 +1,130 @@
+// Package jobpeer carries the reads of batch jobs between the processes that lead them, over net/rpc.
+package jobpeer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+const (
+	// slack is the time that an answer may take besides the wait that was asked for.
+	slack = 400 * time.Millisecond
+	// longestWait bounds how long a read may hold a call open.
+	longestWait = 5 * time.Second
+)
+
+// Query asks for the results of a job from a position on.
+type Query struct {
+	Job   identifier.Job
+	After int
+	Wait  time.Duration
+}
+
+// Reply holds readable results. Led is false if the process does not lead the job.
+type Reply struct {
+	Led     bool
+	Results []batcher.Result
+}
+
+// Reader reads the jobs that a process leads.
+type Reader interface {
+	Local(ctx context.Context, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool)
+}
+
+// Jobs is the receiver of the calls.
+type Jobs struct {
+	reader Reader
+}
+
+// Results answers a query.
+func (j *Jobs) Results(q Query, reply *Reply) error {
+	reply.Results, reply.Led = j.reader.Local(context.Background(), q.Job, q.After, min(q.Wait, longestWait))
+	return nil
+}
+
+// Serve answers queries on a listener until it is closed.
+func Serve(l net.Listener, r Reader) error {
+	server := rpc.NewServer()
+	if err := server.Register(&Jobs{reader: r}); err != nil {
+		return fmt.Errorf("register jobs: %w", err)
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return nil //nolint:nilerr // the listener was closed
+		}
+		go server.ServeConn(conn)
+	}
+}
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Client asks other processes. One connection to each is kept.
+type Client struct {
+	dial  Dial
+	clock timer.Service
+	log   *logger.Logger
+	conns container.Table[container.Connection, string, *rpc.Client]
+}
+
+// NewClient returns a Client that opens connections by dial.
+func NewClient(dial Dial, clock timer.Service, log *logger.Logger) *Client {
+	return &Client{dial: dial, clock: clock, log: log}
+}
+
+// Results asks the process at an address for the results of a job that it leads.
+func (c *Client) Results(ctx context.Context, address string, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool) {
+	ctx, cancel := timer.WithTimeout(ctx, c.clock, wait+slack)
+	defer cancel()
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		c.log.Emit(logger.PeerFailed, "address", address, "job", id, "error", err)
+		return nil, false
+	}
+	var reply Reply
+	call := conn.Go("Jobs.Results", Query{Job: id, After: after, Wait: wait}, &reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		c.drop(address, conn)
+		c.log.Emit(logger.PeerFailed, "address", address, "job", id, "error", err)
+		return nil, false
+	}
+	return reply.Results, reply.Led
+}
+
+func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
+	if conn, ok := c.conns.Get(address); ok {
+		return conn, nil
+	}
+	raw, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	conn := rpc.NewClient(raw)
+	kept, added := c.conns.PutAbsent(address, conn)
+	if !added {
+		_ = conn.Close() // another call was first
+	}
+	return kept, nil
+}
+
+// drop closes a connection that failed or is silent; other calls on it fail and are answered from the store.
+func (c *Client) drop(address string, conn *rpc.Client) {
+	c.conns.Update(address, func(old *rpc.Client, ok bool) (*rpc.Client, bool) { return old, ok && old != conn })
+	_ = conn.Close() // it is of no more use
+}
--- /dev/null
+++ b/internal/batcher/spec.go
@@ -0,0 +1,107 @@
+// Package batcher holds batch jobs: the items that a trainer submitted together, how far each has come, and the
+// results that are readable.
+package batcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// Spec is a batch job as it was submitted. It is immutable.
+type Spec struct {
+	ID   identifier.Job
+	Team identifier.Team
+	// Host and Path are those of the submission; they lead to the job's route.
+	Host string
+	Path string
+	// Step numbers the trainer's jobs.
+	Step  int
+	Model identifier.Model
+	// Least is the oldest weight version that may make any of the text.
+	Least identifier.Version
+	// Desired is the number of whole groups that the trainer waits for.
+	Desired   int
+	Submitted time.Time
+	Items     []Item
+}
+
+// Item is one rollout of a job.
+type Item struct {
+	ID     identifier.Item
+	Group  identifier.Group
+	Path   string
+	Header map[string]string
+	Body   []byte
+	// Hint is the expected length of the answer in tokens, which is often far off.
+	Hint int
+	// Score is the call that scores the text; a zero one means that the item is not scored.
+	Score ScoreCall
+}
+
+// ScoreCall is the request that scores the text of an item.
+type ScoreCall struct {
+	ID   identifier.Request
+	Host string
+	Path string
+	Body []byte
+}
+
+// State is how an item ended.
+type State int
+
+const (
+	// Completed means that the whole text was made, and scored if it had to be.
+	Completed State = iota + 1
+	// Abandoned means that the item was given up.
+	Abandoned
+)
+
+// Result is an item as it is listed. It is immutable.
+type Result struct {
+	Item     identifier.Item
+	State    State
+	Output   []byte
+	Versions []identifier.Version
+	Score    string
+}
+
+// order returns the indices of the items in the order in which they start: the groups that the trainer probably waits
+// for come first, which are those with the shortest expected longest item, and among these the longest items, because
+// the last item to end decides when the step is whole. Groups that come first in a job were left over from an earlier
+// one and are waited for in any case.
+func (s Spec) order(carried int) []int {
+	longest := make(map[identifier.Group]int)
+	rank := make(map[identifier.Group]int)
+	var groups []identifier.Group
+	for _, item := range s.Items {
+		if _, seen := rank[item.Group]; !seen {
+			rank[item.Group] = len(groups)
+			groups = append(groups, item.Group)
+		}
+		longest[item.Group] = max(longest[item.Group], item.Hint)
+	}
+	rest := groups[min(carried, len(groups)):]
+	slices.SortStableFunc(rest, func(a, b identifier.Group) int { return cmp.Compare(longest[a], longest[b]) })
+	waited := make(map[identifier.Group]bool, s.Desired)
+	for _, g := range groups[:min(max(s.Desired, 1), len(groups))] {
+		waited[g] = true
+	}
+	indices := make([]int, len(s.Items))
+	for i := range indices {
+		indices[i] = i
+	}
+	slices.SortStableFunc(indices, func(a, b int) int {
+		x, y := s.Items[a], s.Items[b]
+		if waited[x.Group] != waited[y.Group] {
+			if waited[x.Group] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(y.Hint, x.Hint)
+	})
+	return indices
+}
--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,210 @@
+// Package conductor leads the batch jobs of one process: it takes jobs over, runs their items on targets, has them
+// scored, makes the results durable and answers readers.
+package conductor
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/forwarder"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/recorder"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/timer"
+	"github.com/mimosalb/mimosalb/internal/worker"
+)
+
+// Peers reaches the other processes that lead jobs.
+type Peers interface {
+	// Results asks the process at an address for readable results. A false second result means that it does not lead
+	// the job or could not be asked.
+	Results(ctx context.Context, address string, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool)
+}
+
+// Parts are what a Conductor works with.
+type Parts struct {
+	Me        recorder.Owner
+	Recorder  *recorder.Recorder
+	Navigator *navigator.Navigator
+	Registrar *registrar.Registrar
+	Router    *router.Router
+	Forwarder *forwarder.Forwarder
+	Caller    forwarder.Caller
+	Opener    forwarder.Opener
+	Peers     Peers
+	Clock     timer.Service
+	Log       *logger.Logger
+	Zone      identifier.Zone
+	Region    identifier.Region
+	// Retention is how long results stay readable after the submission of their job.
+	Retention time.Duration
+}
+
+const (
+	// workers bounds the items that one process runs or has scored at a time.
+	workers = 192
+	// adoptAfter is how long the owner of a job must be missing before another process takes the job over. A process
+	// whose lease lapsed while the store was away registers again within that time.
+	adoptAfter = 1500 * time.Millisecond
+	// tick is the period of the look for jobs to take over, to load again and to erase.
+	tick = 500 * time.Millisecond
+	// keepLed is how long the results of an ended job stay in memory; later readers get them from the store.
+	keepLed = 20 * time.Second
+)
+
+// Conductor leads the jobs of one process and knows the records of all.
+//
+// Invariants: results are shown only once they are durable; a job whose record names another owner is led no more. Lock
+// rank: container.RankConductor.
+type Conductor struct {
+	Parts
+	lock    container.Lock[container.Conductor]
+	records map[identifier.Job]recorder.Record
+	nodes   map[identifier.Node]recorder.Presence
+	// missing is the boot clock time since when the owner of a job has not been there.
+	missing map[identifier.Job]time.Duration
+	led     map[identifier.Job]*led
+	// fresh holds the jobs that were accepted here and whose record has not been seen yet.
+	fresh map[identifier.Job]batcher.Spec
+	// trusted is false while the view of the records may be out of date, and since tells from when it has been as it is.
+	trusted bool
+	since   time.Duration
+
+	queue   *worker.Queue[assignment]
+	pool    *worker.Pool[assignment]
+	wake    chan struct{}
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// led is a job that this process leads.
+type led struct {
+	job    *batcher.Job
+	record recorder.Record
+	stop   context.CancelFunc
+	ended  time.Duration
+}
+
+// NewConductor returns a Conductor that leads nothing yet.
+func NewConductor(p Parts) *Conductor {
+	return &Conductor{
+		Parts: p, records: make(map[identifier.Job]recorder.Record), nodes: make(map[identifier.Node]recorder.Presence),
+		missing: make(map[identifier.Job]time.Duration), led: make(map[identifier.Job]*led),
+		fresh: make(map[identifier.Job]batcher.Spec), queue: worker.NewQueue[assignment](workers), wake: make(chan struct{}, 1),
+	}
+}
+
+// Start begins to run items and to take jobs over.
+func (c *Conductor) Start() {
+	ctx, cancel := context.WithCancel(context.Background()) //nolint:gosec // Close calls it
+	c.cancel = cancel
+	c.pool = worker.NewPool(workers, worker.Source[assignment](c.queue), c.run)
+	c.running.Go(func() { c.dispatch(ctx) })
+	c.running.Go(func() { c.tend(ctx) })
+}
+
+// Close hands the jobs to other processes and stops.
+func (c *Conductor) Close(ctx context.Context) {
+	for _, l := range c.leading() {
+		if !l.record.Ended {
+			c.handOver(ctx, l)
+		}
+		l.job.Finish()
+		l.stop()
+	}
+	if c.cancel != nil {
+		c.cancel()
+		c.pool.Close()
+		c.running.Wait()
+	}
+}
+
+// handOver names another process as the owner of a job.
+func (c *Conductor) handOver(ctx context.Context, l *led) {
+	next, ok := c.heir(l.record.ID, func(p recorder.Presence) bool { return p.Owner.Node != c.Me.Node })
+	if !ok {
+		return
+	}
+	out, err := c.Recorder.Replace(ctx, l.record, l.record.WithOwner(next.Owner))
+	c.Log.Emit(logger.JobHandedOver, "job", l.record.ID, "to", next.Owner.Node, "outcome", out.String(), "error", err)
+}
+
+// leading returns the jobs that this process leads, the oldest first.
+func (c *Conductor) leading() []*led {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	all := make([]*led, 0, len(c.led))
+	for _, l := range c.led {
+		all = append(all, l)
+	}
+	slices.SortFunc(all, func(a, b *led) int { return a.record.Submitted.Compare(b.record.Submitted) })
+	return all
+}
+
+// Signal makes the dispatcher look for work again.
+func (c *Conductor) Signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Submit accepts a job: once it returns Applied or Conflict, the job is kept.
+func (c *Conductor) Submit(ctx context.Context, s batcher.Spec) Acceptance {
+	c.lock.Lock()
+	known, seen := c.records[s.ID]
+	if !seen {
+		c.fresh[s.ID] = s
+	}
+	c.lock.Unlock()
+	if seen {
+		return repeated(known, s)
+	}
+	out, err := c.Recorder.Create(ctx, s, c.Me)
+	acceptance := c.accepted(ctx, s, out)
+	c.Log.Emit(logger.JobSubmitted, "job", s.ID, "team", s.Team, "items", len(s.Items), "least", s.Least, "outcome", acceptance.String(),
+		"store", out.String(), "error", err)
+	return acceptance
+}
+
+// release forgets the body of a job that was not accepted here.
+func (c *Conductor) release(id identifier.Job) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	delete(c.fresh, id)
+}
+
+// settleRead bounds the reads that decide on a submission, besides the store's own limits.
+func (c *Conductor) accepted(ctx context.Context, s batcher.Spec, out storeOutcome) Acceptance {
+	switch out {
+	case applied:
+		return Accepted
+	case conflict:
+		c.release(s.ID)
+		record, read, err := c.Recorder.Record(ctx, s.ID)
+		if read != applied || err != nil || record.Changed == 0 {
+			return Undecided
+		}
+		return repeated(record, s)
+	case unavailable:
+		c.release(s.ID)
+		return Refused
+	default:
+		return Undecided
+	}
+}
+
+// repeated decides on a submission whose job is there already.
+func repeated(r recorder.Record, s batcher.Spec) Acceptance {
+	if r.Team != s.Team {
+		return Foreign
+	}
+	return Accepted
+}
--- /dev/null
+++ b/internal/conductor/run.go
@@ -0,0 +1,347 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/forwarder"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/router"
+)
+
+const (
+	// firstEvent and nextEvent are how long an attempt waits for its first and for each further event before the
+	// target counts as silent. They are a few times the longest pauses of an engine under full load.
+	firstEvent = 2500 * time.Millisecond
+	nextEvent  = 1200 * time.Millisecond
+	// watchPeriod is the period of the look for silent targets.
+	watchPeriod = 300 * time.Millisecond
+	// refusedPause keeps work off a target that refused an item, and retryPause delays an item after a failure.
+	refusedPause = 150 * time.Millisecond
+	retryPause   = 50 * time.Millisecond
+	// itemPatience bounds one attempt of an item.
+	itemPatience = 30 * time.Second
+	// scorePatience bounds one scoring call.
+	scorePatience = 4 * time.Second
+)
+
+// assignment is an item with the target that runs it.
+type assignment struct {
+	led    *led
+	task   batcher.Task
+	target router.Target
+	route  navigator.Route
+}
+
+// dispatch gives items to targets with a free slot until ctx ends.
+func (c *Conductor) dispatch(ctx context.Context) {
+	for ctx.Err() == nil {
+		a, ok, next := c.assign()
+		if ok {
+			if !c.queue.Offer(a) {
+				c.Router.Release(a.target.ID)
+				a.led.job.Retry(a.task.Index, c.Clock.Boot()+retryPause)
+			}
+			continue
+		}
+		c.idle(ctx, next)
+	}
+}
+
+// idle waits for a signal or until next.
+func (c *Conductor) idle(ctx context.Context, next time.Duration) {
+	wait := tick
+	if next > 0 {
+		wait = max(time.Millisecond, next-c.Clock.Boot())
+	}
+	sub := c.Clock.After(wait)
+	defer sub.Stop()
+	select {
+	case <-c.wake:
+	case <-sub.C():
+	case <-ctx.Done():
+	}
+}
+
+// assign finds an item that is due and a target for it. Without one it returns when an item is due next.
+func (c *Conductor) assign() (a assignment, ok bool, next time.Duration) {
+	plan := c.Navigator.Current()
+	now := c.Clock.Boot()
+	for _, l := range c.leading() {
+		if l.job.Finished() {
+			continue
+		}
+		spec := l.job.Spec()
+		route, known := plan.Route(spec.Host, spec.Path)
+		switch {
+		case plan.Revision() == 0:
+			continue
+		case !known || route.Kind != navigator.Rollout, c.expired(spec, route):
+			l.job.AbandonWaiting()
+			continue
+		}
+		service, ok := route.Pick()
+		if !ok {
+			continue
+		}
+		target, ok := c.Router.Choose(router.Need{
+			Service: service, Zone: c.Zone, Region: c.Region, Spread: true,
+			Avoid: c.Registrar.Avoid(service, spec.Model, spec.Least, now),
+		})
+		if !ok {
+			continue
+		}
+		task, ok, due := l.job.Next(now)
+		if ok {
+			return assignment{led: l, task: task, target: target, route: route}, true, 0
+		}
+		c.Router.Release(target.ID)
+		if due > 0 && (next == 0 || due < next) {
+			next = due
+		}
+	}
+	return assignment{}, false, next
+}
+
+// expired reports whether the unfinished items of a job may be given up.
+func (c *Conductor) expired(s batcher.Spec, r navigator.Route) bool {
+	return r.Keep > 0 && c.Clock.Now().Sub(s.Submitted) > r.Keep+time.Second
+}
+
+// run makes one attempt of an item and, when its text is whole, has it scored.
+func (c *Conductor) run(ctx context.Context, a assignment) {
+	began := c.Clock.Boot()
+	end, events := c.attempt(ctx, a)
+	c.Router.Release(a.target.ID)
+	c.settle(a, end)
+	c.Log.Emit(logger.ItemAttempted, "item", a.task.Item.ID, "job", a.led.record.ID, "target", a.target.ID, "had", a.task.Had,
+		"events", events, "end", end.String(), "took", c.Clock.Boot()-began)
+	if end == whole && a.led.job.Whole(a.task.Index) {
+		c.score(ctx, a)
+	}
+	c.Signal()
+}
+
+// ending is how an attempt of an item ended.
+type ending int
+
+const (
+	whole ending = iota + 1
+	refused
+	unreached
+	broken
+	silent
+	failed
+	impossible
+	stale
+	stopped
+)
+
+// String returns the name of the ending.
+func (e ending) String() string {
+	names := [...]string{"none", "whole", "refused", "unreached", "broken", "silent", "failed", "impossible", "stale", "stopped"}
+	if e < 0 || int(e) >= len(names) {
+		return "invalid"
+	}
+	return names[e]
+}
+
+// settle records what an ending says of the item and its target.
+func (c *Conductor) settle(a assignment, end ending) {
+	now := c.Clock.Boot()
+	j, i := a.led.job, a.task.Index
+	switch end {
+	case whole:
+		c.Registrar.Succeed(a.target.ID)
+	case refused:
+		c.Registrar.Pause(a.target.ID, now+refusedPause)
+		j.Retry(i, now)
+	case unreached, broken, silent:
+		c.Registrar.Fail(a.target.ID, now)
+		j.Retry(i, now)
+	case failed:
+		if j.Fail(i, max(a.route.Attempts, 1)) {
+			j.Abandon(i)
+			return
+		}
+		j.Retry(i, now+retryPause)
+	case impossible:
+		j.Abandon(i)
+	case stale:
+		j.Restart(i)
+		j.Retry(i, now+retryPause)
+	case stopped:
+		j.Retry(i, now)
+	}
+}
+
+// attempt sends an item to its target and takes over the events.
+func (c *Conductor) attempt(ctx context.Context, a assignment) (ending, int) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var heard atomic.Int64
+	heard.Store(int64(c.Clock.Boot()))
+	var events atomic.Int64
+	done := make(chan struct{})
+	defer close(done)
+	go c.watch(a.led.job, &heard, &events, done, cancel)
+
+	answer, fault := c.Caller.Call(ctx, c.call(a))
+	if fault == forwarder.Fine {
+		defer answer.Body.Close() //nolint:errcheck // the body was read to its end or is dropped
+	}
+	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return silent, 0
+	case errors.Is(context.Cause(ctx), errEnded):
+		return stopped, 0
+	case fault == forwarder.Unsent:
+		return unreached, 0
+	case fault != forwarder.Fine:
+		return broken, 0
+	case answer.NotRun:
+		return refused, 0
+	case answer.Status == statusUnprocessable:
+		return impossible, 0
+	case answer.Status == statusFailed:
+		return failed, 0
+	case answer.Status != statusOK:
+		return broken, 0
+	}
+	return c.read(ctx, a, answer, &heard, &events)
+}
+
+// Status codes of a target's answer to an item.
+const (
+	statusOK            = 200
+	statusUnprocessable = 422
+	statusFailed        = 500
+)
+
+var (
+	errSilent = errors.New("the target is silent")
+	errEnded  = errors.New("the job has ended")
+)
+
+// read takes over the events of an answer.
+func (c *Conductor) read(ctx context.Context, a assignment, answer forwarder.Answer, heard, count *atomic.Int64) (ending, int) {
+	job, spec := a.led.job, a.led.job.Spec()
+	version := answer.Version
+	c.Registrar.Observe(a.target.ID, spec.Model, version)
+	events := c.Opener.Open(answer.Body)
+	for {
+		e, err := events.Next()
+		n := int(count.Load())
+		switch {
+		case errors.Is(err, io.EOF):
+			return whole, n
+		case errors.Is(context.Cause(ctx), errSilent):
+			return silent, n
+		case errors.Is(context.Cause(ctx), errEnded):
+			return stopped, n
+		case err != nil:
+			return broken, n
+		}
+		if e.Version != 0 {
+			version = e.Version
+			c.Registrar.Observe(a.target.ID, spec.Model, version)
+		}
+		heard.Store(int64(c.Clock.Boot()))
+		count.Add(1)
+		if !job.Append(a.task.Index, e.Number, e.Data, version, a.route.Single) {
+			if job.Finished() {
+				return stopped, n
+			}
+			return stale, n
+		}
+	}
+}
+
+// watch cancels an attempt whose target is silent or whose job has ended.
+func (c *Conductor) watch(j *batcher.Job, heard, events *atomic.Int64, done <-chan struct{}, cancel context.CancelCauseFunc) {
+	ticks := c.Clock.Every(watchPeriod)
+	defer ticks.Stop()
+	for {
+		changed := j.Watch()
+		if j.Finished() {
+			cancel(errEnded)
+			return
+		}
+		select {
+		case <-done:
+			return
+		case <-changed:
+		case <-ticks.C():
+			limit := nextEvent
+			if events.Load() == 0 {
+				limit = firstEvent
+			}
+			if c.Clock.Boot()-time.Duration(heard.Load()) > limit {
+				cancel(errSilent)
+				return
+			}
+		}
+	}
+}
+
+// call returns the call of an item.
+func (c *Conductor) call(a assignment) forwarder.Call {
+	spec, item := a.led.job.Spec(), a.task.Item
+	header := make(map[string][]string, len(item.Header))
+	for k, v := range item.Header {
+		header[k] = []string{v}
+	}
+	path, _, _ := strings.Cut(item.Path, "?")
+	call := forwarder.Call{
+		Request: forwarder.Request{
+			ID: identifier.Request(item.ID), Method: "POST", URI: item.Path, Path: path, Host: spec.Host, Header: header, Body: item.Body,
+		},
+		Target: a.target, Team: spec.Team, Left: itemPatience, Urgency: a.route.Priority,
+	}
+	if a.task.Had > 0 {
+		call = call.WithResume(a.task.Last)
+	}
+	return call
+}
+
+// score has the text of an item scored and ends the item.
+func (c *Conductor) score(ctx context.Context, a assignment) {
+	job, i, call := a.led.job, a.task.Index, a.task.Item.Score
+	path, _, _ := strings.Cut(call.Path, "?")
+	failures := 0
+	for ctx.Err() == nil && !job.Finished() && !c.expired(job.Spec(), a.route) {
+		began := c.Clock.Boot()
+		var sink scoreSink
+		r := c.Forwarder.Forward(ctx, forwarder.Request{
+			ID: call.ID, Method: "POST", URI: call.Path, Path: path, Host: call.Host, Body: call.Body,
+			Patience: scorePatience, Internal: true, Header: map[string][]string{},
+		}, &sink)
+		c.Log.Emit(logger.ItemScored, "item", a.task.Item.ID, "request", call.ID, "outcome", r.Outcome.String(), "status", r.Status,
+			"tries", r.Trail(), "took", c.Clock.Boot()-began)
+		switch {
+		case r.Outcome == forwarder.Answered && r.Status >= 200 && r.Status < 300 && r.Stamp != "":
+			job.Scored(i, r.Stamp)
+			return
+		case r.Outcome == forwarder.Answered && r.Status == statusFailed:
+			if failures += len(r.Tries); failures >= max(a.route.Attempts, 1) {
+				job.Abandon(i)
+				return
+			}
+		}
+		c.rest(ctx, retryPause)
+	}
+}
+
+// scoreSink drops the body of a scoring answer; its stamp is the score.
+type scoreSink struct{}
+
+func (*scoreSink) Begin(int, map[string][]string, int64) {}
+
+func (*scoreSink) Write([]byte) error { return nil }
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -6,6 +6,7 @@
 // Ranks of the aggregates' locks. docs/design.md lists the same order.
 const (
 	RankConfigurator  Rank = 10
+	RankNavigator     Rank = 15
 	RankAuthenticator Rank = 20
 	RankTracker       Rank = 30
 	RankDistributor   Rank = 40
@@ -18,10 +19,14 @@
 	RankIsolator      Rank = 100
 	RankGatekeeper    Rank = 110
 	RankStreamer      Rank = 120
+	RankRegistrar     Rank = 115
+	RankConductor     Rank = 125
 	RankCollector     Rank = 130
+	RankBatcher       Rank = 135
 	RankUpdater       Rank = 140
 	RankOrderer       Rank = 150
 	RankMeter         Rank = 160
+	RankTallier       Rank = 165
 	RankReporter      Rank = 170
 	RankStorer        Rank = 175
 	RankConnection    Rank = 180
@@ -43,6 +48,16 @@
 	Tracker struct{}
 	// Distributor ranks the lock of the relay state.
 	Distributor struct{}
+	// Navigator ranks the lock of the plan of routes.
+	Navigator struct{}
+	// Registrar ranks the lock of the registered targets.
+	Registrar struct{}
+	// Conductor ranks the lock of the jobs that a process leads.
+	Conductor struct{}
+	// Batcher ranks the lock of one batch job.
+	Batcher struct{}
+	// Tallier ranks the lock of the counted requests.
+	Tallier struct{}
 	// Leaser ranks the lock of the terms.
 	Leaser struct{}
 	// Admitter ranks the lock of the limits.
@@ -146,3 +161,18 @@
 
 // Rank returns RankLogger.
 func (Logger) Rank() Rank { return RankLogger }
+
+// Rank returns RankNavigator.
+func (Navigator) Rank() Rank { return RankNavigator }
+
+// Rank returns RankRegistrar.
+func (Registrar) Rank() Rank { return RankRegistrar }
+
+// Rank returns RankConductor.
+func (Conductor) Rank() Rank { return RankConductor }
+
+// Rank returns RankBatcher.
+func (Batcher) Rank() Rank { return RankBatcher }
+
+// Rank returns RankTallier.
+func (Tallier) Rank() Rank { return RankTallier }
--- /dev/null
+++ b/internal/forwarder/answer.go
@@ -0,0 +1,168 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/router"
+)
+
+// ended is an attempt of a request as it ended.
+type ended struct {
+	try    Try
+	sent   time.Time
+	answer Answer
+	// body is the whole body, or its beginning if rest is set.
+	body []byte
+	rest bool
+	// release ends the attempt's context.
+	release context.CancelFunc
+}
+
+// good reports whether the caller gets this answer without another attempt.
+func (e ended) good() bool { return e.try.Fault == Fine && !e.try.NotRun && e.answer.Status < 500 }
+
+// answer leads a request with one answer. A repeatable request that gets none in time is sent to a second target too.
+func (l *lead) answer(ctx context.Context, sink Sink) Result {
+	repeatable := l.route.Kind == navigator.Repeatable
+	ends := make(chan ended, max(l.route.Attempts, 1))
+	running := 0
+	start := func() bool {
+		target, ok := l.choose()
+		if !ok {
+			return false
+		}
+		running++
+		l.attempt(ctx, target, ends)
+		return true
+	}
+	defer func() { go drop(ends, running) }()
+	if !start() {
+		return l.failed()
+	}
+	over := l.Clock.After(l.deadline - l.Clock.Boot())
+	defer over.Stop()
+	hedge := l.Clock.After(max(leastHedge, time.Duration(float64(l.route.Goal)*hedgeShare)))
+	defer hedge.Stop()
+	var failure *ended
+	for {
+		select {
+		case e := <-ends:
+			running--
+			l.note(e.try)
+			ran := e.try.Fault == Broken || e.try.Fault == Fine && !e.try.NotRun
+			if ran {
+				l.count(e.sent)
+			}
+			if e.good() {
+				l.suspects.clear(l.request)
+				return l.deliver(e, sink)
+			}
+			if ran && e.try.Fault == Fine {
+				failure = &e
+			}
+			e.release()
+			if e.try.Fault == Broken {
+				l.suspects.add(l.request)
+			}
+			if (!ran || repeatable) && start() || running > 0 {
+				continue
+			}
+			if failure != nil {
+				return l.deliver(*failure, sink)
+			}
+			return l.failed()
+		case <-hedge.C():
+			if repeatable {
+				start()
+			}
+		case <-over.C():
+			l.result.Outcome = TimedOut
+			return l.result
+		case <-ctx.Done():
+			l.result.Outcome = Left
+			return l.result
+		}
+	}
+}
+
+// drop releases the attempts that are still running when a request ends.
+func drop(ends <-chan ended, running int) {
+	for range running {
+		e := <-ends
+		e.release()
+	}
+}
+
+// attempt sends the request to a target and reports its end.
+func (l *lead) attempt(ctx context.Context, t router.Target, ends chan<- ended) {
+	ctx, cancel := context.WithCancel(ctx)
+	call := l.call(t)
+	began := l.Clock.Boot()
+	sent := l.Clock.Now()
+	go func() {
+		a, fault := l.Caller.Call(ctx, call)
+		e := ended{answer: a, sent: sent, try: Try{Target: t.ID, Status: a.Status, NotRun: a.NotRun, Fault: fault}}
+		e.release = func() {
+			if e.answer.Body != nil {
+				_ = e.answer.Body.Close() // the answer is dropped or was read; its connection goes with it
+			}
+			cancel()
+		}
+		if fault == Fine {
+			e = e.read()
+		}
+		e.try.Took = l.Clock.Boot() - began
+		l.Router.Release(t.ID)
+		ends <- e
+	}()
+}
+
+// read reads the body up to the limit. A body that breaks off makes the attempt a broken one.
+func (e ended) read() ended {
+	var err error
+	e.body, err = io.ReadAll(io.LimitReader(e.answer.Body, bufferLimit))
+	switch {
+	case err != nil || e.answer.Length >= 0 && int64(len(e.body)) != min(e.answer.Length, bufferLimit):
+		e.try.Fault = Broken
+	case len(e.body) == bufferLimit:
+		e.rest = true
+	}
+	return e
+}
+
+// deliver gives an answer to the caller.
+func (l *lead) deliver(e ended, sink Sink) Result {
+	defer e.release()
+	l.result.Outcome, l.result.Status, l.result.Stamp = Answered, e.answer.Status, e.answer.Stamp
+	length := int64(len(e.body))
+	if e.rest {
+		length = e.answer.Length
+	}
+	sink.Begin(e.answer.Status, e.answer.Header, length)
+	if err := sink.Write(e.body); err != nil {
+		l.result.Outcome = Left
+		return l.result
+	}
+	if !e.rest {
+		return l.result
+	}
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := e.answer.Body.Read(buffer)
+		if n > 0 && sink.Write(buffer[:n]) != nil {
+			l.result.Outcome = Left
+			return l.result
+		}
+		if errors.Is(err, io.EOF) {
+			return l.result
+		}
+		if err != nil {
+			l.result.Outcome = Cut
+			return l.result
+		}
+	}
+}
--- /dev/null
+++ b/internal/forwarder/result.go
@@ -0,0 +1,107 @@
+package forwarder
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// Outcome is how a request came out.
+type Outcome int
+
+const (
+	// Answered means that the caller got a target's whole answer.
+	Answered Outcome = iota + 1
+	// NoRoute means that no route matches.
+	NoRoute
+	// BadKey means that the route needs a key and the caller's is not known.
+	BadKey
+	// NotRun means that no target has run the request and none will.
+	NotRun
+	// Unknown means that the request may have run and has no answer.
+	Unknown
+	// TimedOut means that the time of the caller or the route was over.
+	TimedOut
+	// Left means that the caller went away.
+	Left
+	// Cut means that the answer broke off after it had begun.
+	Cut
+)
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	names := [...]string{"none", "answered", "no-route", "bad-key", "not-run", "unknown", "timed-out", "left", "cut"}
+	if o < 0 || int(o) >= len(names) {
+		return "invalid"
+	}
+	return names[o]
+}
+
+// Reason is why a request has not run.
+type Reason string
+
+// The reasons.
+const (
+	NoPlan   Reason = "no configuration yet"
+	NoTarget Reason = "no target takes work"
+	Full     Reason = "targets refused"
+	Down     Reason = "targets not reached"
+	Suspect  Reason = "targets broke off under this request"
+)
+
+// Try is one attempt of a request as it ended.
+type Try struct {
+	Target identifier.Target
+	// Status is the status of the answer; zero if there was none.
+	Status int
+	NotRun bool
+	Fault  Fault
+	Took   time.Duration
+}
+
+// String returns the try in the form target:end:milliseconds.
+func (t Try) String() string {
+	end := strconv.Itoa(t.Status)
+	switch {
+	case t.Fault != Fine:
+		end = t.Fault.String()
+	case t.NotRun:
+		end += "-not-run"
+	}
+	return string(t.Target) + ":" + end + ":" + strconv.FormatInt(t.Took.Milliseconds(), 10)
+}
+
+// Result tells what was decided on a request.
+type Result struct {
+	Outcome  Outcome
+	Reason   Reason
+	Revision identifier.Revision
+	Route    string
+	Team     identifier.Team
+	Status   int
+	Stamp    string
+	Tries    []Try
+	// Again is when the caller of a request that has not run should come back.
+	Again time.Duration
+}
+
+// Trail returns the tries in one line.
+func (r Result) Trail() string {
+	parts := make([]string, 0, len(r.Tries))
+	for _, t := range r.Tries {
+		parts = append(parts, t.String())
+	}
+	return strings.Join(parts, " ")
+}
+
+// mayRun reports whether a target may have run the request.
+func (r Result) mayRun() bool {
+	for _, t := range r.Tries {
+		if t.Fault == Broken || t.Fault == Fine && !t.NotRun {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/hoster/controller.go
@@ -0,0 +1,97 @@
+package hoster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/meter"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/tallier"
+	"github.com/mimosalb/mimosalb/internal/upgrader"
+)
+
+// Duty is the duty of the process that gives orders and reports usage.
+const Duty identifier.Duty = "control"
+
+// Controller is a process that campaigns for the duty.
+type Controller struct {
+	base
+	leaser  *leaser.Leaser
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// StartController starts a controller.
+func StartController(s Settings, p Platform, log *logger.Logger) *Controller {
+	c := &Controller{base: newBase(s, p, log)}
+	c.leaser = leaser.NewLeaser(s.Node, c.store.For(storer.PurposeLease), c.clock, leaser.WithTTL(s.TTL))
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.running.Go(func() { c.leaser.Campaign(ctx, Duty, c.lead) })
+	log.Emit(logger.ProcessStarted, "node", s.Node, "incarnation", c.incarnation)
+	return c
+}
+
+// lead does the work of the duty for one term.
+func (c *Controller) lead(ctx context.Context, term leaser.Term) {
+	c.log.Emit(logger.DutyBegan, "duty", Duty, "fence", term.Fence)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	valid := func() bool {
+		t, ok := c.leaser.Term(Duty)
+		return ok && t.Fence == term.Fence
+	}
+	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(c.Regions)
+	up := upgrader.NewUpgrader(upgrader.Parts{
+		Navigator: nav, Registrar: reg, Engines: c.platform.Targets, Clock: c.clock, Log: c.log,
+	}, term, valid)
+	report := tallier.NewReporter(
+		meter.Calendar{Length: c.Window}, c.store.For(storer.PurposeSeal), c.form, c.platform.Intake, c.clock, c.log, term, valid)
+	operators := &operatorView{
+		decoder: c.platform.Decoder, navigator: nav, log: c.log, wanted: up.Want,
+		retire: func(n identifier.Node, status storer.Put) { c.retire(ctx, n, status) },
+	}
+	targets := &targetView{decoder: c.platform.Decoder, registrar: reg, router: router.NewRouter(), clock: c.clock, log: c.log}
+	var work sync.WaitGroup
+	// A part that returns has seen a later term; the others end with it.
+	for _, part := range []func(){
+		func() { up.Run(ctx) },
+		func() { report.Run(ctx) },
+		func() { c.follow(ctx, c.platform.OperatorPrefix, 0, operators) },
+		func() { c.follow(ctx, c.platform.TargetPrefix, settleTargets, targets) },
+	} {
+		work.Go(func() {
+			defer cancel()
+			part()
+		})
+	}
+	work.Wait()
+	c.log.Emit(logger.DutyEnded, "duty", Duty, "fence", term.Fence)
+}
+
+// retire tells that a VM with a disk is empty: nothing of the system lasts on its disk.
+func (c *Controller) retire(ctx context.Context, n identifier.Node, status storer.Put) {
+	old, out := c.store.Get(ctx, status.Key)
+	if out == storer.Applied && string(old.Value) != string(status.Value) {
+		out = c.store.Swap(ctx, status.Key, old.Changed, status.Value, 0)
+	}
+	c.log.Emit(logger.StoreEmptied, "node", n, "outcome", out.String())
+}
+
+// Stop gives the duty back and stops the controller.
+func (c *Controller) Stop(context.Context) error {
+	c.cancel()
+	c.running.Wait()
+	c.log.Emit(logger.ProcessStopped)
+	return nil
+}
+
+// LeastTTL bounds the time of the duty's lease from below: shorter ones lapse during short pauses of the holder.
+const LeastTTL = 3 * time.Second
--- /dev/null
+++ b/internal/hoster/entry.go
@@ -0,0 +1,154 @@
+package hoster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
+	"github.com/mimosalb/mimosalb/internal/conductor"
+	"github.com/mimosalb/mimosalb/internal/forwarder"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/meter"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/recorder"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/tallier"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// FrontParts are what the interface to callers works with.
+type FrontParts struct {
+	Navigator *navigator.Navigator
+	Forwarder *forwarder.Forwarder
+	Conductor *conductor.Conductor
+	Clock     timer.Service
+	Log       *logger.Logger
+}
+
+const (
+	// headerTime bounds the time in which a caller sends the head of a request, and idleTime the time for which its
+	// connection may be idle.
+	headerTime = 10 * time.Second
+	idleTime   = time.Minute
+	// headerBytes bounds the head of a request.
+	headerBytes = 64 << 10
+	// leaveTime is the time for which a stopping entry goes on taking requests: the platform sends it no new
+	// connections once it has found the entry not ready twice, a second apart.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is the part of the grace time that is left for the last writes.
+	stopMargin = time.Second
+)
+
+// Entry is a process that serves callers and leads batch jobs.
+type Entry struct {
+	base
+	front     Front
+	conductor *conductor.Conductor
+	servers   []*http.Server
+	peers     net.Listener
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// StartEntry starts an entry. newFront makes its interface to callers.
+func StartEntry(s Settings, p Platform, newFront func(FrontParts) Front, log *logger.Logger) (*Entry, error) {
+	e := &Entry{base: newBase(s, p, log)}
+	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions), router.NewRouter(router.WithPolicy(router.NewByNeed()))
+	tally := tallier.NewTallier(
+		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.For(storer.PurposeSeal), e.form, e.clock, log)
+	fwd := forwarder.NewForwarder(forwarder.Parts{
+		Navigator: nav, Registrar: reg, Router: route, Caller: p.Targets, Opener: p.Targets, Tally: tally, Clock: e.clock,
+		Zone: s.Zone, Region: s.Region,
+	})
+	e.conductor = conductor.NewConductor(conductor.Parts{
+		Me: e.owner(), Recorder: recorder.NewRecorder(e.store.For(storer.PurposeRun), e.form), Navigator: nav, Registrar: reg, Router: route,
+		Forwarder: fwd, Caller: p.Targets, Opener: p.Targets, Peers: jobpeer.NewClient(p.Dial, e.clock, log), Clock: e.clock, Log: log,
+		Zone: s.Zone, Region: s.Region, Retention: s.Retention,
+	})
+	e.front = newFront(FrontParts{Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log})
+	if err := e.serve(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, changed: e.conductor.Signal}
+	e.running.Go(func() { e.follow(ctx, p.OperatorPrefix, 0, &operatorView{decoder: p.Decoder, navigator: nav, log: log}) })
+	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, settleTargets, targets) })
+	e.running.Go(func() { e.follow(ctx, recorder.LivePrefix, settleJobs, conductor.NewView(e.conductor, e.form)) })
+	e.running.Go(func() { e.attend(ctx) })
+	e.running.Go(func() { tally.Run(ctx) })
+	e.running.Go(func() { e.expire(ctx, targets) })
+	e.conductor.Start()
+	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
+	return e, nil
+}
+
+// serve opens the listeners.
+func (e *Entry) serve() error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("/", e.front.Ready)
+	for address, handler := range map[string]http.Handler{e.Callers: e.front, e.Ready: ready} {
+		l, err := listen(address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", address, err)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes}
+		e.servers = append(e.servers, server)
+		e.running.Go(func() { _ = server.Serve(l) }) // it returns when the server is shut down
+	}
+	l, err := listen(e.Peer)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", e.Peer, err)
+	}
+	e.peers = l
+	e.running.Go(func() {
+		if err := jobpeer.Serve(l, e.conductor); err != nil {
+			e.log.Emit(logger.PeerFailed, "error", err)
+		}
+	})
+	return nil
+}
+
+// expire drops targets whose listings did not come back in time.
+func (e *Entry) expire(ctx context.Context, v *targetView) {
+	ticks := e.clock.Every(time.Second)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C():
+			if v.registrar.Expire(e.clock.Boot()) {
+				v.adopt()
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Stop stops the entry within its grace time: it hands its jobs over, lets callers go elsewhere and ends the requests
+// that it has.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.log.Emit(logger.DrainStarted, "grace", e.Grace)
+	e.front.Drain()
+	ctx, cancel := timer.WithTimeout(ctx, e.clock, e.Grace-stopMargin)
+	defer cancel()
+	e.conductor.Close(ctx)
+	e.rest(ctx, leaveTime)
+	var failed error
+	for _, s := range e.servers {
+		if err := s.Shutdown(ctx); err != nil && failed == nil {
+			failed = fmt.Errorf("shut down: %w", err)
+		}
+	}
+	e.cancel()
+	_ = e.peers.Close() // no reader is left
+	e.running.Wait()
+	e.log.Emit(logger.ProcessStopped)
+	return failed
+}
--- /dev/null
+++ b/internal/hoster/hoster.go
@@ -0,0 +1,131 @@
+// Package hoster builds the processes that run on a platform of the users' own from the parts of the product and the
+// calls of the platform's adapter.
+package hoster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
+	"github.com/mimosalb/mimosalb/internal/forwarder"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/recorder"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/tallier"
+	"github.com/mimosalb/mimosalb/internal/timer"
+	"github.com/mimosalb/mimosalb/internal/upgrader"
+)
+
+// Operator is what one key of the operators and trainers says: at most one of its fields is set.
+type Operator struct {
+	Plan   *navigator.Plan
+	Wanted *upgrader.Wanted
+	// Retire names a VM with a disk that is to be emptied, and Status is the key that tells so with its value.
+	Retire identifier.Node
+	Status storer.Put
+}
+
+// Decoder reads what others write to the key-value service.
+type Decoder interface {
+	Operator(e storer.Entry) (Operator, error)
+	Listing(e storer.Entry) (registrar.Listing, error)
+	Target(key string) identifier.Target
+}
+
+// KeyValue is the key-value service.
+type KeyValue interface {
+	storer.Driver
+	storer.Feed
+}
+
+// Targets reaches the targets.
+type Targets interface {
+	forwarder.Caller
+	forwarder.Opener
+	upgrader.Engines
+}
+
+// Front is the interface to callers and trainers.
+type Front interface {
+	http.Handler
+	Ready(w http.ResponseWriter, r *http.Request)
+	Drain()
+}
+
+// Platform is what the adapter gives.
+type Platform struct {
+	KeyValue KeyValue
+	Targets  Targets
+	Intake   tallier.Intake
+	Decoder  Decoder
+	Dial     jobpeer.Dial
+	// OperatorPrefix and TargetPrefix are the prefixes of the keys that a Decoder reads.
+	OperatorPrefix string
+	TargetPrefix   string
+}
+
+// Settings are those of a process.
+type Settings struct {
+	Node    identifier.Node
+	Zone    identifier.Zone
+	Region  identifier.Region
+	Regions map[identifier.Zone]identifier.Region
+	// Callers, Ready and Peer are the addresses on which an entry listens.
+	Callers string
+	Ready   string
+	Peer    string
+	// TTL is the time after which the duty of a silent holder is free.
+	TTL       time.Duration
+	Window    time.Duration
+	Grace     time.Duration
+	Retention time.Duration
+}
+
+const (
+	// longestPause bounds the pause between probes of a key-value service that is down.
+	longestPause = 500 * time.Millisecond
+	// presenceTTL is the time after which an entry that is silent no longer counts as there.
+	presenceTTL = 3 * time.Second
+	// settleTargets and settleJobs are the pauses after changes of listings and of jobs; changes that come in a row
+	// then cost one call.
+	settleTargets = 400 * time.Millisecond
+	settleJobs    = 100 * time.Millisecond
+)
+
+// base is what every process has.
+type base struct {
+	Settings
+	platform    Platform
+	clock       timer.Service
+	log         *logger.Logger
+	store       *storer.Storer
+	form        codec.Jobs
+	incarnation identifier.Incarnation
+}
+
+func newBase(s Settings, p Platform, log *logger.Logger) base {
+	clock := timer.NewSystem()
+	return base{
+		Settings: s, platform: p, clock: clock, log: log,
+		store:       storer.NewStorer(p.KeyValue, clock, storer.WithLongestPause(longestPause)),
+		incarnation: identifier.Incarnation(clock.Now().UnixMilli()), //nolint:gosec // the time is after 1970
+	}
+}
+
+func (b base) owner() recorder.Owner { return recorder.Owner{Node: b.Node, Incarnation: b.incarnation} }
+
+// follow keeps a view of the keys below a prefix up to date.
+func (b base) follow(ctx context.Context, prefix string, settle time.Duration, v storer.View) {
+	storer.NewFollower(b.platform.KeyValue, b.store.For(storer.PurposeConfig), prefix, settle).Follow(ctx, v)
+}
+
+// listen opens a TCP listener.
+func listen(address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+}
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -75,3 +75,15 @@
 func (a Attempt) Next() Attempt {
 	return Attempt{Request: a.Request, Number: a.Number + 1}
 }
+
+// Job identifies a batch job: many rollouts that a trainer submits at once and reads later.
+type Job string
+
+// Item identifies one rollout of a batch job.
+type Item string
+
+// Group identifies the items of a batch job that share their prompt.
+type Group string
+
+// Model names a model whose weights have versions.
+type Model string
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -87,14 +87,81 @@
 	RequestHeld = Event{
 		Number: 1401, Level: hclog.Warn, Text: "request held back after crashes", Action: "ask the team for the request; check the engine's log",
 	}
+
+	SettingsReloaded = Event{Number: 1009, Level: hclog.Info, Text: "settings read again", Action: "none"}
+	SettingsFaulty   = Event{
+		Number: 1010, Level: hclog.Error, Text: "settings not usable", Action: "correct the settings file; the last good ones stay in use",
+	}
+	ConfigUnreadable = Event{
+		Number: 1108, Level: hclog.Error, Text: "configuration not readable", Action: "check what the operator wrote; the last one stays in force",
+	}
+	StoreLost = Event{
+		Number: 1201, Level: hclog.Warn, Text: "key-value service lost", Action: "check the service and the way to it if it lasts",
+	}
+	StoreRegained = Event{Number: 1202, Level: hclog.Info, Text: "key-value service regained", Action: "none"}
+	StoreFailed   = Event{
+		Number: 1203, Level: hclog.Warn, Text: "call to the key-value service failed", Action: "check the service if it lasts",
+	}
+	DutyBegan        = Event{Number: 1204, Level: hclog.Info, Text: "term of a duty began", Action: "none"}
+	DutyEnded        = Event{Number: 1205, Level: hclog.Info, Text: "term of a duty ended", Action: "none"}
+	PresenceLost     = Event{Number: 1206, Level: hclog.Warn, Text: "registration lapsed", Action: "none; the process registers again"}
+	RecordUnreadable = Event{
+		Number: 1207, Level: hclog.Error, Text: "stored value not readable", Action: "compare the versions of the programs",
+	}
+	TargetListed  = Event{Number: 1304, Level: hclog.Info, Text: "target listed", Action: "none"}
+	TargetGone    = Event{Number: 1305, Level: hclog.Info, Text: "target no longer listed", Action: "none"}
+	ListingFaulty = Event{
+		Number: 1306, Level: hclog.Warn, Text: "listing not readable", Action: "find out who wrote it; it names no target",
+	}
+	PeerChanged = Event{Number: 1307, Level: hclog.Info, Text: "process of the system came or went", Action: "none"}
+	PeerFailed  = Event{
+		Number: 1308, Level: hclog.Warn, Text: "process of the system not reached", Action: "check the VM of the process if it lasts",
+	}
+	RequestAnswered = Event{Number: 1402, Level: hclog.Info, Text: "request answered by a target", Action: "none"}
+	RequestRefused  = Event{
+		Number: 1403, Level: hclog.Warn, Text: "request refused", Action: "see its reason and tries",
+	}
+	RequestFailed = Event{
+		Number: 1404, Level: hclog.Warn, Text: "request ended without an answer", Action: "see its tries",
+	}
+	AttemptFaulty = Event{
+		Number: 1405, Level: hclog.Warn, Text: "answer of a target not usable", Action: "check the target if it lasts",
+	}
+	JobSubmitted  = Event{Number: 1510, Level: hclog.Info, Text: "batch job submitted", Action: "none"}
+	JobLed        = Event{Number: 1511, Level: hclog.Info, Text: "batch job led by this process", Action: "none"}
+	JobLeft       = Event{Number: 1512, Level: hclog.Info, Text: "batch job no longer led by this process", Action: "none"}
+	JobAdopted    = Event{Number: 1513, Level: hclog.Info, Text: "batch job taken over", Action: "none"}
+	JobHandedOver = Event{Number: 1514, Level: hclog.Info, Text: "batch job handed over", Action: "none"}
+	JobEnded      = Event{Number: 1515, Level: hclog.Info, Text: "batch job ended", Action: "none"}
+	JobErased     = Event{Number: 1516, Level: hclog.Info, Text: "batch job erased", Action: "none"}
+	JobUnreadable = Event{
+		Number: 1517, Level: hclog.Warn, Text: "batch job not readable now", Action: "check the key-value service if it lasts",
+	}
+	ResultsHeld = Event{
+		Number: 1518, Level: hclog.Warn, Text: "results not stored yet", Action: "check the key-value service if it lasts",
+	}
+	JobRead       = Event{Number: 1519, Level: hclog.Info, Text: "batch job read", Action: "none"}
+	ItemAttempted = Event{Number: 1520, Level: hclog.Info, Text: "attempt of an item ended", Action: "none"}
+	ItemScored    = Event{Number: 1521, Level: hclog.Info, Text: "scoring call of an item ended", Action: "none"}
+	VersionNamed  = Event{Number: 1530, Level: hclog.Info, Text: "weight version named", Action: "none"}
+	LoadOrdered   = Event{Number: 1531, Level: hclog.Info, Text: "load of weights ordered", Action: "none"}
+	StoreEmptied  = Event{Number: 1610, Level: hclog.Info, Text: "VM with a disk released", Action: "none"}
+	UsageReported = Event{Number: 1710, Level: hclog.Info, Text: "usage of a window reported", Action: "none"}
+	CountsLost    = Event{
+		Number: 1711, Level: hclog.Error, Text: "counts of a window not stored", Action: "check the key-value service; the window's report may be low",
+	}
 )
 
 // Events returns every event in order of its number.
 func Events() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, PeersPlain, CertificateReloaded, CertificateUnreadable, PeerRefused,
-		HandlerPanicked, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
-		ListUnavailable, TargetSilent, TargetServing, ParentSilent, RequestHeld,
-		TargetNotDrained, TargetNotStarted, OrderRefused, OrdersHeld, MeterDeposed, ReportDelayed,
+		HandlerPanicked, SettingsReloaded, SettingsFaulty, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan,
+		RootEnded, KeysStale, KeysFresh, ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded,
+		PresenceLost, RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetGone,
+		ListingFaulty, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused, RequestFailed,
+		AttemptFaulty, JobSubmitted, JobLed, JobLeft, JobAdopted, JobHandedOver, JobEnded, JobErased, JobUnreadable,
+		ResultsHeld, JobRead, ItemAttempted, ItemScored, VersionNamed, LoadOrdered, TargetNotDrained, TargetNotStarted,
+		OrderRefused, OrdersHeld, StoreEmptied, MeterDeposed, ReportDelayed, UsageReported, CountsLost,
 	}
 }
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -128,6 +128,44 @@
 	return c.any()
 }
 
+// Spread takes the target with the smallest part of its slots taken by this entry, and none that has no slot left.
+type Spread struct{}
+
+// Decide returns the target with the most room.
+func (Spread) Decide(c *Choice) (int, bool) {
+	best, least := -1, 1.0
+	for _, z := range c.group.zones {
+		for _, i := range z.members {
+			candidate, ok := c.candidate(i)
+			if !ok {
+				continue
+			}
+			taken := float64(c.router.own[candidate.Target.ID].flying) / float64(max(candidate.Target.Slots, 1))
+			if taken < least {
+				best, least = i, taken
+			}
+		}
+	}
+	return best, best >= 0
+}
+
+// ByNeed asks Spread for the needs that want it, and Balanced for all others.
+type ByNeed struct {
+	balanced Balanced
+	spread   Spread
+}
+
+// NewByNeed returns the policy for entries that lead both single requests and batch jobs.
+func NewByNeed() ByNeed { return ByNeed{balanced: NewBalanced()} }
+
+// Decide returns the choice of the policy that the need asks for.
+func (b ByNeed) Decide(c *Choice) (int, bool) {
+	if c.Need.Spread {
+		return b.spread.Decide(c)
+	}
+	return b.balanced.Decide(c)
+}
+
 // LeastInFlight takes the target with the fewest attempts of this entry, by looking at all. It is a baseline.
 type LeastInFlight struct{}
 
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -41,6 +41,9 @@
 	// Prompt is the length of the prompt in bytes and Prefix the hashes of its beginnings.
 	Prompt identifier.Bytes
 	Prefix Prefix
+	// Spread asks for the target with the smallest part of its slots taken, wherever it is, and for none if every slot
+	// that this entry knows of is taken.
+	Spread bool
 	// Avoid lists the targets that earlier attempts used.
 	Avoid []identifier.Target
 }
--- a/internal/storer/backoff.go
+++ b/internal/storer/backoff.go
@@ -28,6 +28,8 @@
 	failures int
 	lease    time.Duration
 	others   time.Duration
+	// longest bounds the pause; zero means longestPause.
+	longest time.Duration
 }
 
 // Admit reports whether a call may be made. While the service is down an admitted call is the probe of its class, and
@@ -38,7 +40,7 @@
 	if b.failures < tripAfter {
 		return true
 	}
-	until, longest := &b.others, longestPause
+	until, longest := &b.others, b.most()
 	if p.known() == PurposeLease {
 		until, longest = &b.lease, longestLeasePause
 	}
@@ -59,7 +61,7 @@
 	}
 	b.failures++
 	if b.failures == tripAfter {
-		b.lease, b.others = now+pause(b.failures, longestLeasePause), now+pause(b.failures, longestPause)
+		b.lease, b.others = now+pause(b.failures, longestLeasePause), now+pause(b.failures, b.most())
 	}
 }
 
@@ -68,3 +70,11 @@
 	most := min(firstPause<<min(failures-1, 20), longest)
 	return most/2 + rand.N(most/2+1) //nolint:gosec // no secret depends on it
 }
+
+// most returns the bound of the pause.
+func (b *Backoff) most() time.Duration {
+	if b.longest > 0 {
+		return b.longest
+	}
+	return longestPause
+}
--- /dev/null
+++ b/internal/storer/feed.go
@@ -0,0 +1,121 @@
+package storer
+
+import (
+	"context"
+	"time"
+)
+
+// Change is one change of a key below a prefix.
+type Change struct {
+	Entry
+	// Removed is set when the key went.
+	Removed bool
+}
+
+// Feed is the part of a key-value service that tells of changes below a prefix.
+type Feed interface {
+	// Snapshot returns the entries below prefix and a revision after which Changes misses none.
+	Snapshot(ctx context.Context, prefix string) (entries []Entry, revision int64, out Outcome)
+	// Changes waits for changes after a revision, at most for wait, and returns them with the revision to go on from.
+	// Conflict means that this history is gone and that a snapshot is needed.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []Change, revision int64, out Outcome)
+}
+
+// View takes over what a Follower reads. One goroutine calls it.
+type View interface {
+	// Reset takes over all entries below the prefix.
+	Reset(entries []Entry)
+	// Apply takes over one change.
+	Apply(c Change)
+	// Interrupted tells that the view may be out of date from now on.
+	Interrupted()
+}
+
+// Follower keeps a view of the keys below a prefix up to date.
+type Follower struct {
+	feed   Feed
+	store  *Storer
+	prefix string
+	settle time.Duration
+}
+
+const (
+	// followWait is the longest wait of one call for changes.
+	followWait = 25 * time.Second
+	// snapshotTimeout bounds the reading of all entries.
+	snapshotTimeout = 3 * time.Second
+	// followPause is the first pause after a failed call; it doubles up to followMost, so that a view is up to date
+	// again within that time of the service's return.
+	followPause = 100 * time.Millisecond
+	followMost  = 800 * time.Millisecond
+)
+
+// NewFollower returns a Follower of a prefix. After a change it waits for settle before it asks for further ones, so that
+// changes that come in a row cost one call.
+func NewFollower(feed Feed, store *Storer, prefix string, settle time.Duration) *Follower {
+	return &Follower{feed: feed, store: store, prefix: prefix, settle: settle}
+}
+
+// Follow keeps v up to date until ctx ends.
+func (f *Follower) Follow(ctx context.Context, v View) {
+	failures := 0
+	for ctx.Err() == nil {
+		snapshotCtx, cancel := context.WithCancel(ctx)
+		stop := f.bound(snapshotCtx, cancel, snapshotTimeout)
+		entries, revision, out := f.feed.Snapshot(snapshotCtx, f.prefix)
+		stop()
+		if out == Applied {
+			failures = 0
+			v.Reset(entries)
+			f.changes(ctx, v, revision, &failures)
+			if ctx.Err() == nil {
+				v.Interrupted()
+			}
+		}
+		failures++
+		f.store.wait(ctx, pause(failures, followMost))
+	}
+}
+
+// changes applies changes until the history is gone. Failed calls are repeated from the same revision.
+func (f *Follower) changes(ctx context.Context, v View, revision int64, failures *int) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithCancel(ctx)
+		stop := f.bound(callCtx, cancel, followWait+callTimeout)
+		changes, next, out := f.feed.Changes(callCtx, f.prefix, revision, followWait)
+		stop()
+		switch out {
+		case Applied:
+			*failures = 0
+			for _, c := range changes {
+				v.Apply(c)
+			}
+			revision = next
+			if len(changes) > 0 && f.settle > 0 {
+				f.store.wait(ctx, f.settle)
+			}
+		case Conflict:
+			return
+		default:
+			if *failures == 0 {
+				v.Interrupted()
+			}
+			*failures++
+			f.store.wait(ctx, pause(*failures, followMost))
+		}
+	}
+}
+
+// bound cancels a call after d and returns a function that releases it.
+func (f *Follower) bound(ctx context.Context, cancel context.CancelFunc, d time.Duration) func() {
+	sub := f.store.clock.After(d)
+	go func() {
+		defer sub.Stop()
+		select {
+		case <-sub.C():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return cancel
+}
--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -32,9 +32,21 @@
 	backoff Backoff
 }
 
+// Option sets a property of a Storer.
+type Option func(*Storer)
+
+// WithLongestPause bounds the pause between probes of a service that is down; a recovered one is found within it.
+func WithLongestPause(d time.Duration) Option {
+	return func(s *Storer) { s.shared.backoff.longest = d }
+}
+
 // NewStorer returns a Storer over a driver, for the purpose PurposeUsage.
-func NewStorer(driver Driver, clock timer.Service) *Storer {
-	return &Storer{driver: driver, clock: clock, purpose: PurposeUsage, shared: &shared{}}
+func NewStorer(driver Driver, clock timer.Service, opts ...Option) *Storer {
+	s := &Storer{driver: driver, clock: clock, purpose: PurposeUsage, shared: &shared{}}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // For returns a Storer for the given purpose.
@@ -86,6 +98,12 @@
 	return s.settle(ctx, t.Puts[0].Key, t.Guards[0].Changed, t.Puts[0].Value)
 }
 
+// Delete applies a transaction that writes nothing but deletes. A repeat changes nothing, so that a lost answer needs no
+// settling: the outcome is Unknown then.
+func (s *Storer) Delete(ctx context.Context, t Transaction) Outcome {
+	return s.call(ctx, func(ctx context.Context) Outcome { return s.driver.Commit(ctx, t) })
+}
+
 // Grant makes a lease that lapses ttl after its last renewal.
 func (s *Storer) Grant(ctx context.Context, ttl time.Duration) (Lease, Outcome) {
 	return read(ctx, s, func(ctx context.Context) (Lease, Outcome) { return s.driver.Grant(ctx, ttl) })
--- /dev/null
+++ b/internal/upgrader/upgrader.go
@@ -0,0 +1,326 @@
+// Package upgrader moves targets to the weight versions that trainers have named, a few targets at a time.
+package upgrader
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// Report is what a target says of itself when it is asked.
+type Report struct {
+	// Busy is set while an order is being carried out.
+	Busy bool
+	// Orders is the number of orders that the target has accepted since its start.
+	Orders   int
+	Versions map[identifier.Model]identifier.Version
+}
+
+// Change says what becomes of running work when the weights change.
+type Change int
+
+const (
+	// Retain lets runs go on under the new version.
+	Retain Change = iota + 1
+	// Finish lets runs end first.
+	Finish
+)
+
+// Order tells a target to serve a version of a model. It is immutable.
+type Order struct {
+	Model   identifier.Model
+	Version identifier.Version
+	Change  Change
+	Holder  identifier.Node
+	Fence   identifier.Fence
+	// Expected is the number of orders that the target must have accepted before; an order that is carried out late
+	// is refused by it.
+	Expected int
+}
+
+// Verdict is a target's answer to an order.
+type Verdict int
+
+const (
+	// Accepted means that the order is being carried out.
+	Accepted Verdict = iota + 1
+	// Holds means that the target serves the version already.
+	Holds
+	// Occupied means that another order is being carried out or that the number of orders differs.
+	Occupied
+	// Deposed means that the target has seen a higher fencing number.
+	Deposed
+	// Rejected means that the target takes no such order.
+	Rejected
+	// Lost means that the order may be carried out, now or later.
+	Lost
+)
+
+// String returns the name of the verdict.
+func (v Verdict) String() string {
+	names := [...]string{"none", "accepted", "holds", "occupied", "deposed", "rejected", "lost"}
+	if v < 0 || int(v) >= len(names) {
+		return "invalid"
+	}
+	return names[v]
+}
+
+// Engines reaches the targets.
+type Engines interface {
+	Report(ctx context.Context, l registrar.Listing) (Report, bool)
+	Order(ctx context.Context, l registrar.Listing, o Order) Verdict
+}
+
+// Wanted is a version that a trainer has named.
+type Wanted struct {
+	Model   identifier.Model
+	Version identifier.Version
+}
+
+const (
+	// waveShare is the part of a service's targets that loads at a time: the others go on serving, and loads slow each
+	// other when more run at once.
+	waveShare = 0.25
+	// loadTimeout bounds the wait for one load.
+	loadTimeout = 8 * time.Second
+	// firstLook is the time after an accepted order at which the target is asked first, and nextLook the time between
+	// further questions.
+	firstLook = 700 * time.Millisecond
+	nextLook  = 150 * time.Millisecond
+	// callTimeout bounds one call to a target.
+	callTimeout = 800 * time.Millisecond
+	// again is the pause after a load that failed.
+	again = 300 * time.Millisecond
+	// recheck is the longest time between two looks at all targets.
+	recheck = time.Second
+)
+
+// Parts are what an Upgrader works with.
+type Parts struct {
+	Navigator *navigator.Navigator
+	Registrar *registrar.Registrar
+	Engines   Engines
+	Clock     timer.Service
+	Log       *logger.Logger
+}
+
+// Upgrader orders the loads within one term of the duty.
+type Upgrader struct {
+	Parts
+	term  leaser.Term
+	valid func() bool
+
+	mutex   sync.Mutex
+	wanted  map[identifier.Model]identifier.Version
+	loading map[identifier.Target]identifier.Service
+	wake    chan struct{}
+}
+
+// NewUpgrader returns an Upgrader for a term. It gives no order once valid returns false.
+func NewUpgrader(p Parts, term leaser.Term, valid func() bool) *Upgrader {
+	return &Upgrader{
+		Parts: p, term: term, valid: valid, wanted: make(map[identifier.Model]identifier.Version),
+		loading: make(map[identifier.Target]identifier.Service), wake: make(chan struct{}, 1),
+	}
+}
+
+// Want takes over a named version.
+func (u *Upgrader) Want(w Wanted) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.wanted[w.Model] < w.Version {
+		u.wanted[w.Model] = w.Version
+		u.signal()
+	}
+}
+
+func (u *Upgrader) signal() {
+	select {
+	case u.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run gives orders until ctx ends or a target has seen a later term.
+func (u *Upgrader) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var loads sync.WaitGroup
+	defer loads.Wait()
+	for ctx.Err() == nil {
+		_, changed := u.Registrar.Watch()
+		for _, j := range u.next() {
+			loads.Go(func() {
+				if u.load(ctx, j) == Deposed {
+					cancel()
+				}
+				u.mutex.Lock()
+				delete(u.loading, j.listing.ID)
+				u.mutex.Unlock()
+				u.signal()
+			})
+		}
+		sub := u.Clock.After(recheck)
+		select {
+		case <-changed:
+		case <-u.wake:
+		case <-sub.C():
+		case <-ctx.Done():
+		}
+		sub.Stop()
+	}
+}
+
+// job is a load to be done.
+type job struct {
+	listing registrar.Listing
+	model   identifier.Model
+	version identifier.Version
+	change  Change
+}
+
+// next returns the loads that may begin now, and counts them as running.
+func (u *Upgrader) next() []job {
+	plan := u.Navigator.Current()
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	jobs := Plan(plan, u.Registrar.Listings(), u.wanted, u.loading)
+	for _, j := range jobs {
+		u.loading[j.listing.ID] = j.listing.Service
+	}
+	return jobs
+}
+
+// Plan chooses the loads that may begin: the targets that are furthest behind first, and at each service no more than
+// its share at a time, those that are loading included.
+func Plan(plan navigator.Plan, listings []registrar.Listing, wanted map[identifier.Model]identifier.Version,
+	loading map[identifier.Target]identifier.Service,
+) []job {
+	var jobs []job
+	for _, s := range plan.Services() {
+		var behind []job
+		total, room := 0, 0
+		for _, l := range listings {
+			if l.Service != s.Name || l.Draining {
+				continue
+			}
+			total++
+			if _, ok := loading[l.ID]; ok {
+				room--
+				continue
+			}
+			if j, ok := lag(s, l, wanted); ok {
+				behind = append(behind, j)
+			}
+		}
+		room += max(1, int(float64(total)*waveShare+0.5))
+		slices.SortStableFunc(behind, func(a, b job) int {
+			return cmp.Compare(a.listing.Versions[a.model], b.listing.Versions[b.model])
+		})
+		for _, j := range behind[:max(0, min(room, len(behind)))] {
+			j.change = change(plan, s.Name)
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
+}
+
+// lag returns the load of the model with which a target is furthest behind.
+func lag(s navigator.Service, l registrar.Listing, wanted map[identifier.Model]identifier.Version) (job, bool) {
+	var most job
+	for _, m := range s.Models {
+		v, named := wanted[m]
+		if !named || l.Versions[m] >= v {
+			continue
+		}
+		if most.model == "" || v-l.Versions[m] > most.version-l.Versions[most.model] {
+			most = job{listing: l, model: m, version: v}
+		}
+	}
+	return most, most.model != ""
+}
+
+// change returns what becomes of running work: where a route wants one version in each answer, runs end first.
+func change(plan navigator.Plan, s identifier.Service) Change {
+	if plan.Single(s) {
+		return Finish
+	}
+	return Retain
+}
+
+// load moves one target to a version.
+func (u *Upgrader) load(ctx context.Context, j job) Verdict {
+	verdict := u.order(ctx, j)
+	u.Log.Emit(logger.LoadOrdered, "target", j.listing.ID, "model", j.model, "version", j.version, "had", j.listing.Versions[j.model],
+		"fence", u.term.Fence, "verdict", verdict.String())
+	switch verdict {
+	case Accepted, Lost, Occupied:
+	case Holds:
+		u.Registrar.Observe(j.listing.ID, j.model, j.version)
+		return verdict
+	default:
+		u.rest(ctx, again)
+		return verdict
+	}
+	began := u.Clock.Boot()
+	u.rest(ctx, firstLook)
+	for ctx.Err() == nil && u.Clock.Boot()-began < loadTimeout {
+		r, ok := u.report(ctx, j.listing)
+		switch {
+		case ok && r.Versions[j.model] >= j.version:
+			u.Registrar.Observe(j.listing.ID, j.model, r.Versions[j.model])
+			return verdict
+		case ok && !r.Busy && u.Clock.Boot()-began > firstLook+reportLag:
+			return verdict
+		}
+		u.rest(ctx, nextLook)
+	}
+	return verdict
+}
+
+// reportLag is how old a target's report may be.
+const reportLag = 500 * time.Millisecond
+
+// order asks a target where it stands and gives the order on that condition.
+func (u *Upgrader) order(ctx context.Context, j job) Verdict {
+	r, ok := u.report(ctx, j.listing)
+	switch {
+	case !ok:
+		return Rejected
+	case r.Versions[j.model] >= j.version:
+		return Holds
+	case r.Busy:
+		return Occupied
+	case !u.valid():
+		return Rejected
+	}
+	ctx, cancel := timer.WithTimeout(ctx, u.Clock, callTimeout)
+	defer cancel()
+	return u.Engines.Order(ctx, j.listing, Order{
+		Model: j.model, Version: j.version, Change: j.change, Holder: u.term.Holder, Fence: u.term.Fence, Expected: r.Orders,
+	})
+}
+
+func (u *Upgrader) report(ctx context.Context, l registrar.Listing) (Report, bool) {
+	ctx, cancel := timer.WithTimeout(ctx, u.Clock, callTimeout)
+	defer cancel()
+	return u.Engines.Report(ctx, l)
+}
+
+func (u *Upgrader) rest(ctx context.Context, d time.Duration) {
+	sub := u.Clock.After(d)
+	defer sub.Stop()
+	select {
+	case <-sub.C():
+	case <-ctx.Done():
+	}
+}
