--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -330,7 +330,7 @@
 			job.Scored(i, r.Stamp)
 			return
 		case r.Outcome == forwarder.Answered && r.Status == statusFailed:
-			if failures += len(r.Tries); failures >= max(a.route.Attempts, 1) {
+			if failures += r.Failures(); failures >= c.scoreAttempts(call) {
 				job.Abandon(i)
 				return
 			}
@@ -339,6 +339,13 @@
 	}
 }
 
+// scoreAttempts returns the number of failures after which an item whose scoring fails may be given up.
+func (c *Conductor) scoreAttempts(call batcher.ScoreCall) int {
+	path, _, _ := strings.Cut(call.Path, "?")
+	route, _ := c.Navigator.Current().Route(call.Host, path)
+	return max(route.Attempts, 1)
+}
+
 // scoreSink drops the body of a scoring answer; its stamp is the score.
 type scoreSink struct{}
 
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -96,6 +96,20 @@
 	return strings.Join(parts, " ")
 }
 
+// Failures returns the number of tries in which a target said that the request failed.
+func (r Result) Failures() int {
+	n := 0
+	for _, t := range r.Tries {
+		if t.Fault == Fine && !t.NotRun && t.Status == statusFailed {
+			n++
+		}
+	}
+	return n
+}
+
+// statusFailed is a target's answer to a request that it ran and that failed.
+const statusFailed = 500
+
 // mayRun reports whether a target may have run the request.
 func (r Result) mayRun() bool {
 	for _, t := range r.Tries {
