--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -64,8 +64,8 @@
 	for _, part := range []func(){
 		func() { up.Run(ctx) },
 		func() { report.Run(ctx) },
-		func() { c.follow(ctx, c.platform.OperatorPrefix, 0, operators) },
-		func() { c.follow(ctx, c.platform.TargetPrefix, settleTargets, targets) },
+		func() { c.follow(ctx, c.platform.OperatorPrefix, 0, c.Apply, operators) },
+		func() { c.follow(ctx, c.platform.TargetPrefix, settleTargets, c.Drain, targets) },
 	} {
 		work.Go(func() {
 			defer cancel()
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -85,6 +85,11 @@
 	Window    time.Duration
 	Grace     time.Duration
 	Retention time.Duration
+	// Apply, Drain and Cancel are the times within which a configuration, the leaving of a target and the end of a batch
+	// job are in force everywhere.
+	Apply  time.Duration
+	Drain  time.Duration
+	Cancel time.Duration
 }
 
 const (
@@ -96,6 +101,10 @@
 	// then cost one call.
 	settleTargets = 400 * time.Millisecond
 	settleJobs    = 100 * time.Millisecond
+	// freshMargin is the part of the time in which a change must be in force that is left for reading it.
+	freshMargin = 700 * time.Millisecond
+	// leastWait bounds the wait of a watch from below, so that short times do not multiply the calls.
+	leastWait = 500 * time.Millisecond
 )
 
 // base is what every process has.
@@ -120,9 +129,10 @@
 
 func (b base) owner() recorder.Owner { return recorder.Owner{Node: b.Node, Incarnation: b.incarnation} }
 
-// follow keeps a view of the keys below a prefix up to date.
-func (b base) follow(ctx context.Context, prefix string, settle time.Duration, v storer.View) {
-	storer.NewFollower(b.platform.KeyValue, b.store.For(storer.PurposeConfig), prefix, settle).Follow(ctx, v)
+// follow keeps a view of the keys below a prefix up to date, within the time that a change may take.
+func (b base) follow(ctx context.Context, prefix string, settle, within time.Duration, v storer.View) {
+	wait := max(leastWait, within-freshMargin)
+	storer.NewFollower(b.platform.KeyValue, b.store.For(storer.PurposeConfig), prefix, settle, wait).Follow(ctx, v)
 }
 
 // listen opens a TCP listener.
--- a/internal/storer/feed.go
+++ b/internal/storer/feed.go
@@ -37,11 +37,10 @@
 	store  *Storer
 	prefix string
 	settle time.Duration
+	wait   time.Duration
 }
 
 const (
-	// followWait is the longest wait of one call for changes.
-	followWait = 25 * time.Second
 	// snapshotTimeout bounds the reading of all entries.
 	snapshotTimeout = 3 * time.Second
 	// followPause is the first pause after a failed call; it doubles up to followMost, so that a view is up to date
@@ -51,9 +50,10 @@
 )
 
 // NewFollower returns a Follower of a prefix. After a change it waits for settle before it asks for further ones, so that
-// changes that come in a row cost one call.
-func NewFollower(feed Feed, store *Storer, prefix string, settle time.Duration) *Follower {
-	return &Follower{feed: feed, store: store, prefix: prefix, settle: settle}
+// changes that come in a row cost one call. A call waits for changes no longer than wait: a watch may stay silent while
+// changes are made, and the next call finds out.
+func NewFollower(feed Feed, store *Storer, prefix string, settle, wait time.Duration) *Follower {
+	return &Follower{feed: feed, store: store, prefix: prefix, settle: settle, wait: wait}
 }
 
 // Follow keeps v up to date until ctx ends.
@@ -81,8 +81,8 @@
 func (f *Follower) changes(ctx context.Context, v View, revision int64, failures *int) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithCancel(ctx)
-		stop := f.bound(callCtx, cancel, followWait+callTimeout)
-		changes, next, out := f.feed.Changes(callCtx, f.prefix, revision, followWait)
+		stop := f.bound(callCtx, cancel, f.wait+callTimeout)
+		changes, next, out := f.feed.Changes(callCtx, f.prefix, revision, f.wait)
 		stop()
 		switch out {
 		case Applied:
