conductor: bound the wait of a submission whose store call is not answered

Change: a submission is undecided after 0.8 s, and calls of hosted processes to the store end after 0.7 s.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -55,6 +55,9 @@
 	adoptAfter = 1500 * time.Millisecond
 	// tick is the period of the look for jobs to take over, to load again and to erase.
 	tick = 500 * time.Millisecond
+	// submitPatience bounds the storing of a job. A caller that hears nothing would wait in vain for an entry that has lost
+	// the store, while another entry can take the job.
+	submitPatience = 800 * time.Millisecond
 	// keepLed is how long the results of an ended job stay in memory; later readers get them from the store.
 	keepLed = 20 * time.Second
 )
@@ -167,7 +170,9 @@
 	if seen {
 		return repeated(known, s)
 	}
-	out, err := c.Recorder.Create(ctx, s, c.Me)
+	storing, cancel := timer.WithTimeout(ctx, c.Clock, submitPatience)
+	defer cancel()
+	out, err := c.Recorder.Create(storing, s, c.Me)
 	acceptance := c.accepted(ctx, s, out)
 	c.Log.Emit(logger.JobSubmitted, "job", s.ID, "team", s.Team, "items", len(s.Items), "least", s.Least, "outcome", acceptance.String(),
 		"store", out.String(), "error", err)
@@ -181,7 +186,7 @@
 	delete(c.fresh, id)
 }
 
-// settleRead bounds the reads that decide on a submission, besides the store's own limits.
+// accepted decides on a submission by what the store answered.
 func (c *Conductor) accepted(ctx context.Context, s batcher.Spec, out storeOutcome) Acceptance {
 	switch out {
 	case applied:
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -95,6 +95,9 @@
 const (
 	// longestPause bounds the pause between probes of a key-value service that is down.
 	longestPause = 500 * time.Millisecond
+	// callTimeout bounds one call to the key-value service: a slow one answers in a quarter of a second, and whoever
+	// waits longer is better served by another entry.
+	callTimeout = 700 * time.Millisecond
 	// presenceTTL is the time after which an entry that is silent no longer counts as there.
 	presenceTTL = 3 * time.Second
 	// settleTargets and settleJobs are the pauses after changes of listings and of jobs; changes that come in a row
@@ -122,7 +125,7 @@
 	clock := timer.NewSystem()
 	return base{
 		Settings: s, platform: p, clock: clock, log: log,
-		store:       storer.NewStorer(p.KeyValue, clock, storer.WithLongestPause(longestPause)),
+		store:       storer.NewStorer(p.KeyValue, clock, storer.WithLongestPause(longestPause), storer.WithCallTimeout(callTimeout)),
 		incarnation: identifier.Incarnation(clock.Now().UnixMilli()), //nolint:gosec // the time is after 1970
 	}
 }
--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -23,6 +23,7 @@
 	clock   timer.Service
 	purpose Purpose
 	probing bool
+	timeout time.Duration
 	shared  *shared
 }
 
@@ -40,9 +41,12 @@
 	return func(s *Storer) { s.shared.backoff.longest = d }
 }
 
+// WithCallTimeout bounds one call.
+func WithCallTimeout(d time.Duration) Option { return func(s *Storer) { s.timeout = d } }
+
 // NewStorer returns a Storer over a driver, for the purpose PurposeUsage.
 func NewStorer(driver Driver, clock timer.Service, opts ...Option) *Storer {
-	s := &Storer{driver: driver, clock: clock, purpose: PurposeUsage, shared: &shared{}}
+	s := &Storer{driver: driver, clock: clock, purpose: PurposeUsage, timeout: callTimeout, shared: &shared{}}
 	for _, o := range opts {
 		o(s)
 	}
@@ -149,7 +153,7 @@
 
 // attempt makes one call with a deadline and records its outcome.
 func (s *Storer) attempt(ctx context.Context, f func(context.Context) Outcome) Outcome {
-	callCtx, cancel := timer.WithTimeout(ctx, s.clock, callTimeout)
+	callCtx, cancel := timer.WithTimeout(ctx, s.clock, s.timeout)
 	defer cancel()
 	out := f(callCtx)
 	// A caller that gave up says nothing about the service.
