conductor: keep items off slow targets and move running ones away from them

Change: the registrar keeps the median gap between events of each target and compares the targets of a service; new items avoid slow ones while others have a slot, and a running item goes on at a faster target from its next event.

--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -99,6 +99,13 @@
 	return Task{}, false, next
 }
 
+// Current returns a running item with what it has by now.
+func (j *Job) Current(i int) Task {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return Task{Index: i, Item: j.spec.Items[i], Had: len(j.items[i].text), Last: j.items[i].last}
+}
+
 // Append adds an event to the text of a running item. It reports false if the event does not follow the last one, if
 // the job has ended, or if the version may not make text of this job; the attempt must end then.
 func (j *Job) Append(i, number int, data []byte, v identifier.Version, single bool) bool {
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
@@ -17,12 +14,6 @@
 )
 
 const (
-	// firstEvent and nextEvent are how long an attempt waits for its first and for each further event before the
-	// target counts as silent. They are a few times the longest pauses of an engine under full load.
-	firstEvent = 2500 * time.Millisecond
-	nextEvent  = 1200 * time.Millisecond
-	// watchPeriod is the period of the look for silent targets.
-	watchPeriod = 300 * time.Millisecond
 	// refusedPause keeps work off a target that refused an item, and retryPause delays an item after a failure.
 	refusedPause = 150 * time.Millisecond
 	retryPause   = 50 * time.Millisecond
@@ -91,12 +82,15 @@
 		if !ok {
 			continue
 		}
-		target, ok := c.Router.Choose(router.Need{
-			Service: service, Zone: c.Zone, Region: c.Region, Spread: true,
-			Avoid: c.Registrar.Avoid(service, spec.Model, spec.Least, now),
-		})
+		need := router.Need{Service: service, Zone: c.Zone, Region: c.Region, Spread: true}
+		avoid := c.Registrar.Avoid(service, spec.Model, spec.Least, now)
+		need.Avoid = append(c.Registrar.SlowOnes(service, now), avoid...)
+		target, ok := c.Router.Choose(need)
 		if !ok {
-			continue
+			need.Avoid = avoid
+			if target, ok = c.Router.Choose(need); !ok {
+				continue
+			}
 		}
 		task, ok, due := l.job.Next(now)
 		if ok {
@@ -115,18 +109,26 @@
 	return r.Keep > 0 && c.Clock.Now().Sub(s.Submitted) > r.Keep+time.Second
 }
 
-// run makes one attempt of an item and, when its text is whole, has it scored.
+// run makes attempts of an item until its text is whole, it is put back or it is given up. A whole text is scored.
 func (c *Conductor) run(ctx context.Context, a assignment) {
-	began := c.Clock.Boot()
-	end, events := c.attempt(ctx, a)
-	c.Router.Release(a.target.ID)
-	c.settle(a, end)
-	c.Log.Emit(logger.ItemAttempted, "item", a.task.Item.ID, "job", a.led.record.ID, "target", a.target.ID, "had", a.task.Had,
-		"events", events, "end", end.String(), "took", c.Clock.Boot()-began)
-	if end == whole && a.led.job.Whole(a.task.Index) {
-		c.score(ctx, a)
+	for {
+		began := c.Clock.Boot()
+		var h hearing
+		end, next := c.attempt(ctx, a, &h)
+		c.Router.Release(a.target.ID)
+		c.settle(a, end)
+		c.Log.Emit(logger.ItemAttempted, "item", a.task.Item.ID, "job", a.led.record.ID, "target", a.target.ID, "had", a.task.Had,
+			"events", h.events.Load(), "end", end.String(), "first", h.untilFirst(began), "took", c.Clock.Boot()-began)
+		if end != outpaced {
+			if end == whole && a.led.job.Whole(a.task.Index) {
+				c.score(ctx, a)
+			}
+			c.Signal()
+			return
+		}
+		a.target, a.task = next, a.led.job.Current(a.task.Index)
+		c.Signal()
 	}
-	c.Signal()
 }
 
 // ending is how an attempt of an item ended.
@@ -142,11 +144,12 @@
 	impossible
 	stale
 	stopped
+	outpaced
 )
 
 // String returns the name of the ending.
 func (e ending) String() string {
-	names := [...]string{"none", "whole", "refused", "unreached", "broken", "silent", "failed", "impossible", "stale", "stopped"}
+	names := [...]string{"none", "whole", "refused", "unreached", "broken", "silent", "failed", "impossible", "stale", "stopped", "outpaced"}
 	if e < 0 || int(e) >= len(names) {
 		return "invalid"
 	}
@@ -179,115 +182,8 @@
 		j.Retry(i, now+retryPause)
 	case stopped:
 		j.Retry(i, now)
-	}
-}
-
-// attempt sends an item to its target and takes over the events.
-func (c *Conductor) attempt(ctx context.Context, a assignment) (ending, int) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	var heard atomic.Int64
-	heard.Store(int64(c.Clock.Boot()))
-	var events atomic.Int64
-	done := make(chan struct{})
-	defer close(done)
-	go c.watch(a.led.job, &heard, &events, done, cancel)
-
-	answer, fault := c.Caller.Call(ctx, c.call(a))
-	if fault == forwarder.Fine {
-		defer answer.Body.Close() //nolint:errcheck // the body was read to its end or is dropped
-	}
-	switch {
-	case errors.Is(context.Cause(ctx), errSilent):
-		return silent, 0
-	case errors.Is(context.Cause(ctx), errEnded):
-		return stopped, 0
-	case fault == forwarder.Unsent:
-		return unreached, 0
-	case fault != forwarder.Fine:
-		return broken, 0
-	case answer.NotRun:
-		return refused, 0
-	case answer.Status == statusUnprocessable:
-		return impossible, 0
-	case answer.Status == statusFailed:
-		return failed, 0
-	case answer.Status != statusOK:
-		return broken, 0
-	}
-	return c.read(ctx, a, answer, &heard, &events)
-}
-
-// Status codes of a target's answer to an item.
-const (
-	statusOK            = 200
-	statusUnprocessable = 422
-	statusFailed        = 500
-)
-
-var (
-	errSilent = errors.New("the target is silent")
-	errEnded  = errors.New("the job has ended")
-)
-
-// read takes over the events of an answer.
-func (c *Conductor) read(ctx context.Context, a assignment, answer forwarder.Answer, heard, count *atomic.Int64) (ending, int) {
-	job, spec := a.led.job, a.led.job.Spec()
-	version := answer.Version
-	c.Registrar.Observe(a.target.ID, spec.Model, version)
-	events := c.Opener.Open(answer.Body)
-	for {
-		e, err := events.Next()
-		n := int(count.Load())
-		switch {
-		case errors.Is(err, io.EOF):
-			return whole, n
-		case errors.Is(context.Cause(ctx), errSilent):
-			return silent, n
-		case errors.Is(context.Cause(ctx), errEnded):
-			return stopped, n
-		case err != nil:
-			return broken, n
-		}
-		if e.Version != 0 {
-			version = e.Version
-			c.Registrar.Observe(a.target.ID, spec.Model, version)
-		}
-		heard.Store(int64(c.Clock.Boot()))
-		count.Add(1)
-		if !job.Append(a.task.Index, e.Number, e.Data, version, a.route.Single) {
-			if job.Finished() {
-				return stopped, n
-			}
-			return stale, n
-		}
-	}
-}
-
-// watch cancels an attempt whose target is silent or whose job has ended.
-func (c *Conductor) watch(j *batcher.Job, heard, events *atomic.Int64, done <-chan struct{}, cancel context.CancelCauseFunc) {
-	ticks := c.Clock.Every(watchPeriod)
-	defer ticks.Stop()
-	for {
-		changed := j.Watch()
-		if j.Finished() {
-			cancel(errEnded)
-			return
-		}
-		select {
-		case <-done:
-			return
-		case <-changed:
-		case <-ticks.C():
-			limit := nextEvent
-			if events.Load() == 0 {
-				limit = firstEvent
-			}
-			if c.Clock.Boot()-time.Duration(heard.Load()) > limit {
-				cancel(errSilent)
-				return
-			}
-		}
+	case outpaced:
+		// The item goes on at once at a target that is set aside for it.
 	}
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -28,6 +28,7 @@
 	records map[identifier.Target]record
 	regions map[identifier.Zone]identifier.Region
 	changed chan struct{}
+	slow    map[identifier.Service]slowness
 }
 
 // record is a target with what attempts have shown.
@@ -38,6 +39,7 @@
 	until    time.Duration
 	// lapsed is the boot clock time at which a listing that went counts as gone; zero while it is there.
 	lapsed time.Duration
+	pace   pace
 }
 
 // NewRegistrar returns a Registrar that knows the region of each availability zone.
