upgrader: share the targets among the trained models

Change: each trained model has an equal share of a service's targets, which stay with the model for which they are least behind; loads begin 0.5 s after the naming, when the items of the next job have started.

--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -145,6 +145,7 @@
 	ItemScored    = Event{Number: 1521, Level: hclog.Info, Text: "scoring call of an item ended", Action: "none"}
 	VersionNamed  = Event{Number: 1530, Level: hclog.Info, Text: "weight version named", Action: "none"}
 	LoadOrdered   = Event{Number: 1531, Level: hclog.Info, Text: "load of weights ordered", Action: "none"}
+	LoadEnded     = Event{Number: 1532, Level: hclog.Info, Text: "load of weights ended or given up", Action: "none"}
 	StoreEmptied  = Event{Number: 1610, Level: hclog.Info, Text: "VM with a disk released", Action: "none"}
 	UsageReported = Event{Number: 1710, Level: hclog.Info, Text: "usage of a window reported", Action: "none"}
 	CountsLost    = Event{
@@ -161,7 +162,7 @@
 		PresenceLost, RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetGone,
 		ListingFaulty, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused, RequestFailed,
 		AttemptFaulty, JobSubmitted, JobLed, JobLeft, JobAdopted, JobHandedOver, JobEnded, JobErased, JobUnreadable,
-		ResultsHeld, JobRead, ItemAttempted, ItemScored, VersionNamed, LoadOrdered, TargetNotDrained, TargetNotStarted,
+		ResultsHeld, JobRead, ItemAttempted, ItemScored, VersionNamed, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted,
 		OrderRefused, OrdersHeld, StoreEmptied, MeterDeposed, ReportDelayed, UsageReported, CountsLost,
 	}
 }
--- a/internal/upgrader/upgrader.go
+++ b/internal/upgrader/upgrader.go
@@ -2,9 +2,7 @@
 package upgrader
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -87,9 +85,9 @@
 }
 
 const (
-	// waveShare is the part of a service's targets that loads at a time: the others go on serving, and loads slow each
-	// other when more run at once.
-	waveShare = 0.25
+	// startDelay is the time from the naming of a version to the first load: the trainer submits its next job when it
+	// names a version, and the items that have started go on during a load while others would have to wait.
+	startDelay = 500 * time.Millisecond
 	// loadTimeout bounds the wait for one load.
 	loadTimeout = 8 * time.Second
 	// firstLook is the time after an accepted order at which the target is asked first, and nextLook the time between
@@ -113,6 +111,12 @@
 	Log       *logger.Logger
 }
 
+// naming is a version that a trainer has named, with the boot clock time at which it was heard of.
+type naming struct {
+	version identifier.Version
+	at      time.Duration
+}
+
 // Upgrader orders the loads within one term of the duty.
 type Upgrader struct {
 	Parts
@@ -120,7 +124,7 @@
 	valid func() bool
 
 	mutex   sync.Mutex
-	wanted  map[identifier.Model]identifier.Version
+	wanted  map[identifier.Model]naming
 	loading map[identifier.Target]identifier.Service
 	wake    chan struct{}
 }
@@ -128,7 +132,7 @@
 // NewUpgrader returns an Upgrader for a term. It gives no order once valid returns false.
 func NewUpgrader(p Parts, term leaser.Term, valid func() bool) *Upgrader {
 	return &Upgrader{
-		Parts: p, term: term, valid: valid, wanted: make(map[identifier.Model]identifier.Version),
+		Parts: p, term: term, valid: valid, wanted: make(map[identifier.Model]naming),
 		loading: make(map[identifier.Target]identifier.Service), wake: make(chan struct{}, 1),
 	}
 }
@@ -137,8 +141,8 @@
 func (u *Upgrader) Want(w Wanted) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	if u.wanted[w.Model] < w.Version {
-		u.wanted[w.Model] = w.Version
+	if u.wanted[w.Model].version < w.Version {
+		u.wanted[w.Model] = naming{version: w.Version, at: u.Clock.Boot()}
 		u.signal()
 	}
 }
@@ -169,7 +173,7 @@
 				u.signal()
 			})
 		}
-		sub := u.Clock.After(recheck)
+		sub := u.Clock.After(u.pause())
 		select {
 		case <-changed:
 		case <-u.wake:
@@ -180,12 +184,17 @@
 	}
 }
 
-// job is a load to be done.
-type job struct {
-	listing registrar.Listing
-	model   identifier.Model
-	version identifier.Version
-	change  Change
+// pause returns the time until the next look at all targets.
+func (u *Upgrader) pause() time.Duration {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	now, wait := u.Clock.Boot(), recheck
+	for _, n := range u.wanted {
+		if due := n.at + startDelay - now; due > 0 {
+			wait = min(wait, due)
+		}
+	}
+	return wait
 }
 
 // next returns the loads that may begin now, and counts them as running.
@@ -193,62 +202,20 @@
 	plan := u.Navigator.Current()
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	jobs := Plan(plan, u.Registrar.Listings(), u.wanted, u.loading)
+	now := u.Clock.Boot()
+	wanted := make(map[identifier.Model]identifier.Version, len(u.wanted))
+	for m, n := range u.wanted {
+		if now-n.at >= startDelay {
+			wanted[m] = n.version
+		}
+	}
+	jobs := choose(plan, u.Registrar.Listings(), wanted, u.loading)
 	for _, j := range jobs {
 		u.loading[j.listing.ID] = j.listing.Service
 	}
 	return jobs
 }
 
-// Plan chooses the loads that may begin: the targets that are furthest behind first, and at each service no more than
-// its share at a time, those that are loading included.
-func Plan(plan navigator.Plan, listings []registrar.Listing, wanted map[identifier.Model]identifier.Version,
-	loading map[identifier.Target]identifier.Service,
-) []job {
-	var jobs []job
-	for _, s := range plan.Services() {
-		var behind []job
-		total, room := 0, 0
-		for _, l := range listings {
-			if l.Service != s.Name || l.Draining {
-				continue
-			}
-			total++
-			if _, ok := loading[l.ID]; ok {
-				room--
-				continue
-			}
-			if j, ok := lag(s, l, wanted); ok {
-				behind = append(behind, j)
-			}
-		}
-		room += max(1, int(float64(total)*waveShare+0.5))
-		slices.SortStableFunc(behind, func(a, b job) int {
-			return cmp.Compare(a.listing.Versions[a.model], b.listing.Versions[b.model])
-		})
-		for _, j := range behind[:max(0, min(room, len(behind)))] {
-			j.change = change(plan, s.Name)
-			jobs = append(jobs, j)
-		}
-	}
-	return jobs
-}
-
-// lag returns the load of the model with which a target is furthest behind.
-func lag(s navigator.Service, l registrar.Listing, wanted map[identifier.Model]identifier.Version) (job, bool) {
-	var most job
-	for _, m := range s.Models {
-		v, named := wanted[m]
-		if !named || l.Versions[m] >= v {
-			continue
-		}
-		if most.model == "" || v-l.Versions[m] > most.version-l.Versions[most.model] {
-			most = job{listing: l, model: m, version: v}
-		}
-	}
-	return most, most.model != ""
-}
-
 // change returns what becomes of running work: where a route wants one version in each answer, runs end first.
 func change(plan navigator.Plan, s identifier.Service) Change {
 	if plan.Single(s) {
@@ -260,6 +227,7 @@
 // load moves one target to a version.
 func (u *Upgrader) load(ctx context.Context, j job) Verdict {
 	verdict := u.order(ctx, j)
+	began := u.Clock.Boot()
 	u.Log.Emit(logger.LoadOrdered, "target", j.listing.ID, "model", j.model, "version", j.version, "had", j.listing.Versions[j.model],
 		"fence", u.term.Fence, "verdict", verdict.String())
 	switch verdict {
@@ -271,7 +239,9 @@
 		u.rest(ctx, again)
 		return verdict
 	}
-	began := u.Clock.Boot()
+	defer func() {
+		u.Log.Emit(logger.LoadEnded, "target", j.listing.ID, "model", j.model, "version", j.version, "took", u.Clock.Boot()-began)
+	}()
 	u.rest(ctx, firstLook)
 	for ctx.Err() == nil && u.Clock.Boot()-began < loadTimeout {
 		r, ok := u.report(ctx, j.listing)
