leaser: watch a held duty; conductor: hand the texts of a job over

A stopping entry made its heir run every open item again. Change: the duty lapses after 1.8 s; who wants it watches its key instead of asking each second, and rests for lease-ms after a term of its own, so that holders don't take turns. A stopping entry stores the texts of the open items with the new owner.

--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -30,12 +30,26 @@
 	versions []identifier.Version
 	// failures counts the answers that said that the item failed.
 	failures int
+	// whole is set when the text is complete.
+	whole bool
+}
+
+// Part is the text of an item that has no result yet. It is immutable.
+type Part struct {
+	Item     identifier.Item
+	Text     [][]byte
+	Last     int
+	Versions []identifier.Version
+	// Whole is set when the text is complete and the item waits for its score.
+	Whole bool
 }
 
 // Task is an item that is to run now, with what it has already. It is immutable.
 type Task struct {
 	Index int
 	Item  Item
+	// Whole is set when only the score is missing.
+	Whole bool
 	// Had is the number of events that are there, and Last the number of the last one.
 	Had  int
 	Last int
@@ -72,6 +86,34 @@
 	return j
 }
 
+// Resume takes over texts that another process has made. Texts that hold a version that is too old are dropped.
+func (j *Job) Resume(parts []Part) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	for _, part := range parts {
+		i, ok := j.byID[part.Item]
+		old := slices.ContainsFunc(part.Versions, func(v identifier.Version) bool { return v < j.spec.Least })
+		if p := &j.items[i]; ok && !old && p.stage == waiting && len(p.text) == 0 {
+			p.text, p.last, p.versions, p.whole = part.Text, part.Last, slices.Clone(part.Versions), part.Whole
+		}
+	}
+}
+
+// Parts returns the texts of the items that have no result yet.
+func (j *Job) Parts() []Part {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	var parts []Part
+	for i, p := range j.items {
+		if p.stage != ended && len(p.text) > 0 {
+			parts = append(parts, Part{
+				Item: j.spec.Items[i].ID, Text: slices.Clone(p.text), Last: p.last, Versions: slices.Clone(p.versions), Whole: p.whole,
+			})
+		}
+	}
+	return parts
+}
+
 // Spec returns the job as it was submitted.
 func (j *Job) Spec() Spec { return j.spec }
 
@@ -90,7 +132,7 @@
 		}
 		if p.after <= now {
 			p.stage = running
-			return Task{Index: i, Item: j.spec.Items[i], Had: len(p.text), Last: p.last}, true, 0
+			return Task{Index: i, Item: j.spec.Items[i], Whole: p.whole, Had: len(p.text), Last: p.last}, true, 0
 		}
 		if next == 0 || p.after < next {
 			next = p.after
@@ -130,7 +172,7 @@
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	p := &j.items[i]
-	p.text, p.last, p.versions = nil, 0, nil
+	p.text, p.last, p.versions, p.whole = nil, 0, nil, false
 }
 
 // Retry puts a running item back; it is not started before after.
@@ -158,6 +200,7 @@
 	if p.stage != running {
 		return false
 	}
+	p.whole = true
 	if j.spec.Items[i].Score.ID != "" {
 		p.stage = scoring
 		return true
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -137,8 +137,10 @@
 	if !ok {
 		return
 	}
-	out, err := c.Recorder.Replace(ctx, l.record, l.record.WithOwner(next.Owner))
-	c.Log.Emit(logger.JobHandedOver, "job", l.record.ID, "to", next.Owner.Node, "outcome", out.String(), "error", err)
+	record := c.recordOf(l)
+	parts := l.job.Parts()
+	out, err := c.Recorder.HandOver(ctx, record, record.WithOwner(next.Owner), parts)
+	c.Log.Emit(logger.JobHandedOver, "job", record.ID, "to", next.Owner.Node, "texts", len(parts), "outcome", out.String(), "error", err)
 }
 
 // leading returns the jobs that this process leads, the oldest first.
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -111,6 +111,13 @@
 
 // run makes attempts of an item until its text is whole, it is put back or it is given up. A whole text is scored.
 func (c *Conductor) run(ctx context.Context, a assignment) {
+	if a.task.Whole {
+		c.Router.Release(a.target.ID)
+		if a.led.job.Whole(a.task.Index) {
+			c.score(ctx, a)
+		}
+		return
+	}
 	for {
 		began := c.Clock.Boot()
 		var h hearing
--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -87,13 +87,24 @@
 	if out == applied && err == nil && len(spec.Items) > 0 {
 		var results []batcher.Result
 		if results, out, err = c.Recorder.Results(ctx, r.ID); out == applied && err == nil {
-			c.lead(r, batcher.NewJob(spec, results...))
+			job := batcher.NewJob(spec, results...)
+			job.Resume(c.parts(ctx, r))
+			c.lead(r, job)
 			return
 		}
 	}
 	c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
 }
 
+// parts returns the texts that the owner before has left. Without them the items are made again.
+func (c *Conductor) parts(ctx context.Context, r recorder.Record) []batcher.Part {
+	parts, out, err := c.Recorder.Parts(ctx, r.ID)
+	if out != applied || err != nil {
+		c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
+	}
+	return parts
+}
+
 func (c *Conductor) erase(ctx context.Context, r recorder.Record) {
 	out := c.Recorder.Erase(ctx, r)
 	c.Log.Emit(logger.JobErased, "job", r.ID, "outcome", out.String())
--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -14,12 +14,17 @@
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/tallier"
+	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/internal/upgrader"
 )
 
 // Duty is the duty of the process that gives orders and reports usage.
 const Duty identifier.Duty = "control"
 
+// dutyTTL is the time after which the duty of a silent holder is free. It spans two calls to the key-value service that
+// end without an answer.
+const dutyTTL = 1800 * time.Millisecond
+
 // Controller is a process that campaigns for the duty.
 type Controller struct {
 	base
@@ -31,7 +36,8 @@
 // StartController starts a controller.
 func StartController(s Settings, p Platform, log *logger.Logger) *Controller {
 	c := &Controller{base: newBase(s, p, log)}
-	c.leaser = leaser.NewLeaser(s.Node, c.store.For(storer.PurposeLease), c.clock, leaser.WithTTL(s.TTL))
+	c.leaser = leaser.NewLeaser(s.Node, c.store.For(storer.PurposeLease), c.clock,
+		leaser.WithTTL(max(dutyTTL, s.LeastTTL)), leaser.WithRest(s.Turns), leaser.WithPause(c.pause))
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.running.Go(func() { c.leaser.Campaign(ctx, Duty, c.lead) })
@@ -39,6 +45,21 @@
 	return c
 }
 
+// pause waits until the key of the duty has changed or for d.
+func (c *Controller) pause(ctx context.Context, key string, d time.Duration) {
+	began := c.clock.Boot()
+	held, out := c.store.For(storer.PurposeLease).Get(ctx, key)
+	if out == storer.Applied && held.Changed != 0 {
+		watch, cancel := timer.WithTimeout(ctx, c.clock, d+callTimeout)
+		defer cancel()
+		if _, _, out = c.platform.KeyValue.Changes(watch, key, held.Changed, d); out == storer.Applied {
+			return
+		}
+	}
+	// The service gave no answer or the duty is free; the next look is not at once.
+	c.rest(ctx, max(0, d/renewals-(c.clock.Boot()-began)))
+}
+
 // lead does the work of the duty for one term.
 func (c *Controller) lead(ctx context.Context, term leaser.Term) {
 	c.log.Emit(logger.DutyBegan, "duty", Duty, "fence", term.Fence)
@@ -92,6 +113,3 @@
 	c.log.Emit(logger.ProcessStopped)
 	return nil
 }
-
-// LeastTTL bounds the time of the duty's lease from below: shorter ones lapse during short pauses of the holder.
-const LeastTTL = 3 * time.Second
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -80,8 +80,10 @@
 	Callers string
 	Ready   string
 	Peer    string
-	// TTL is the time after which the duty of a silent holder is free.
-	TTL       time.Duration
+	// LeastTTL bounds the time of a lease from below, and Turns is the shortest time in which two holders of a duty may
+	// take turns.
+	LeastTTL  time.Duration
+	Turns     time.Duration
 	Window    time.Duration
 	Grace     time.Duration
 	Retention time.Duration
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -32,6 +32,8 @@
 	clock    timer.Service
 	ttl      time.Duration
 	eligible func(identifier.Duty) bool
+	pause    func(ctx context.Context, key string, d time.Duration)
+	rest     time.Duration
 	terms    container.Table[container.Leaser, identifier.Duty, Term]
 }
 
@@ -45,6 +47,16 @@
 // processes campaign for each duty, so that calls to the key-value service do not grow with the fleet.
 func WithEligible(f func(identifier.Duty) bool) Option { return func(l *Leaser) { l.eligible = f } }
 
+// WithPause replaces the pause between two looks at a duty that another process holds. It may return early, when the
+// key of the duty has changed.
+func WithPause(f func(ctx context.Context, key string, d time.Duration)) Option {
+	return func(l *Leaser) { l.pause = f }
+}
+
+// WithRest sets the time for which a process does not campaign after a term of its own, so that two processes do not
+// take turns in quick succession.
+func WithRest(d time.Duration) Option { return func(l *Leaser) { l.rest = d } }
+
 // NewLeaser returns a Leaser for the process holder. Names of processes must be unique.
 func NewLeaser(holder identifier.Node, store Store, clock timer.Service, opts ...Option) *Leaser {
 	l := &Leaser{holder: holder, store: store, clock: clock, ttl: DefaultTTL}
@@ -71,6 +83,11 @@
 		}
 		if term, lease, ok := l.acquire(ctx, d); ok {
 			l.serve(ctx, term, lease, lead)
+			l.wait(ctx, l.rest)
+		}
+		if l.pause != nil {
+			l.pause(ctx, dutyKey(d), l.ttl)
+			continue
 		}
 		l.wait(ctx, l.ttl/renewals)
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -20,6 +20,7 @@
 
 	specPrefix   = "specs/"
 	resultPrefix = "results/"
+	partPrefix   = "parts/"
 )
 
 // partSize bounds one value of a job in bytes; the service takes up to a megabyte.
@@ -75,6 +76,8 @@
 	DecodeSpec(data []byte) (batcher.Spec, error)
 	EncodeResults(from int, results []batcher.Result) ([]byte, error)
 	DecodeResults(data []byte) (from int, results []batcher.Result, err error)
+	EncodeParts(parts []batcher.Part) ([]byte, error)
+	DecodeParts(data []byte) ([]batcher.Part, error)
 	EncodeRecord(r Record) ([]byte, error)
 	DecodeRecord(data []byte) (Record, error)
 }
@@ -141,6 +144,34 @@
 	return r.store.Commit(ctx, storer.Transaction{}.WithGuard(jobKey(old.ID), old.Changed).WithPut(jobKey(old.ID), data, 0)), nil
 }
 
+// HandOver stores the next form of a record together with the texts that have no result yet. Texts that are too large
+// for a value are left out; they are made again.
+func (r *Recorder) HandOver(ctx context.Context, old, next Record, parts []batcher.Part) (storer.Outcome, error) {
+	data, err := r.form.EncodeRecord(next)
+	if err != nil {
+		return storer.Unavailable, err
+	}
+	t := storer.Transaction{}.WithGuard(jobKey(old.ID), old.Changed).WithPut(jobKey(old.ID), data, 0)
+	texts, err := r.form.EncodeParts(parts)
+	if err != nil {
+		return storer.Unavailable, err
+	}
+	if len(parts) > 0 && len(texts) <= partSize {
+		t = t.WithPut(partKey(old.ID), texts, 0)
+	}
+	return r.store.Commit(ctx, t), nil
+}
+
+// Parts returns the texts that the owner before has left.
+func (r *Recorder) Parts(ctx context.Context, id identifier.Job) ([]batcher.Part, storer.Outcome, error) {
+	e, out := r.store.Get(ctx, partKey(id))
+	if out != storer.Applied || e.Changed == 0 {
+		return nil, out, nil
+	}
+	parts, err := r.form.DecodeParts(e.Value)
+	return parts, out, err
+}
+
 // Spec returns a job as it was submitted.
 func (r *Recorder) Spec(ctx context.Context, record Record) (batcher.Spec, storer.Outcome, error) {
 	var data []byte
@@ -219,7 +250,7 @@
 		}
 		entries = entries[n:]
 	}
-	t := guarded.WithDelete(jobKey(record.ID))
+	t := guarded.WithDelete(jobKey(record.ID)).WithDelete(partKey(record.ID))
 	for i := range record.Parts {
 		t = t.WithDelete(specKey(record.ID, i))
 	}
@@ -240,6 +271,7 @@
 }
 
 func jobKey(id identifier.Job) string           { return JobPrefix + string(id) }
+func partKey(id identifier.Job) string          { return partPrefix + string(id) }
 func specKey(id identifier.Job, i int) string   { return specPrefix + string(id) + "/" + strconv.Itoa(i) }
 func resultKey(id identifier.Job, n int) string { return resultPrefix + string(id) + "/" + pad(n) }
 
--- a/internal/upgrader/upgrader.go
+++ b/internal/upgrader/upgrader.go
@@ -142,7 +142,12 @@
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	if u.wanted[w.Model].version < w.Version {
-		u.wanted[w.Model] = naming{version: w.Version, at: u.Clock.Boot()}
+		next := naming{version: w.Version, at: u.Clock.Boot()}
+		if _, known := u.wanted[w.Model]; !known {
+			// What a term finds at its beginning was named before.
+			next.at -= startDelay
+		}
+		u.wanted[w.Model] = next
 		u.signal()
 	}
 }
