--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -108,7 +108,7 @@
 
 // Start begins to run items and to take jobs over.
 func (c *Conductor) Start() {
-	ctx, cancel := context.WithCancel(context.Background()) //nolint:gosec // Close calls it
+	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.pool = worker.NewPool(workers, worker.Source[assignment](c.queue), c.run)
 	c.running.Go(func() { c.dispatch(ctx) })
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -25,59 +25,40 @@
 // good reports whether the caller gets this answer without another attempt.
 func (e ended) good() bool { return e.try.Fault == Fine && !e.try.NotRun && e.answer.Status < 500 }
 
+// ran reports whether the target may have run the request.
+func (e ended) ran() bool { return e.try.Fault == Broken || e.try.Fault == Fine && !e.try.NotRun }
+
+// race is a request with the attempts that are on their way.
+type race struct {
+	*lead
+	ctx     context.Context
+	sink    Sink
+	ends    chan ended
+	running int
+	// failure is an answer that said that the request failed; the caller gets it if there is no better one.
+	failure *ended
+}
+
 // answer leads a request with one answer. A repeatable request that gets none in time is sent to a second target too.
 func (l *lead) answer(ctx context.Context, sink Sink) Result {
-	repeatable := l.route.Kind == navigator.Repeatable
-	ends := make(chan ended, max(l.route.Attempts, 1))
-	running := 0
-	start := func() bool {
-		target, ok := l.choose()
-		if !ok {
-			return false
-		}
-		running++
-		l.attempt(ctx, target, ends)
-		return true
-	}
-	defer func() { go drop(ends, running) }()
-	if !start() {
+	r := &race{lead: l, ctx: ctx, sink: sink, ends: make(chan ended, max(l.route.Attempts, 1))}
+	defer func() { go drop(r.ends, r.running) }()
+	if !r.start() {
 		return l.failed()
 	}
 	over := l.Clock.After(l.deadline - l.Clock.Boot())
 	defer over.Stop()
 	hedge := l.Clock.After(max(leastHedge, time.Duration(float64(l.route.Goal)*hedgeShare)))
 	defer hedge.Stop()
-	var failure *ended
 	for {
 		select {
-		case e := <-ends:
-			running--
-			l.note(e.try)
-			ran := e.try.Fault == Broken || e.try.Fault == Fine && !e.try.NotRun
-			if ran {
-				l.count(e.sent)
-			}
-			if e.good() {
-				l.suspects.clear(l.request)
-				return l.deliver(e, sink)
+		case e := <-r.ends:
+			if done, result := r.take(e); done {
+				return result
 			}
-			if ran && e.try.Fault == Fine {
-				failure = &e
-			}
-			e.release()
-			if e.try.Fault == Broken {
-				l.suspects.add(l.request)
-			}
-			if (!ran || repeatable) && start() || running > 0 {
-				continue
-			}
-			if failure != nil {
-				return l.deliver(*failure, sink)
-			}
-			return l.failed()
 		case <-hedge.C():
-			if repeatable {
-				start()
+			if r.repeatable() {
+				r.start()
 			}
 		case <-over.C():
 			l.result.Outcome = TimedOut
@@ -89,6 +70,46 @@
 	}
 }
 
+func (r *race) repeatable() bool { return r.route.Kind == navigator.Repeatable }
+
+// start begins another attempt, unless there is no target for it.
+func (r *race) start() bool {
+	target, ok := r.choose()
+	if !ok {
+		return false
+	}
+	r.running++
+	r.attempt(r.ctx, target, r.ends)
+	return true
+}
+
+// take decides on the end of an attempt. It reports whether the request has ended with it.
+func (r *race) take(e ended) (bool, Result) {
+	r.running--
+	r.note(e.try)
+	if e.ran() {
+		r.count(e.sent)
+	}
+	if e.good() {
+		r.suspects.clear(r.request)
+		return true, r.deliver(e, r.sink)
+	}
+	if e.try.Fault == Broken {
+		r.suspects.add(r.request)
+	}
+	if e.ran() && e.try.Fault == Fine {
+		r.failure = &e
+	}
+	e.release()
+	if (!e.ran() || r.repeatable()) && r.start() || r.running > 0 {
+		return false, Result{}
+	}
+	if r.failure != nil {
+		return true, r.deliver(*r.failure, r.sink)
+	}
+	return true, r.failed()
+}
+
 // drop releases the attempts that are still running when a request ends.
 func drop(ends <-chan ended, running int) {
 	for range running {
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -78,9 +78,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, changed: e.conductor.Signal}
-	e.running.Go(func() { e.follow(ctx, p.OperatorPrefix, 0, e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log}) })
+	e.running.Go(func() {
+		e.follow(ctx, p.OperatorPrefix, 0, e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log})
+	})
 	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, settleTargets, e.Drain, targets) })
-	e.running.Go(func() { e.follow(ctx, recorder.LivePrefix, settleJobs, e.Cancel, conductor.NewView(e.conductor, e.form)) })
+	e.running.Go(func() {
+		e.follow(ctx, recorder.LivePrefix, settleJobs, e.Cancel, conductor.NewView(e.conductor, e.form))
+	})
 	e.running.Go(func() { e.attend(ctx) })
 	e.running.Go(func() { tally.Run(ctx) })
 	e.running.Go(func() { e.expire(ctx, targets) })
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -128,7 +128,7 @@
 	return base{
 		Settings: s, platform: p, clock: clock, log: log,
 		store:       storer.NewStorer(p.KeyValue, clock, storer.WithLongestPause(longestPause), storer.WithCallTimeout(callTimeout)),
-		incarnation: identifier.Incarnation(clock.Now().UnixMilli()), //nolint:gosec // the time is after 1970
+		incarnation: identifier.Incarnation(clock.Now().UnixMilli()),
 	}
 }
 
--- a/internal/upgrader/plan.go
+++ b/internal/upgrader/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -77,7 +76,9 @@
 // assign gives each target the models that it is kept up to date for. When a service has several trained models, each
 // gets an equal share of the targets, so that a new version takes a load at its share and not at all targets. A target
 // stays with the model for which it is the least behind.
-func assign(s navigator.Service, targets []registrar.Listing, wanted map[identifier.Model]identifier.Version) map[identifier.Target][]identifier.Model {
+func assign(
+	s navigator.Service, targets []registrar.Listing, wanted map[identifier.Model]identifier.Version,
+) map[identifier.Target][]identifier.Model {
 	var models []identifier.Model
 	for _, m := range s.Models {
 		if _, ok := wanted[m]; ok {
@@ -111,14 +112,14 @@
 	}
 	slices.SortFunc(pairs, func(a, b pair) int {
 		// Equal pairs are dealt out in turn, so that the targets of an availability zone serve different models.
-		return cmp.Or(cmp.Compare(a.lag, b.lag), cmp.Compare((a.target+a.model)%len(models), (b.target+b.model)%len(models)), cmp.Compare(a.target, b.target))
+		turn := cmp.Compare((a.target+a.model)%len(models), (b.target+b.model)%len(models))
+		return cmp.Or(cmp.Compare(a.lag, b.lag), turn, cmp.Compare(a.target, b.target))
 	})
-	taken := maps.Clone(rooms)
 	for _, p := range pairs {
 		id, m := targets[p.target].ID, models[p.model]
-		if len(homes[id]) == 0 && taken[m] > 0 {
+		if len(homes[id]) == 0 && rooms[m] > 0 {
 			homes[id] = append(homes[id], m)
-			taken[m]--
+			rooms[m]--
 		}
 	}
 	return homes
