tests of the decisions of the platform's path; keyvalue stand-in

Cause: navigator, registrar, forwarder, batcher, upgrader and tallier had no tests. A request that times out names its open attempts and counts for its team.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
@@ -35,13 +36,15 @@
 	sink    Sink
 	ends    chan ended
 	running int
+	// open are the attempts that have not ended.
+	open map[identifier.Target]Try
 	// failure is an answer that said that the request failed; the caller gets it if there is no better one.
 	failure *ended
 }
 
 // answer leads a request with one answer. A repeatable request that gets none in time is sent to a second target too.
 func (l *lead) answer(ctx context.Context, sink Sink) Result {
-	r := &race{lead: l, ctx: ctx, sink: sink, ends: make(chan ended, max(l.route.Attempts, 1))}
+	r := &race{lead: l, ctx: ctx, sink: sink, ends: make(chan ended, max(l.route.Attempts, 1)), open: make(map[identifier.Target]Try)}
 	defer func() { go drop(r.ends, r.running) }()
 	if !r.start() {
 		return l.failed()
@@ -61,15 +64,25 @@
 				r.start()
 			}
 		case <-over.C():
-			l.result.Outcome = TimedOut
-			return l.result
+			return r.interrupted(TimedOut)
 		case <-ctx.Done():
-			l.result.Outcome = Left
-			return l.result
+			return r.interrupted(Left)
 		}
 	}
 }
 
+// interrupted ends a request whose attempts have not ended. A target that has it has probably begun to run it.
+func (r *race) interrupted(o Outcome) Result {
+	r.result.Outcome = o
+	now := r.Clock.Boot()
+	for _, t := range r.open {
+		r.count(r.Clock.Now().Add(t.Took - now))
+		t.Took = now - t.Took
+		r.result.Tries = append(r.result.Tries, t)
+	}
+	return r.result
+}
+
 func (r *race) repeatable() bool { return r.route.Kind == navigator.Repeatable }
 
 // start begins another attempt, unless there is no target for it.
@@ -79,6 +92,8 @@
 		return false
 	}
 	r.running++
+	// Took holds the start until the attempt ends.
+	r.open[target.ID] = Try{Target: target.ID, Fault: Pending, Took: r.Clock.Boot()}
 	r.attempt(r.ctx, target, r.ends)
 	return true
 }
@@ -86,6 +101,7 @@
 // take decides on the end of an attempt. It reports whether the request has ended with it.
 func (r *race) take(e ended) (bool, Result) {
 	r.running--
+	delete(r.open, e.try.Target)
 	r.note(e.try)
 	if e.ran() {
 		r.count(e.sent)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -74,11 +74,13 @@
 	Unsent
 	// Broken means that the call may have run.
 	Broken
+	// Pending means that the target had not answered when the request ended.
+	Pending
 )
 
 // String returns the name of the fault.
 func (f Fault) String() string {
-	names := [...]string{"fine", "unsent", "broken"}
+	names := [...]string{"fine", "unsent", "broken", "pending"}
 	if f < 0 || int(f) >= len(names) {
 		return "invalid"
 	}
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,123 @@
+package registrar_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+)
+
+func listing(id string, incarnation identifier.Incarnation) registrar.Listing {
+	return registrar.Listing{
+		ID: identifier.Target(id), Service: "s", Zone: "macon", Slots: 8, Incarnation: incarnation,
+		Versions: map[identifier.Model]identifier.Version{"m": 3},
+	}
+}
+
+func serving(r *registrar.Registrar) string {
+	view, _ := r.Watch()
+	var ids []string
+	for _, t := range view.Targets() {
+		ids = append(ids, string(t.ID))
+	}
+	return strings.Join(ids, " ")
+}
+
+func avoided(ids []identifier.Target) string {
+	slices.Sort(ids)
+	return fmt.Sprint(ids)
+}
+
+// Guards against work for targets that leave, have gone, are suspended, or serve too old a version, and against targets
+// that are forgotten because their listings lapsed while the store was away.
+func TestTargets(t *testing.T) {
+	r := registrar.NewRegistrar(map[identifier.Zone]identifier.Region{"macon": "piedmont"})
+	var out strings.Builder
+	show := func(what string) { fmt.Fprintf(&out, "%-34s %s\n", what, serving(r)) }
+	avoid := func(what string, at time.Duration, least identifier.Version) {
+		fmt.Fprintf(&out, "%-34s avoid %s\n", what, avoided(r.Avoid("s", "m", least, at)))
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		r.Put(listing(id, 1))
+	}
+	show("three listed")
+	leaving := listing("a", 1)
+	leaving.Draining = true
+	r.Put(leaving)
+	show("a drains")
+	r.Remove("b")
+	show("b is gone")
+	r.Replace([]registrar.Listing{listing("b", 2)}, 10*time.Second)
+	show("only b is there after an outage")
+	r.Expire(11 * time.Second)
+	show("a second later")
+	r.Put(listing("c", 1))
+	r.Expire(13 * time.Second)
+	show("c came back, a did not")
+	r.Lapse("c", 20*time.Second)
+	r.Expire(21 * time.Second)
+	show("c lapsed a second ago")
+	r.Expire(22 * time.Second)
+	show("c lapsed two seconds ago")
+	r.Put(listing("c", 1))
+	for i := range 5 {
+		r.Fail("c", time.Duration(30+i)*time.Second)
+	}
+	avoid("c failed five times until 34 s", 34*time.Second, 0)
+	avoid("the suspension ends", 39*time.Second, 0)
+	r.Put(listing("c", 2))
+	avoid("a new incarnation is not suspended", 34*time.Second, 0)
+	r.Pause("b", 41*time.Second)
+	avoid("b is paused", 40*time.Second, 0)
+	avoid("all serve version 3", 50*time.Second, 4)
+	r.Observe("c", "m", 4)
+	avoid("c answered with version 4", 50*time.Second, 4)
+	r.Observe("c", "m", 2)
+	avoid("an old answer changes nothing", 50*time.Second, 4)
+	goldie.New(t).Assert(t, "targets", []byte(out.String()))
+}
+
+// Guards against a target that counts as slow for one pause, or for full batches, and against a slow one that is not
+// found or is never tried again.
+func TestPace(t *testing.T) {
+	c := qt.New(t)
+	var r registrar.Registrar
+	paces := map[string]time.Duration{"a": 40, "b": 42, "c": 44, "d": 120}
+	now := time.Second
+	for id := range paces {
+		r.Put(listing(id, 1))
+	}
+	for range 8 {
+		now += 10 * time.Millisecond
+		for id, ms := range paces {
+			r.Pace(identifier.Target(id), ms*time.Millisecond, now)
+		}
+	}
+	c.Assert(avoided(r.SlowOnes("s", now)), qt.Equals, "[d]")
+	now += 200 * time.Millisecond
+	r.Pace("a", time.Second, now)
+	c.Assert(r.Slow("a", now), qt.IsFalse)
+	now += 5 * time.Second
+	c.Assert(avoided(r.SlowOnes("s", now)), qt.Equals, "[]")
+}
+
+// Guards against a comparison of too few targets.
+func TestPaceNeedsOthers(t *testing.T) {
+	c := qt.New(t)
+	var r registrar.Registrar
+	for _, id := range []string{"a", "b"} {
+		r.Put(listing(id, 1))
+	}
+	for range 8 {
+		r.Pace("a", 40*time.Millisecond, time.Second)
+		r.Pace("b", 400*time.Millisecond, time.Second)
+	}
+	c.Assert(r.SlowOnes("s", time.Second), qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -0,0 +1,335 @@
+// Package keyvalue is a stand-in of a key-value service with revisions, leases and a history of changes. Its failure
+// switches lose answers, carry writes out late, drop history and refuse calls.
+package keyvalue
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// Service is the service. It is a storer.Driver and a storer.Feed.
+type Service struct {
+	clock timer.Service
+
+	mutex    sync.Mutex
+	revision int64
+	oldest   int64
+	items    map[string]item
+	leases   map[storer.Lease]lease
+	history  []storer.Change
+	changed  chan struct{}
+	faults   Faults
+	late     []storer.Transaction
+	writes   int
+}
+
+// Faults are the failure switches.
+type Faults struct {
+	// Down refuses every call.
+	Down bool
+	// Lose is the number of writes whose answers are lost after they took effect.
+	Lose int
+	// Delay is the number of writes that get no answer and take effect at CarryOut.
+	Delay int
+}
+
+type item struct {
+	storer.Entry
+	lease storer.Lease
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Duration
+}
+
+// NewService returns an empty service.
+func NewService(clock timer.Service) *Service {
+	return &Service{
+		clock: clock, revision: 1, items: make(map[string]item), leases: make(map[storer.Lease]lease), changed: make(chan struct{}),
+	}
+}
+
+// Set sets the failure switches.
+func (s *Service) Set(f Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = f
+}
+
+// CarryOut applies the delayed writes whose conditions still hold.
+func (s *Service) CarryOut() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, t := range s.late {
+		s.apply(t)
+	}
+	s.late = nil
+}
+
+// Compact drops the history, so that watches from before need a snapshot.
+func (s *Service) Compact() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.oldest = nil, s.revision
+	s.wake()
+}
+
+// Writes returns the number of transactions that took effect.
+func (s *Service) Writes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.writes
+}
+
+// Write sets a key as somebody else does, without conditions.
+func (s *Service) Write(key string, value []byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.put(storer.Put{Key: key, Value: value})
+	s.wake()
+}
+
+// Remove deletes a key as somebody else does.
+func (s *Service) Remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.remove(key)
+	s.wake()
+}
+
+// Get returns the entry of key; an entry with Changed zero does not exist.
+func (s *Service) Get(_ context.Context, key string) (storer.Entry, storer.Outcome) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Down {
+		return storer.Entry{}, storer.Unavailable
+	}
+	s.expire()
+	e := s.items[key].Entry
+	e.Key = key
+	return e, storer.Applied
+}
+
+// Since returns the entry of key if it was changed after the given revision.
+func (s *Service) Since(ctx context.Context, key string, after int64) (storer.Entry, storer.Outcome) {
+	e, out := s.Get(ctx, key)
+	if e.Changed <= after {
+		e = storer.Entry{Key: key}
+	}
+	return e, out
+}
+
+// List returns the entries whose keys begin with prefix, in key order.
+func (s *Service) List(ctx context.Context, prefix string) ([]storer.Entry, storer.Outcome) {
+	entries, _, out := s.Snapshot(ctx, prefix)
+	return entries, out
+}
+
+// Snapshot returns the entries below prefix and the present revision.
+func (s *Service) Snapshot(_ context.Context, prefix string) ([]storer.Entry, int64, storer.Outcome) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Down {
+		return nil, 0, storer.Unavailable
+	}
+	s.expire()
+	var entries []storer.Entry
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, i.Entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b storer.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return entries, s.revision, storer.Applied
+}
+
+// leasePeriod is the period in which a waiting watch looks for leases that have lapsed.
+const leasePeriod = 50 * time.Millisecond
+
+// Changes waits for changes below prefix after a revision.
+func (s *Service) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, storer.Outcome) {
+	over := s.clock.After(wait)
+	defer over.Stop()
+	ticks := s.clock.Every(leasePeriod)
+	defer ticks.Stop()
+	for {
+		found, revision, out, changed := s.since(prefix, after)
+		if out != storer.Applied || len(found) > 0 {
+			return found, revision, out
+		}
+		select {
+		case <-changed:
+		case <-ticks.C():
+		case <-over.C():
+			return nil, revision, storer.Applied
+		case <-ctx.Done():
+			return nil, 0, storer.Unavailable
+		}
+	}
+}
+
+func (s *Service) since(prefix string, after int64) ([]storer.Change, int64, storer.Outcome, <-chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Down {
+		return nil, 0, storer.Unavailable, nil
+	}
+	s.expire()
+	if after < s.oldest {
+		return nil, 0, storer.Conflict, nil
+	}
+	var found []storer.Change
+	for _, c := range s.history {
+		if c.Changed > after && strings.HasPrefix(c.Key, prefix) {
+			found = append(found, c)
+		}
+	}
+	return found, s.revision, storer.Applied, s.changed
+}
+
+// Commit applies a transaction.
+func (s *Service) Commit(_ context.Context, t storer.Transaction) storer.Outcome {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case s.faults.Down:
+		return storer.Unavailable
+	case s.faults.Delay > 0:
+		s.faults.Delay--
+		s.late = append(s.late, t)
+		return storer.Unknown
+	}
+	out := s.apply(t)
+	if s.faults.Lose > 0 {
+		s.faults.Lose--
+		return storer.Unknown
+	}
+	return out
+}
+
+// apply applies a transaction if its conditions hold. The caller holds the lock.
+func (s *Service) apply(t storer.Transaction) storer.Outcome {
+	s.expire()
+	for _, g := range t.Guards {
+		if s.items[g.Key].Changed != g.Changed {
+			return storer.Conflict
+		}
+	}
+	for _, p := range t.Puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			return storer.Conflict
+		}
+	}
+	for _, p := range t.Puts {
+		s.put(p)
+	}
+	for _, key := range t.Deletes {
+		s.remove(key)
+	}
+	s.writes++
+	s.wake()
+	return storer.Applied
+}
+
+func (s *Service) put(p storer.Put) {
+	s.revision++
+	e := storer.Entry{Key: p.Key, Value: slices.Clone(p.Value), Changed: s.revision}
+	s.items[p.Key] = item{Entry: e, lease: p.Lease}
+	s.history = append(s.history, storer.Change{Entry: e})
+}
+
+func (s *Service) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, storer.Change{Entry: storer.Entry{Key: key, Changed: s.revision}, Removed: true})
+}
+
+// Grant makes a lease.
+func (s *Service) Grant(_ context.Context, ttl time.Duration) (storer.Lease, storer.Outcome) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Down {
+		return 0, storer.Unavailable
+	}
+	s.revision++
+	id := storer.Lease(s.revision)
+	s.leases[id] = lease{ttl: ttl, until: s.clock.Boot() + ttl}
+	return id, storer.Applied
+}
+
+// KeepAlive renews a lease.
+func (s *Service) KeepAlive(_ context.Context, id storer.Lease) storer.Outcome {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Down {
+		return storer.Unavailable
+	}
+	s.expire()
+	l, ok := s.leases[id]
+	if !ok {
+		return storer.Conflict
+	}
+	l.until = s.clock.Boot() + l.ttl
+	s.leases[id] = l
+	return storer.Applied
+}
+
+// Revoke ends a lease and deletes its keys.
+func (s *Service) Revoke(_ context.Context, id storer.Lease) storer.Outcome {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Down {
+		return storer.Unavailable
+	}
+	s.end(id)
+	s.wake()
+	return storer.Applied
+}
+
+// Watch calls changed for each change of key after the given revision.
+func (s *Service) Watch(ctx context.Context, key string, after int64, changed func(storer.Entry)) storer.Outcome {
+	for {
+		found, revision, out := s.Changes(ctx, key, after, time.Second)
+		if out != storer.Applied {
+			return out
+		}
+		for _, c := range found {
+			changed(c.Entry)
+		}
+		after = revision
+	}
+}
+
+// expire ends the leases whose time is over. The caller holds the lock.
+func (s *Service) expire() {
+	now := s.clock.Boot()
+	for id, l := range s.leases {
+		if now >= l.until {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Service) end(id storer.Lease) {
+	delete(s.leases, id)
+	for key, i := range s.items {
+		if i.lease == id && id != 0 {
+			s.remove(key)
+		}
+	}
+}
+
+func (s *Service) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/upgrader/plan_test.go
@@ -0,0 +1,76 @@
+package upgrader
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+)
+
+// Guards against loads of more targets at a time than the share allows, loads of targets that leave, loads of one model at
+// every target of a service with several, and targets that change their model with each version.
+func TestChoose(t *testing.T) {
+	type versions = map[identifier.Model]identifier.Version
+	fleet := func(n int, v versions) []registrar.Listing {
+		var all []registrar.Listing
+		for i := range n {
+			all = append(all, registrar.Listing{ID: identifier.Target(fmt.Sprintf("t%d", i)), Service: "s", Versions: v})
+		}
+		return all
+	}
+	var out strings.Builder
+	show := func(what string, models []identifier.Model, all []registrar.Listing, wanted versions, loading ...identifier.Target) {
+		plan := navigator.NewPlan(1).WithServices(navigator.Service{Name: "s", Models: models})
+		busy := make(map[identifier.Target]identifier.Service)
+		for _, id := range loading {
+			busy[id] = "s"
+		}
+		var lines []string
+		for _, j := range choose(plan, all, wanted, busy) {
+			lines = append(lines, fmt.Sprintf("%s:%s=%d", j.listing.ID, j.model, j.version))
+		}
+		fmt.Fprintf(&out, "%-40s %s\n", what, strings.Join(lines, " "))
+	}
+	// settle carries the loads out until none is left.
+	settle := func(what string, models []identifier.Model, all []registrar.Listing, wanted versions) []registrar.Listing {
+		plan := navigator.NewPlan(1).WithServices(navigator.Service{Name: "s", Models: models})
+		loads := 0
+		for {
+			jobs := choose(plan, all, wanted, nil)
+			if len(jobs) == 0 {
+				break
+			}
+			for _, j := range jobs {
+				i := slices.IndexFunc(all, func(l registrar.Listing) bool { return l.ID == j.listing.ID })
+				all[i] = all[i].WithVersion(j.model, j.version)
+				loads++
+			}
+		}
+		var lines []string
+		for _, l := range all {
+			lines = append(lines, fmt.Sprintf("%s%v", l.ID, l.Versions))
+		}
+		fmt.Fprintf(&out, "%-40s %d loads: %s\n", what, loads, strings.Join(lines, " "))
+		return all
+	}
+	one, three := []identifier.Model{"a"}, []identifier.Model{"a", "b", "c"}
+	show("nothing is named", one, fleet(8, versions{"a": 1}), nil)
+	show("a quarter at a time", one, fleet(8, versions{"a": 1}), versions{"a": 2})
+	show("one is loading", one, fleet(8, versions{"a": 1}), versions{"a": 2}, "t3")
+	show("all are up to date", one, fleet(8, versions{"a": 2}), versions{"a": 2})
+	behind := fleet(4, versions{"a": 3})
+	behind[2].Versions = versions{"a": 1}
+	behind[3].Draining = true
+	show("the furthest behind first", one, behind, versions{"a": 4})
+	show("a single target", one, fleet(1, versions{"a": 1}), versions{"a": 2})
+	all := settle("three models share eight targets", three, fleet(8, versions{"a": 1, "b": 1, "c": 1}), versions{"a": 2, "b": 2, "c": 2})
+	settle("the next version goes to the same", three, all, versions{"a": 3, "b": 2, "c": 2})
+	settle("three models on two targets", three, fleet(2, versions{"a": 1, "b": 1, "c": 1}), versions{"a": 2, "b": 2, "c": 2})
+	goldie.New(t).Assert(t, "plan", []byte(out.String()))
+}
--- /dev/null
+++ b/internal/upgrader/upgrader_test.go
@@ -0,0 +1,160 @@
+package upgrader_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/timer"
+	"github.com/mimosalb/mimosalb/internal/upgrader"
+)
+
+// engines are targets that load a version in no time. Their faults come first.
+type engines struct {
+	mutex    sync.Mutex
+	orders   map[identifier.Target]int
+	versions map[identifier.Target]identifier.Version
+	fences   []identifier.Fence
+	// verdicts are given to the first orders in place of carrying them out; Lost ones are carried out all the same.
+	verdicts []upgrader.Verdict
+	changed  chan struct{}
+}
+
+func newEngines(verdicts ...upgrader.Verdict) *engines {
+	return &engines{
+		orders: make(map[identifier.Target]int), versions: make(map[identifier.Target]identifier.Version), verdicts: verdicts,
+		changed: make(chan struct{}, 100),
+	}
+}
+
+func (e *engines) Report(_ context.Context, l registrar.Listing) (upgrader.Report, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return upgrader.Report{
+		Orders: e.orders[l.ID], Versions: map[identifier.Model]identifier.Version{"m": max(e.versions[l.ID], l.Versions["m"])},
+	}, true
+}
+
+func (e *engines) Order(_ context.Context, l registrar.Listing, o upgrader.Order) upgrader.Verdict {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.fences = append(e.fences, o.Fence)
+	verdict := upgrader.Accepted
+	if len(e.verdicts) > 0 {
+		verdict, e.verdicts = e.verdicts[0], e.verdicts[1:]
+	}
+	if o.Expected != e.orders[l.ID] {
+		verdict = upgrader.Occupied
+	}
+	if verdict == upgrader.Accepted || verdict == upgrader.Lost {
+		e.orders[l.ID]++
+		e.versions[l.ID] = o.Version
+	}
+	e.changed <- struct{}{}
+	return verdict
+}
+
+func (e *engines) loaded() string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var all []string
+	for i := range 4 {
+		id := identifier.Target(fmt.Sprintf("t%d", i))
+		all = append(all, fmt.Sprintf("%s=%d/%d", id, e.versions[id], e.orders[id]))
+	}
+	return strings.Join(all, " ")
+}
+
+// start runs an upgrader over four targets at version 1.
+func start(t *testing.T, e *engines) (*upgrader.Upgrader, <-chan struct{}) {
+	nav, reg := &navigator.Navigator{}, &registrar.Registrar{}
+	nav.Adopt(navigator.NewPlan(1).WithServices(navigator.Service{Name: "s", Models: []identifier.Model{"m"}}))
+	for i := range 4 {
+		reg.Put(registrar.Listing{
+			ID: identifier.Target(fmt.Sprintf("t%d", i)), Service: "s", Versions: map[identifier.Model]identifier.Version{"m": 1},
+		})
+	}
+	u := upgrader.NewUpgrader(upgrader.Parts{Navigator: nav, Registrar: reg, Engines: e, Clock: timer.NewSystem()},
+		leaser.Term{Holder: "n", Fence: 9}, func() bool { return true })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		u.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return u, done
+}
+
+// Guards against targets that stay behind and against a second load of a target whose first order's answer was lost.
+func TestEveryTargetLoadsOnce(t *testing.T) {
+	c := qt.New(t)
+	e := newEngines(upgrader.Lost, upgrader.Rejected, upgrader.Occupied)
+	u, _ := start(t, e)
+	u.Want(upgrader.Wanted{Model: "m", Version: 2})
+	for range 6 {
+		<-e.changed
+	}
+	c.Assert(e.loaded(), qt.Equals, "t0=2/1 t1=2/1 t2=2/1 t3=2/1")
+	for _, f := range e.fences {
+		c.Assert(int(f), qt.Equals, 9)
+	}
+}
+
+// Guards against a holder that goes on after a target has seen a later term.
+func TestDeposedHolderStops(t *testing.T) {
+	e := newEngines(upgrader.Deposed)
+	u, done := start(t, e)
+	u.Want(upgrader.Wanted{Model: "m", Version: 2})
+	<-done
+	qt.Assert(t, len(e.fences), qt.Equals, 1)
+}
+
+// Guards against an older version that follows a newer one.
+func TestVersionOnlyRises(t *testing.T) {
+	e := newEngines()
+	u, _ := start(t, e)
+	u.Want(upgrader.Wanted{Model: "m", Version: 5})
+	u.Want(upgrader.Wanted{Model: "m", Version: 4})
+	for range 4 {
+		<-e.changed
+	}
+	qt.Assert(t, e.loaded(), qt.Equals, "t0=5/1 t1=5/1 t2=5/1 t3=5/1")
+}
+
+// Guards against orders after the term is over.
+func TestNoOrderWithoutTerm(t *testing.T) {
+	e := newEngines()
+	nav, reg := &navigator.Navigator{}, &registrar.Registrar{}
+	nav.Adopt(navigator.NewPlan(1).WithServices(navigator.Service{Name: "s", Models: []identifier.Model{"m"}}))
+	reg.Put(registrar.Listing{ID: "t0", Service: "s"})
+	asked := make(chan struct{}, 100)
+	u := upgrader.NewUpgrader(upgrader.Parts{Navigator: nav, Registrar: reg, Engines: e, Clock: timer.NewSystem()}, leaser.Term{}, func() bool {
+		asked <- struct{}{}
+		return false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		u.Run(ctx)
+	}()
+	u.Want(upgrader.Wanted{Model: "m", Version: 2})
+	<-asked
+	cancel()
+	<-done
+	qt.Assert(t, e.fences, qt.HasLen, 0)
+}
