--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -69,11 +69,15 @@
 	pending  []Result
 	finished bool
 	changed  chan struct{}
+	ended    chan struct{}
 }
 
 // NewJob returns a job with the results that are already durable.
 func NewJob(s Spec, listed ...Result) *Job {
-	j := &Job{spec: s, order: s.order(0), items: make([]progress, len(s.Items)), byID: make(map[identifier.Item]int, len(s.Items))}
+	j := &Job{
+		spec: s, order: s.order(0), items: make([]progress, len(s.Items)), byID: make(map[identifier.Item]int, len(s.Items)),
+		ended: make(chan struct{}),
+	}
 	for i, item := range s.Items {
 		j.byID[item.ID] = i
 	}
@@ -258,10 +262,16 @@
 func (j *Job) Finish() {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	j.finished = true
-	j.wake()
+	if !j.finished {
+		j.finished = true
+		close(j.ended)
+		j.wake()
+	}
 }
 
+// Ended returns a channel that is closed when the job ends.
+func (j *Job) Ended() <-chan struct{} { return j.ended }
+
 // Finished reports whether the job has ended.
 func (j *Job) Finished() bool {
 	j.lock.Lock()
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -175,15 +175,12 @@
 	ticks := c.Clock.Every(watchPeriod)
 	defer ticks.Stop()
 	for {
-		changed := j.Watch()
-		if j.Finished() {
-			cancel(errEnded)
-			return
-		}
 		select {
 		case <-done:
 			return
-		case <-changed:
+		case <-j.Ended():
+			cancel(errEnded)
+			return
 		case <-ticks.C():
 			if h.silent(c.Clock.Boot()) {
 				cancel(errSilent)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -81,6 +81,8 @@
 	// trusted is false while the view of the records may be out of date, and since tells from when it has been as it is.
 	trusted bool
 	since   time.Duration
+	// closing is set when no further job may be led.
+	closing bool
 
 	queue   *worker.Queue[assignment]
 	pool    *worker.Pool[assignment]
@@ -91,6 +93,7 @@
 
 // led is a job that this process leads.
 type led struct {
+	id     identifier.Job
 	job    *batcher.Job
 	record recorder.Record
 	stop   context.CancelFunc
@@ -117,10 +120,11 @@
 
 // Close hands the jobs to other processes and stops.
 func (c *Conductor) Close(ctx context.Context) {
+	c.lock.Lock()
+	c.closing = true
+	c.lock.Unlock()
 	for _, l := range c.leading() {
-		if !l.record.Ended {
-			c.handOver(ctx, l)
-		}
+		c.handOver(ctx, l)
 		l.job.Finish()
 		l.stop()
 	}
@@ -133,11 +137,14 @@
 
 // handOver names another process as the owner of a job.
 func (c *Conductor) handOver(ctx context.Context, l *led) {
-	next, ok := c.heir(l.record.ID, func(p recorder.Presence) bool { return p.Owner.Node != c.Me.Node })
+	record := c.recordOf(l)
+	if record.Ended {
+		return
+	}
+	next, ok := c.heir(l.id, func(p recorder.Presence) bool { return p.Owner.Node != c.Me.Node })
 	if !ok {
 		return
 	}
-	record := c.recordOf(l)
 	parts := l.job.Parts()
 	out, err := c.Recorder.HandOver(ctx, record, record.WithOwner(next.Owner), parts)
 	c.Log.Emit(logger.JobHandedOver, "job", record.ID, "to", next.Owner.Node, "texts", len(parts), "outcome", out.String(), "error", err)
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -124,7 +124,7 @@
 		end, next := c.attempt(ctx, a, &h)
 		c.Router.Release(a.target.ID)
 		c.settle(a, end)
-		c.Log.Emit(logger.ItemAttempted, "item", a.task.Item.ID, "job", a.led.record.ID, "target", a.target.ID, "had", a.task.Had,
+		c.Log.Emit(logger.ItemAttempted, "item", a.task.Item.ID, "job", a.led.id, "target", a.target.ID, "had", a.task.Had,
 			"events", h.events.Load(), "end", end.String(), "first", h.untilFirst(began), "took", c.Clock.Boot()-began)
 		if end != outpaced {
 			if end == whole && a.led.job.Whole(a.task.Index) {
--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -33,6 +33,9 @@
 func (c *Conductor) due() []func(context.Context) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if c.closing {
+		return nil
+	}
 	now, wall := c.Clock.Boot(), c.Clock.Now()
 	var todo []func(context.Context)
 	for id, l := range c.led {
@@ -135,7 +138,7 @@
 				c.reread(ctx, l)
 				pause = commitRetry
 			default:
-				c.Log.Emit(logger.ResultsHeld, "job", l.record.ID, "results", len(pending), "outcome", out.String(), "error", err)
+				c.Log.Emit(logger.ResultsHeld, "job", l.id, "results", len(pending), "outcome", out.String(), "error", err)
 				pause = commitRetry
 			}
 		} else {
@@ -158,12 +161,12 @@
 
 // reread looks up the record of a job whose results were refused: another process leads the job or it has ended.
 func (c *Conductor) reread(ctx context.Context, l *led) {
-	r, out, err := c.Recorder.Record(ctx, l.record.ID)
+	r, out, err := c.Recorder.Record(ctx, l.id)
 	switch {
 	case out != applied || err != nil:
-		c.Log.Emit(logger.JobUnreadable, "job", l.record.ID, "outcome", out.String(), "error", err)
+		c.Log.Emit(logger.JobUnreadable, "job", l.id, "outcome", out.String(), "error", err)
 	case r.Changed == 0:
-		c.forget(l.record.ID)
+		c.forget(l.id)
 	default:
 		c.observe(r)
 	}
--- a/internal/conductor/view.go
+++ b/internal/conductor/view.go
@@ -162,19 +162,19 @@
 	l.job.Finish()
 	l.stop()
 	c.lock.Lock()
-	if c.led[l.record.ID] == l {
-		delete(c.led, l.record.ID)
+	if c.led[l.id] == l {
+		delete(c.led, l.id)
 	}
 	c.lock.Unlock()
-	c.Log.Emit(logger.JobLeft, "job", l.record.ID, "reason", why)
+	c.Log.Emit(logger.JobLeft, "job", l.id, "reason", why)
 }
 
 // lead begins to lead a job.
 func (c *Conductor) lead(r recorder.Record, j *batcher.Job) {
 	ctx, stop := context.WithCancel(context.Background())
-	l := &led{job: j, record: r, stop: stop}
+	l := &led{id: r.ID, job: j, record: r, stop: stop}
 	c.lock.Lock()
-	if c.led[r.ID] != nil || c.records[r.ID].Changed != r.Changed {
+	if c.closing || c.led[r.ID] != nil || c.records[r.ID].Changed != r.Changed {
 		c.lock.Unlock()
 		stop()
 		return
