conductor: entries watch processes and not jobs; a stopping entry waits for quiet

Change: entries watch the keys of processes only; the owner of a job is told of an end or a hand-over by net/rpc and confirms its record every 1.8 s without a write; one entry, by rendezvous hashing, looks for orphaned jobs when a process has gone. Changes of listings are read a third of the drain time apart. A stopping entry names itself as leaving, and closes its listener when no connection has come for 1.2 s. An entry that has not reached the store for 2.7 s is not ready.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -38,6 +38,8 @@
 // Reader reads the jobs that a process leads.
 type Reader interface {
 	Local(ctx context.Context, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool)
+	// Refresh reads the record of a job again.
+	Refresh(ctx context.Context, id identifier.Job)
 }
 
 // Jobs is the receiver of the calls.
@@ -51,6 +53,13 @@
 	return nil
 }
 
+// Notify takes over that the record of a job has changed.
+func (j *Jobs) Notify(id identifier.Job, told *bool) error {
+	*told = true
+	j.reader.Refresh(context.Background(), id)
+	return nil
+}
+
 // Serve answers queries on a listener until it is closed.
 func Serve(l net.Listener, r Reader) error {
 	server := rpc.NewServer()
@@ -84,15 +93,32 @@
 
 // Results asks the process at an address for the results of a job that it leads.
 func (c *Client) Results(ctx context.Context, address string, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool) {
-	ctx, cancel := timer.WithTimeout(ctx, c.clock, wait+slack)
+	var reply Reply
+	if !c.call(ctx, address, "Jobs.Results", Query{Job: id, After: after, Wait: wait}, &reply, wait+slack) {
+		return nil, false
+	}
+	return reply.Results, reply.Led
+}
+
+// Notify tells the process at an address that the record of a job has changed.
+func (c *Client) Notify(ctx context.Context, address string, id identifier.Job) bool {
+	var told bool
+	return c.call(ctx, address, "Jobs.Notify", id, &told, notifyTime) && told
+}
+
+// notifyTime bounds a notice. The process that gets it reads the store before it answers.
+const notifyTime = time.Second
+
+// call makes one call within a time.
+func (c *Client) call(ctx context.Context, address, method string, args, reply any, within time.Duration) bool {
+	ctx, cancel := timer.WithTimeout(ctx, c.clock, within)
 	defer cancel()
 	conn, err := c.conn(ctx, address)
 	if err != nil {
-		c.log.Emit(logger.PeerFailed, "address", address, "job", id, "error", err)
-		return nil, false
+		c.log.Emit(logger.PeerFailed, "address", address, "call", method, "error", err)
+		return false
 	}
-	var reply Reply
-	call := conn.Go("Jobs.Results", Query{Job: id, After: after, Wait: wait}, &reply, make(chan *rpc.Call, 1))
+	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
@@ -101,10 +127,10 @@
 	}
 	if err != nil {
 		c.drop(address, conn)
-		c.log.Emit(logger.PeerFailed, "address", address, "job", id, "error", err)
-		return nil, false
+		c.log.Emit(logger.PeerFailed, "address", address, "call", method, "error", err)
+		return false
 	}
-	return reply.Results, reply.Led
+	return true
 }
 
 func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -26,6 +26,8 @@
 	// Results asks the process at an address for readable results. A false second result means that it does not lead
 	// the job or could not be asked.
 	Results(ctx context.Context, address string, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool)
+	// Notify tells the process at an address that the record of a job has changed, and reports whether it was told.
+	Notify(ctx context.Context, address string, id identifier.Job) bool
 }
 
 // Parts are what a Conductor works with.
@@ -50,37 +52,32 @@
 const (
 	// workers bounds the items that one process runs or has scored at a time.
 	workers = 192
-	// adoptAfter is how long the owner of a job must be missing before another process takes the job over.
-	adoptAfter = 200 * time.Millisecond
-	// regainAfter is how long the view of the records must have been up to date before that: a process whose lease lapsed
-	// while the store was away registers again within that time.
-	regainAfter = 1500 * time.Millisecond
-	// tick is the period of the look for jobs to take over, to load again and to erase.
-	tick = 250 * time.Millisecond
 	// submitPatience bounds the storing of a job. A caller that hears nothing would wait in vain for an entry that has lost
 	// the store, while another entry can take the job.
 	submitPatience = 800 * time.Millisecond
-	// keepLed is how long the results of an ended job stay in memory; later readers get them from the store.
-	keepLed = 20 * time.Second
 )
 
-// Conductor leads the jobs of one process and knows the records of all.
+// Conductor leads the jobs of one process.
 //
 // Invariants: results are shown only once they are durable; a job whose record names another owner is led no more. Lock
 // rank: container.RankConductor.
 type Conductor struct {
 	Parts
-	lock    container.Lock[container.Conductor]
+	lock container.Lock[container.Conductor]
+	// records are those that this process has read; those of other owners may be out of date in their owner and end.
 	records map[identifier.Job]recorder.Record
 	nodes   map[identifier.Node]recorder.Presence
-	// missing is the boot clock time since when the owner of a job has not been there.
-	missing map[identifier.Job]time.Duration
 	led     map[identifier.Job]*led
-	// fresh holds the jobs that were accepted here and whose record has not been seen yet.
-	fresh map[identifier.Job]batcher.Spec
-	// trusted is false while the view of the records may be out of date, and since tells from when it has been as it is.
+	// fresh holds the jobs that were submitted here and whose record has not been seen yet, and looked is when they were
+	// last looked for.
+	fresh  map[identifier.Job]batcher.Spec
+	looked time.Duration
+	// trusted is false while the table of processes may be out of date, and since tells from when it has been as it is.
 	trusted bool
 	since   time.Duration
+	// moved is when a process last came or went, swept when this process last looked through all jobs, and nextSweep
+	// when it does so next in any case.
+	moved, swept, nextSweep time.Duration
 	// closing is set when no further job may be led.
 	closing bool
 
@@ -91,20 +88,11 @@
 	running sync.WaitGroup
 }
 
-// led is a job that this process leads.
-type led struct {
-	id     identifier.Job
-	job    *batcher.Job
-	record recorder.Record
-	stop   context.CancelFunc
-	ended  time.Duration
-}
-
 // NewConductor returns a Conductor that leads nothing yet.
 func NewConductor(p Parts) *Conductor {
 	return &Conductor{
 		Parts: p, records: make(map[identifier.Job]recorder.Record), nodes: make(map[identifier.Node]recorder.Presence),
-		missing: make(map[identifier.Job]time.Duration), led: make(map[identifier.Job]*led),
+		led:   make(map[identifier.Job]*led),
 		fresh: make(map[identifier.Job]batcher.Spec), queue: worker.NewQueue[assignment](workers), wake: make(chan struct{}, 1),
 	}
 }
@@ -135,21 +123,6 @@
 	}
 }
 
-// handOver names another process as the owner of a job.
-func (c *Conductor) handOver(ctx context.Context, l *led) {
-	record := c.recordOf(l)
-	if record.Ended {
-		return
-	}
-	next, ok := c.heir(l.id, func(p recorder.Presence) bool { return p.Owner.Node != c.Me.Node })
-	if !ok {
-		return
-	}
-	parts := l.job.Parts()
-	out, err := c.Recorder.HandOver(ctx, record, record.WithOwner(next.Owner), parts)
-	c.Log.Emit(logger.JobHandedOver, "job", record.ID, "to", next.Owner.Node, "texts", len(parts), "outcome", out.String(), "error", err)
-}
-
 // leading returns the jobs that this process leads, the oldest first.
 func (c *Conductor) leading() []*led {
 	c.lock.Lock()
@@ -158,7 +131,7 @@
 	for _, l := range c.led {
 		all = append(all, l)
 	}
-	slices.SortFunc(all, func(a, b *led) int { return a.record.Submitted.Compare(b.record.Submitted) })
+	slices.SortFunc(all, func(a, b *led) int { return a.submitted.Compare(b.submitted) })
 	return all
 }
 
@@ -170,23 +143,38 @@
 	}
 }
 
-// Submit accepts a job: once it returns Applied or Conflict, the job is kept.
+// Submit accepts a job: once it returns Accepted, the job is kept.
 func (c *Conductor) Submit(ctx context.Context, s batcher.Spec) Acceptance {
 	c.lock.Lock()
 	known, seen := c.records[s.ID]
-	if !seen {
+	closing := c.closing
+	if !seen && !closing {
 		c.fresh[s.ID] = s
 	}
 	c.lock.Unlock()
 	if seen {
 		return repeated(known, s)
 	}
+	owner := recorder.Presence{Owner: c.Me}
+	if closing {
+		var ok bool
+		if owner, ok = c.heir(string(s.ID), func(p recorder.Presence) bool { return p.Owner.Node != c.Me.Node }); !ok {
+			return Refused
+		}
+	}
 	storing, cancel := timer.WithTimeout(ctx, c.Clock, submitPatience)
 	defer cancel()
-	out, err := c.Recorder.Create(storing, s, c.Me)
+	out, err := c.Recorder.Create(storing, s, owner.Owner)
 	acceptance := c.accepted(ctx, s, out)
-	c.Log.Emit(logger.JobSubmitted, "job", s.ID, "team", s.Team, "items", len(s.Items), "least", s.Least, "outcome", acceptance.String(),
-		"store", out.String(), "error", err)
+	c.Log.Emit(logger.JobSubmitted, "job", s.ID, "team", s.Team, "items", len(s.Items), "desired", s.Desired, "least", s.Least,
+		"outcome", acceptance.String(), "store", out.String(), "error", err)
+	switch {
+	case acceptance != Accepted || out != applied:
+	case closing:
+		c.Peers.Notify(ctx, owner.Address, s.ID)
+	default:
+		c.Refresh(context.WithoutCancel(ctx), s.ID)
+	}
 	return acceptance
 }
 
--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -29,14 +29,12 @@
 	if found != Found {
 		return Page{}, found
 	}
-	if results, ok := c.Local(ctx, id, after, wait); ok {
+	if results, ok := c.live(ctx, r, after, wait); ok {
 		return Page{Total: r.Total, Results: results}, Found
 	}
-	c.lock.Lock()
-	owner, there := c.nodes[r.Owner.Node]
-	c.lock.Unlock()
-	if there && owner.Owner == r.Owner && r.Owner != c.Me && !r.Ended {
-		if results, ok := c.Peers.Results(ctx, owner.Address, id, after, wait); ok {
+	// The owner may be another one by now.
+	if fresh, found := c.stored(ctx, team, id); found == Found && fresh.Owner != r.Owner {
+		if results, ok := c.live(ctx, fresh, after, wait); ok {
 			return Page{Total: r.Total, Results: results}, Found
 		}
 	}
@@ -51,6 +49,20 @@
 	return Page{Total: r.Total, Results: batcher.Page(all[after:], pageBytes)}, Found
 }
 
+// live asks the process that leads a job for its readable results.
+func (c *Conductor) live(ctx context.Context, r recorder.Record, after int, wait time.Duration) ([]batcher.Result, bool) {
+	if results, ok := c.Local(ctx, r.ID, after, wait); ok {
+		return results, true
+	}
+	c.lock.Lock()
+	owner, there := c.nodes[r.Owner.Node], c.there(r.Owner)
+	c.lock.Unlock()
+	if !there || r.Owner == c.Me || r.Ended {
+		return nil, false
+	}
+	return c.Peers.Results(ctx, owner.Address, r.ID, after, wait)
+}
+
 // Local returns the readable results of a job that this process leads. It waits up to wait for the first.
 func (c *Conductor) Local(ctx context.Context, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool) {
 	over := c.Clock.After(wait)
@@ -115,6 +127,7 @@
 		c.Log.Emit(logger.JobEnded, "job", id, "outcome", out.String(), "error", err)
 		switch {
 		case out == applied && err == nil:
+			c.tell(ctx, r)
 			return Found
 		case out != conflict:
 			return Unsure
@@ -124,7 +137,22 @@
 	return Unsure
 }
 
-// record returns the record of a team's job, from memory or else from the store.
+// tell lets the owner of a job know that its record has changed. An owner that is not told finds out by itself.
+func (c *Conductor) tell(ctx context.Context, r recorder.Record) {
+	if r.Owner == c.Me {
+		c.Refresh(ctx, r.ID)
+		return
+	}
+	c.lock.Lock()
+	owner, there := c.nodes[r.Owner.Node], c.there(r.Owner)
+	delete(c.records, r.ID)
+	c.lock.Unlock()
+	if there {
+		c.Peers.Notify(ctx, owner.Address, r.ID)
+	}
+}
+
+// record returns the record of a team's job, from memory or else from the store. One from memory may name an old owner.
 func (c *Conductor) record(ctx context.Context, team identifier.Team, id identifier.Job) (recorder.Record, Finding) {
 	c.lock.Lock()
 	r, ok := c.records[id]
@@ -148,6 +176,11 @@
 	case r.Changed == 0 || r.Team != team:
 		return r, Missing
 	default:
+		c.lock.Lock()
+		if old := c.records[id]; old.Changed <= r.Changed {
+			c.records[id] = r
+		}
+		c.lock.Unlock()
 		return r, Found
 	}
 }
--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -5,11 +5,36 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 )
 
-// tend looks for jobs to take over, to load and to erase, once in each period.
+const (
+	// tick is the period of the look for what is due.
+	tick = 250 * time.Millisecond
+	// adoptAfter is how long a process must have been missing before its jobs are given to others.
+	adoptAfter = 200 * time.Millisecond
+	// regainAfter is how long the table of processes must have been up to date before that: a process whose lease lapsed
+	// while the store was away registers again within that time.
+	regainAfter = 1500 * time.Millisecond
+	// sweepPeriod is the time between two sweeps without a change among the processes. A sweep finds the jobs whose
+	// owner's loss went unnoticed, and those that are to be erased.
+	sweepPeriod = 20 * time.Second
+	// sweepAgain is the time after which a sweep that failed is repeated.
+	sweepAgain = time.Second
+	// confirmPeriod is the time after which the record of a led job is read again when no write has confirmed it: the
+	// notice of its end may have been lost.
+	confirmPeriod = 1800 * time.Millisecond
+	// freshPeriod is the time between two looks for the record of a job whose acceptance is not known, and freshMost the
+	// time after which the job is taken as not kept: a write that is carried out late is found by a sweep.
+	freshPeriod = 500 * time.Millisecond
+	freshMost   = 15 * time.Second
+	// keepLed is how long the results of an ended job stay in memory; later readers get them from the store.
+	keepLed = 20 * time.Second
+)
+
+// tend does what is due, once in each period.
 func (c *Conductor) tend(ctx context.Context) {
 	ticks := c.Clock.Every(tick)
 	defer ticks.Stop()
@@ -19,28 +44,33 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, todo := range c.due() {
+		for _, id := range c.stale() {
 			if ctx.Err() != nil {
 				return
 			}
-			todo(ctx)
+			c.Refresh(ctx, id)
+		}
+		if c.sweepDue() {
+			c.sweep(ctx)
 		}
 		c.Signal()
 	}
 }
 
-// due returns what is to be done about records now.
-func (c *Conductor) due() []func(context.Context) {
+// stale returns the jobs whose records are to be read again, and drops what is no longer needed.
+func (c *Conductor) stale() []identifier.Job {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.closing {
-		return nil
-	}
 	now, wall := c.Clock.Boot(), c.Clock.Now()
-	var todo []func(context.Context)
+	var due []identifier.Job
 	for id, l := range c.led {
 		switch {
 		case !l.job.Finished():
+			if now-l.confirmed > confirmPeriod {
+				// The next look is a period later, also when this one fails.
+				l.confirmed = now
+				due = append(due, id)
+			}
 		case l.ended == 0:
 			l.ended = now
 		case now-l.ended > keepLed:
@@ -48,69 +78,88 @@
 			delete(c.led, id)
 		}
 	}
+	for id, s := range c.fresh {
+		switch age := wall.Sub(s.Submitted); {
+		case age > freshMost:
+			delete(c.fresh, id)
+		case age > freshPeriod && now-c.looked > freshPeriod:
+			due = append(due, id)
+		}
+	}
+	if now-c.looked > freshPeriod {
+		c.looked = now
+	}
 	for id, r := range c.records {
-		old := wall.Sub(r.Submitted) > c.Retention+time.Minute
-		switch {
-		case r.Owner == c.Me && old && (r.Ended || wall.Sub(r.Submitted) > 2*c.Retention+time.Minute):
-			todo = append(todo, func(ctx context.Context) { c.erase(ctx, r) })
-		case r.Owner == c.Me && !r.Ended && c.led[id] == nil:
-			todo = append(todo, func(ctx context.Context) { c.load(ctx, r) })
-		case r.Owner != c.Me && c.orphaned(r, now) && (!r.Ended || old):
-			todo = append(todo, func(ctx context.Context) { c.adopt(ctx, r) })
+		if wall.Sub(r.Submitted) > c.Retention+time.Minute && c.led[id] == nil {
+			delete(c.records, id)
 		}
 	}
-	return todo
+	return due
 }
 
-// orphaned reports whether the owner of a job has been missing for long. The caller holds the lock.
-func (c *Conductor) orphaned(r recorder.Record, now time.Duration) bool {
-	if c.nodes[r.Owner.Node].Owner == r.Owner || !c.trusted {
-		delete(c.missing, r.ID)
+// sweepDue reports whether this process is to look through all jobs now.
+func (c *Conductor) sweepDue() bool {
+	sweeper, ok := c.heir("sweep", anyone)
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	now := c.Clock.Boot()
+	if !ok || sweeper.Owner != c.Me || c.closing || !c.trusted || now-c.since < regainAfter {
 		return false
 	}
-	if _, ok := c.missing[r.ID]; !ok {
-		c.missing[r.ID] = now
+	if now < c.nextSweep && (c.moved <= c.swept || now-c.moved < adoptAfter) {
+		return false
 	}
-	return now-c.missing[r.ID] > adoptAfter && now-c.since > regainAfter
+	c.swept, c.nextSweep = now, now+sweepPeriod
+	return true
 }
 
-// adopt takes a job over if this process is the one to do so.
-func (c *Conductor) adopt(ctx context.Context, r recorder.Record) {
-	heir, ok := c.heir(r.ID, func(p recorder.Presence) bool { return p.Owner != r.Owner })
-	if !ok || heir.Owner != c.Me {
+// sweep gives the jobs whose owners are missing to others, and erases old ones.
+func (c *Conductor) sweep(ctx context.Context) {
+	records, out, err := c.Recorder.Records(ctx)
+	if out != applied || err != nil {
+		c.Log.Emit(logger.JobUnreadable, "outcome", out.String(), "error", err)
+		c.lock.Lock()
+		c.nextSweep = c.Clock.Boot() + sweepAgain
+		c.lock.Unlock()
 		return
 	}
-	out, err := c.Recorder.Replace(ctx, r, r.WithOwner(c.Me))
-	c.Log.Emit(logger.JobAdopted, "job", r.ID, "from", r.Owner.Node, "outcome", out.String(), "error", err)
-}
-
-// load begins to lead a job whose body is in the store.
-func (c *Conductor) load(ctx context.Context, r recorder.Record) {
-	spec, out, err := c.Recorder.Spec(ctx, r)
-	if out == applied && err == nil && len(spec.Items) > 0 {
-		var results []batcher.Result
-		if results, out, err = c.Recorder.Results(ctx, r.ID); out == applied && err == nil {
-			job := batcher.NewJob(spec, results...)
-			job.Resume(c.parts(ctx, r))
-			c.lead(r, job)
-			return
+	wall := c.Clock.Now()
+	for _, r := range records {
+		c.lock.Lock()
+		there := c.there(r.Owner)
+		c.lock.Unlock()
+		age := wall.Sub(r.Submitted)
+		switch {
+		case age > c.Retention+time.Minute && (r.Ended || !there), age > 2*c.Retention+time.Minute:
+			out := c.Recorder.Erase(ctx, r)
+			c.Log.Emit(logger.JobErased, "job", r.ID, "outcome", out.String())
+		case !there && !r.Ended:
+			c.reassign(ctx, r)
 		}
 	}
-	c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
 }
 
-// parts returns the texts that the owner before has left. Without them the items are made again.
-func (c *Conductor) parts(ctx context.Context, r recorder.Record) []batcher.Part {
-	parts, out, err := c.Recorder.Parts(ctx, r.ID)
-	if out != applied || err != nil {
-		c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
+// reassign names the process that leads a job from now on.
+func (c *Conductor) reassign(ctx context.Context, r recorder.Record) {
+	next, ok := c.heir(string(r.ID), anyone)
+	if !ok {
+		return
+	}
+	out, err := c.Recorder.Replace(ctx, r, r.WithOwner(next.Owner))
+	c.Log.Emit(logger.JobAdopted, "job", r.ID, "from", r.Owner.Node, "to", next.Owner.Node, "outcome", out.String(), "error", err)
+	switch {
+	case out != applied:
+		c.lock.Lock()
+		c.nextSweep = c.Clock.Boot() + sweepAgain
+		c.lock.Unlock()
+	case next.Owner == c.Me:
+		c.Refresh(ctx, r.ID)
+	case !c.Peers.Notify(ctx, next.Address, r.ID):
+		// The process may not be there any more; the next sweep names another, or this one finds the job by itself.
+		c.lock.Lock()
+		c.nextSweep = c.Clock.Boot() + sweepAgain
+		c.lock.Unlock()
 	}
-	return parts
-}
-
-func (c *Conductor) erase(ctx context.Context, r recorder.Record) {
-	out := c.Recorder.Erase(ctx, r)
-	c.Log.Emit(logger.JobErased, "job", r.ID, "outcome", out.String())
 }
 
 const (
@@ -127,21 +176,7 @@
 	for ctx.Err() == nil && !l.job.Finished() {
 		changed := l.job.Watch()
 		from, pending := l.job.Pending()
-		pause := commitPause
-		if len(pending) > 0 {
-			pending = batcher.Page(pending, commitBytes)
-			out, err := c.Recorder.Append(ctx, c.recordOf(l), from, pending)
-			switch {
-			case out == applied && err == nil:
-				l.job.Durable(len(pending))
-			case out == conflict:
-				c.reread(ctx, l)
-				pause = commitRetry
-			default:
-				c.Log.Emit(logger.ResultsHeld, "job", l.id, "results", len(pending), "outcome", out.String(), "error", err)
-				pause = commitRetry
-			}
-		} else {
+		if len(pending) == 0 {
 			select {
 			case <-changed:
 			case <-ctx.Done():
@@ -149,29 +184,35 @@
 			}
 			continue
 		}
-		c.rest(ctx, pause)
+		c.rest(ctx, c.store(ctx, l, from, batcher.Page(pending, commitBytes)))
 	}
 }
 
+// store makes results durable. It returns the pause until the next write.
+func (c *Conductor) store(ctx context.Context, l *led, from int, results []batcher.Result) time.Duration {
+	out, err := c.Recorder.Append(ctx, c.recordOf(l), from, results)
+	switch {
+	case out == applied && err == nil:
+		c.lock.Lock()
+		l.confirmed = c.Clock.Boot()
+		c.lock.Unlock()
+		l.job.Durable(len(results))
+		return commitPause
+	case out == conflict:
+		// Another process leads the job or it has ended.
+		c.Refresh(ctx, l.id)
+	default:
+		c.Log.Emit(logger.ResultsHeld, "job", l.id, "results", len(results), "outcome", out.String(), "error", err)
+	}
+	return commitRetry
+}
+
 func (c *Conductor) recordOf(l *led) recorder.Record {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	return l.record
 }
 
-// reread looks up the record of a job whose results were refused: another process leads the job or it has ended.
-func (c *Conductor) reread(ctx context.Context, l *led) {
-	r, out, err := c.Recorder.Record(ctx, l.id)
-	switch {
-	case out != applied || err != nil:
-		c.Log.Emit(logger.JobUnreadable, "job", l.id, "outcome", out.String(), "error", err)
-	case r.Changed == 0:
-		c.forget(l.id)
-	default:
-		c.observe(r)
-	}
-}
-
 func (c *Conductor) rest(ctx context.Context, d time.Duration) {
 	sub := c.Clock.After(d)
 	defer sub.Stop()
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -252,6 +252,16 @@
 	return nil, false
 }
 
+func (p peers) Notify(ctx context.Context, address string, id identifier.Job) bool {
+	for _, other := range p.world.processes {
+		if string(other.node) == address && !other.link.cut.Load() {
+			other.Refresh(ctx, id)
+			return true
+		}
+	}
+	return false
+}
+
 // plan has one route for jobs and one for scoring calls.
 func plan() navigator.Plan {
 	shares := []navigator.Share{{Service: "s", Weight: 1}}
@@ -284,7 +294,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() {
-		storer.NewFollower(l, store.For(storer.PurposeConfig), recorder.LivePrefix, 0, 300*time.Millisecond).
+		storer.NewFollower(l, store.For(storer.PurposeConfig), recorder.NodePrefix, 0, 300*time.Millisecond).
 			Follow(ctx, conductor.NewView(p.Conductor, codec.Jobs{}))
 	})
 	p.Start()
--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -86,7 +86,7 @@
 		func() { up.Run(ctx) },
 		func() { report.Run(ctx) },
 		func() { c.follow(ctx, c.platform.OperatorPrefix, 0, c.Apply, operators) },
-		func() { c.follow(ctx, c.platform.TargetPrefix, settleTargets, c.Drain, targets) },
+		func() { c.follow(ctx, c.platform.TargetPrefix, c.Drain/settleShare, c.Drain, targets) },
 	} {
 		work.Go(func() {
 			defer cancel()
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
@@ -29,6 +30,8 @@
 	Conductor *conductor.Conductor
 	Clock     timer.Service
 	Log       *logger.Logger
+	// InTouch reports whether the key-value service was reached lately.
+	InTouch func() bool
 }
 
 const (
@@ -38,10 +41,15 @@
 	idleTime   = time.Minute
 	// headerBytes bounds the head of a request.
 	headerBytes = 64 << 10
-	// leaveTime is the time for which a stopping entry goes on taking requests: the platform sends it no new
-	// connections once it has found the entry not ready twice, a second apart.
+	// leaveTime is the least time for which a stopping entry goes on taking connections: the platform sends it no new
+	// ones once it has found the entry not ready twice, a second apart.
 	leaveTime = 2500 * time.Millisecond
-	// stopMargin is the part of the grace time that is left for the last writes.
+	// quietTime is how long no new connection must have come before the listener is closed: one that waits to be accepted
+	// at that moment would be reset.
+	quietTime = 1200 * time.Millisecond
+	// finishTime is the part of the grace time that is left at the end for the requests that an entry still has, and
+	// stopMargin the part of it for the last writes.
+	finishTime = 2500 * time.Millisecond
 	stopMargin = time.Second
 )
 
@@ -50,10 +58,15 @@
 	base
 	front     Front
 	conductor *conductor.Conductor
+	presence  *presence
 	servers   []*http.Server
 	peers     net.Listener
+	// connected is the boot clock time of the last new connection.
+	connected atomic.Int64
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
+	leave     context.CancelFunc
+	attending sync.WaitGroup
 }
 
 // StartEntry starts an entry. newFront makes its interface to callers.
@@ -71,7 +84,10 @@
 		Forwarder: fwd, Caller: p.Targets, Opener: p.Targets, Peers: jobpeer.NewClient(p.Dial, e.clock, log), Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention,
 	})
-	e.front = newFront(FrontParts{Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log})
+	e.presence = newPresence(e.base)
+	e.front = newFront(FrontParts{
+		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log, InTouch: e.presence.inTouch,
+	})
 	if err := e.serve(); err != nil {
 		return nil, err
 	}
@@ -81,11 +97,11 @@
 	e.running.Go(func() {
 		e.follow(ctx, p.OperatorPrefix, 0, e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log})
 	})
-	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, settleTargets, e.Drain, targets) })
-	e.running.Go(func() {
-		e.follow(ctx, recorder.LivePrefix, settleJobs, e.Cancel, conductor.NewView(e.conductor, e.form))
-	})
-	e.running.Go(func() { e.attend(ctx) })
+	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, e.Drain/settleShare, e.Drain, targets) })
+	e.running.Go(func() { e.follow(ctx, recorder.NodePrefix, 0, nodesWithin, conductor.NewView(e.conductor, e.form)) })
+	attending, leave := context.WithCancel(ctx)
+	e.leave = leave
+	e.attending.Go(func() { e.presence.attend(attending) })
 	e.running.Go(func() { tally.Run(ctx) })
 	e.running.Go(func() { e.expire(ctx, targets) })
 	e.conductor.Start()
@@ -103,6 +119,13 @@
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes}
+		if address == e.Callers {
+			server.ConnState = func(_ net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					e.connected.Store(int64(e.clock.Boot()))
+				}
+			}
+		}
 		e.servers = append(e.servers, server)
 		e.running.Go(func() { _ = server.Serve(l) }) // it returns when the server is shut down
 	}
@@ -138,12 +161,17 @@
 // Stop stops the entry within its grace time: it hands its jobs over, lets callers go elsewhere and ends the requests
 // that it has.
 func (e *Entry) Stop(ctx context.Context) error {
+	began := e.clock.Boot()
 	e.log.Emit(logger.DrainStarted, "grace", e.Grace)
 	e.front.Drain()
 	ctx, cancel := timer.WithTimeout(ctx, e.clock, e.Grace-stopMargin)
 	defer cancel()
+	e.leave()
+	e.attending.Wait()
+	e.presence.leave(ctx)
 	e.conductor.Close(ctx)
-	e.rest(ctx, leaveTime)
+	e.presence.revoke(ctx)
+	e.quiet(ctx, began)
 	var failed error
 	for _, s := range e.servers {
 		if err := s.Shutdown(ctx); err != nil && failed == nil {
@@ -153,6 +181,18 @@
 	e.cancel()
 	_ = e.peers.Close() // no reader is left
 	e.running.Wait()
-	e.log.Emit(logger.ProcessStopped)
+	e.log.Emit(logger.ProcessStopped, "took", e.clock.Boot()-began)
 	return failed
 }
+
+// quiet waits until callers open no more connections, as long as the grace time allows.
+func (e *Entry) quiet(ctx context.Context, began time.Duration) {
+	for {
+		now := e.clock.Boot()
+		wait := max(began+leaveTime, time.Duration(e.connected.Load())+quietTime) - now
+		if wait = min(wait, began+e.Grace-finishTime-now); wait <= 0 || ctx.Err() != nil {
+			return
+		}
+		e.rest(ctx, wait)
+	}
+}
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -102,10 +102,11 @@
 	callTimeout = 700 * time.Millisecond
 	// presenceTTL is the time after which an entry that is silent no longer counts as there.
 	presenceTTL = 2 * time.Second
-	// settleTargets and settleJobs are the pauses after changes of listings and of jobs; changes that come in a row
-	// then cost one call.
-	settleTargets = 400 * time.Millisecond
-	settleJobs    = 100 * time.Millisecond
+	// settleShare is the part of the time in which the leaving of a target must be known for which a watch pauses after a
+	// change: the changes of one wave of loads then cost one call.
+	settleShare = 3
+	// nodesWithin is the time in which the coming and going of processes is to be known even if a watch is silent.
+	nodesWithin = 3 * time.Second
 	// freshMargin is the part of the time in which a change must be in force that is left for reading it.
 	freshMargin = 700 * time.Millisecond
 	// leastWait bounds the wait of a watch from below, so that short times do not multiply the calls.
--- a/internal/hoster/presence.go
+++ b/internal/hoster/presence.go
@@ -2,41 +2,78 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/storer"
-	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
 // renewals is how often the lease of a presence is renewed within its time.
 const renewals = 3
 
-// attend keeps this process registered as one that is there, until ctx ends.
-func (b base) attend(ctx context.Context) {
-	store := b.store.For(storer.PurposeLease)
-	var lease storer.Lease
+// presence keeps a process registered as one that is there.
+type presence struct {
+	base
+	store *storer.Storer
+	lease storer.Lease
+	// reached is the boot clock time at which the key-value service last confirmed the lease.
+	reached atomic.Int64
+}
+
+func newPresence(b base) *presence {
+	return &presence{base: b, store: b.store.For(storer.PurposeLease)}
+}
+
+// reachTime is how old the last confirmation may be for the key-value service to count as reached.
+const reachTime = 4 * presenceTTL / renewals
+
+// inTouch reports whether the key-value service was reached lately.
+func (p *presence) inTouch() bool {
+	reached := p.reached.Load()
+	return reached > 0 && p.clock.Boot()-time.Duration(reached) < reachTime
+}
+
+// attend keeps the process registered until ctx ends.
+func (p *presence) attend(ctx context.Context) {
 	for ctx.Err() == nil {
-		if lease == 0 {
-			lease = b.register(ctx, store)
-		} else if store.KeepAlive(ctx, lease) == storer.Conflict {
-			b.log.Emit(logger.PresenceLost)
-			lease = 0
-			continue
+		switch {
+		case p.lease == 0:
+			p.lease = p.register(ctx, false)
+		default:
+			switch p.store.KeepAlive(ctx, p.lease) {
+			case storer.Conflict:
+				p.log.Emit(logger.PresenceLost)
+				p.lease = 0
+				continue
+			case storer.Applied:
+				p.reached.Store(int64(p.clock.Boot()))
+			default:
+			}
 		}
-		b.rest(ctx, presenceTTL/renewals)
+		p.rest(ctx, presenceTTL/renewals)
 	}
-	if lease != 0 {
-		last, cancel := timer.WithTimeout(context.WithoutCancel(ctx), b.clock, time.Second)
-		defer cancel()
-		store.Revoke(last, lease)
+}
+
+// leave tells the other processes that this one takes no further work. It is called once attend has returned.
+func (p *presence) leave(ctx context.Context) {
+	if lease := p.register(ctx, true); lease != 0 {
+		p.lease = lease
+	}
+}
+
+// revoke ends the registration; without it the lease lapses.
+func (p *presence) revoke(ctx context.Context) {
+	if p.lease != 0 {
+		p.store.Revoke(ctx, p.lease)
 	}
 }
 
 // register stores the presence of this process. It returns the lease of it, or zero if that failed.
-func (b base) register(ctx context.Context, store *storer.Storer) storer.Lease {
-	data, err := b.form.EncodePresence(recorder.Presence{Owner: b.owner(), Address: b.Peer})
+func (p *presence) register(ctx context.Context, leaving bool) storer.Lease {
+	b, store := p.base, p.store
+	data, err := b.form.EncodePresence(recorder.Presence{Owner: b.owner(), Address: b.Peer, Leaving: leaving})
 	if err != nil {
 		b.log.Emit(logger.PresenceLost, "error", err)
 		return 0
@@ -45,13 +82,19 @@
 	if out != storer.Applied {
 		return 0
 	}
-	lease, out := store.Grant(ctx, presenceTTL)
+	ttl := presenceTTL
+	if leaving {
+		// Nobody renews it any more.
+		ttl = b.Grace
+	}
+	lease, out := store.Grant(ctx, ttl)
 	if out != storer.Applied {
 		return 0
 	}
 	if store.Swap(ctx, recorder.NodeKey(b.Node), old.Changed, data, lease) != storer.Applied {
 		return 0
 	}
+	p.reached.Store(int64(b.clock.Boot()))
 	return lease
 }
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -12,11 +12,10 @@
 	"github.com/mimosalb/mimosalb/internal/storer"
 )
 
-// Keys of the key-value service. Everything under LivePrefix is watched by every entry and is small.
+// Keys of the key-value service. Every entry watches the keys under NodePrefix, which change when an entry comes or goes.
 const (
-	LivePrefix = "live/"
-	JobPrefix  = LivePrefix + "jobs/"
-	NodePrefix = LivePrefix + "nodes/"
+	JobPrefix  = "jobs/"
+	NodePrefix = "nodes/"
 
 	specPrefix   = "specs/"
 	resultPrefix = "results/"
@@ -68,6 +67,8 @@
 	Owner Owner
 	// Address is where the process answers other processes of the system.
 	Address string
+	// Leaving is set when the process stops; it takes no further work.
+	Leaving bool
 }
 
 // Form is the stored form of jobs.
@@ -124,12 +125,29 @@
 	if out != storer.Applied || e.Changed == 0 {
 		return Record{ID: id}, out, nil
 	}
-	record, err := r.Decode(e)
+	record, err := r.decode(e)
 	return record, out, err
 }
 
-// Decode returns the record that an entry holds.
-func (r *Recorder) Decode(e storer.Entry) (Record, error) {
+// Records returns the records of all jobs.
+func (r *Recorder) Records(ctx context.Context) ([]Record, storer.Outcome, error) {
+	entries, out := r.store.List(ctx, JobPrefix)
+	if out != storer.Applied {
+		return nil, out, nil
+	}
+	records := make([]Record, 0, len(entries))
+	for _, e := range entries {
+		record, err := r.decode(e)
+		if err != nil {
+			return nil, out, err
+		}
+		records = append(records, record)
+	}
+	return records, out, nil
+}
+
+// decode returns the record that an entry holds.
+func (r *Recorder) decode(e storer.Entry) (Record, error) {
 	record, err := r.form.DecodeRecord(e.Value)
 	record.Changed = e.Changed
 	return record, err
