--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -164,7 +164,7 @@
 
 const (
 	// commitPause is the time between two writes of a job's results; the results of that time share one write.
-	commitPause = 150 * time.Millisecond
+	commitPause = 350 * time.Millisecond
 	// commitBytes bounds the results of one write.
 	commitBytes = 512 << 10
 	// commitRetry is the pause after a write that failed.
--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -45,19 +45,23 @@
 	return c
 }
 
-// pause waits until the key of the duty has changed or for d.
+// dutyWatch is the longest wait of one watch of the duty's key. A watch that stays silent delays a take-over by it.
+const dutyWatch = 5 * time.Second
+
+// pause waits until the key of the duty has changed, or for a third of d if the key-value service gives no answer.
 func (c *Controller) pause(ctx context.Context, key string, d time.Duration) {
-	began := c.clock.Boot()
-	held, out := c.store.For(storer.PurposeLease).Get(ctx, key)
-	if out == storer.Applied && held.Changed != 0 {
-		watch, cancel := timer.WithTimeout(ctx, c.clock, d+callTimeout)
+	held, revision, out := c.platform.KeyValue.Snapshot(ctx, key)
+	if out == storer.Applied && len(held) == 0 {
+		return
+	}
+	if out == storer.Applied {
+		watch, cancel := timer.WithTimeout(ctx, c.clock, dutyWatch+callTimeout)
 		defer cancel()
-		if _, _, out = c.platform.KeyValue.Changes(watch, key, held.Changed, d); out == storer.Applied {
+		if _, _, out = c.platform.KeyValue.Changes(watch, key, revision, dutyWatch); out == storer.Applied {
 			return
 		}
 	}
-	// The service gave no answer or the duty is free; the next look is not at once.
-	c.rest(ctx, max(0, d/renewals-(c.clock.Boot()-began)))
+	c.rest(ctx, d/renewals)
 }
 
 // lead does the work of the duty for one term.
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -104,9 +104,9 @@
 	presenceTTL = 2 * time.Second
 	// settleShare is the part of the time in which the leaving of a target must be known for which a watch pauses after a
 	// change: the changes of one wave of loads then cost one call.
-	settleShare = 3
+	settleShare = 2
 	// nodesWithin is the time in which the coming and going of processes is to be known even if a watch is silent.
-	nodesWithin = 3 * time.Second
+	nodesWithin = 7 * time.Second
 	// freshMargin is the part of the time in which a change must be in force that is left for reading it.
 	freshMargin = 700 * time.Millisecond
 	// leastWait bounds the wait of a watch from below, so that short times do not multiply the calls.
