conductor: a restarted entry takes its own jobs over at once

Change: an entry takes the jobs of its own earlier start over when it starts; nobody else leads them.

--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -38,12 +38,14 @@
 func (c *Conductor) tend(ctx context.Context) {
 	ticks := c.Clock.Every(tick)
 	defer ticks.Stop()
+	reclaimed := c.reclaim(ctx)
 	for {
 		select {
 		case <-ticks.C():
 		case <-ctx.Done():
 			return
 		}
+		reclaimed = reclaimed || c.reclaim(ctx)
 		for _, id := range c.stale() {
 			if ctx.Err() != nil {
 				return
@@ -57,6 +59,26 @@
 	}
 }
 
+// reclaim takes over the jobs that an earlier start of this process led: that start is over, so there is nothing to wait
+// for. It reports false when the store could not be asked.
+func (c *Conductor) reclaim(ctx context.Context) bool {
+	records, out, err := c.Recorder.Records(ctx)
+	if out != applied || err != nil {
+		return false
+	}
+	for _, r := range records {
+		if r.Owner.Node != c.Me.Node || r.Owner == c.Me || r.Ended {
+			continue
+		}
+		out, err := c.Recorder.Replace(ctx, r, r.WithOwner(c.Me))
+		c.Log.Emit(logger.JobAdopted, "job", r.ID, "from", r.Owner.Node, "to", c.Me.Node, "outcome", out.String(), "error", err)
+		if out == applied {
+			c.Refresh(ctx, r.ID)
+		}
+	}
+	return true
+}
+
 // stale returns the jobs whose records are to be read again, and drops what is no longer needed.
 func (c *Conductor) stale() []identifier.Job {
 	c.lock.Lock()
