--- a/internal/commander/code.go
+++ b/internal/commander/code.go
@@ -2,7 +2,7 @@
 
 import "errors"
 
-// Code is the exit code of mimosactl. Scripts rely on the numbers; docs/operations.md lists them.
+// Code is the exit code of mimosactl. Scripts rely on the numbers; docs/OPERATIONS.md lists them.
 type Code int
 
 const (
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -38,7 +38,7 @@
 
 	verbs := make(map[string]verb)
 	for _, add := range []func(*kingpin.Application) []verb{
-		documentVerbs, presetVerbs, teamVerbs, keyVerbs, serviceVerbs, targetVerbs, statusVerbs,
+		documentVerbs, presetVerbs, teamVerbs, keyVerbs, serviceVerbs, targetVerbs, statusVerbs, explainVerbs,
 	} {
 		for _, v := range add(app) {
 			verbs[v.clause.FullCommand()] = v
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -136,6 +136,9 @@
 	if record.Ended || !ok {
 		return
 	}
+	if from, pending := l.job.Pending(); len(pending) > 0 {
+		c.store(ctx, l, from, batcher.Page(pending, commitBytes))
+	}
 	parts := l.job.Parts()
 	out, err := c.Recorder.HandOver(ctx, record, record.WithOwner(next.Owner), parts)
 	c.Log.Emit(logger.JobHandedOver, "job", record.ID, "to", next.Owner.Node, "texts", len(parts), "outcome", out.String(), "error", err)
--- a/operations_test.go
+++ b/operations_test.go
@@ -88,7 +88,7 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(os.WriteFile(filepath.Join(folder, f), []byte(ports.replace(c, string(text))), 0o600), qt.IsNil)
 	}
-	script := ports.replace(c, blocks(c, "docs/operations.md"))
+	script := ports.replace(c, blocks(c, "docs/OPERATIONS.md"))
 	got := runScript(c, folder, script)
 	// What differs from run to run.
 	got = regexp.MustCompile(`mk-[\w-]+`).ReplaceAllString(got, "KEY")
