batcher: start the longest items first, whatever their group

Cause: items of the groups that looked longest started last, among them those left over from an earlier job, which the trainer waits for in any case. Change: items start in falling order of their expected length.

--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -75,7 +75,7 @@
 // NewJob returns a job with the results that are already durable.
 func NewJob(s Spec, listed ...Result) *Job {
 	j := &Job{
-		spec: s, order: s.order(0), items: make([]progress, len(s.Items)), byID: make(map[identifier.Item]int, len(s.Items)),
+		spec: s, order: s.order(), items: make([]progress, len(s.Items)), byID: make(map[identifier.Item]int, len(s.Items)),
 		ended: make(chan struct{}),
 	}
 	for i, item := range s.Items {
--- a/internal/batcher/spec.go
+++ b/internal/batcher/spec.go
@@ -68,40 +68,13 @@
 	Score    string
 }
 
-// order returns the indices of the items in the order in which they start: the groups that the trainer probably waits
-// for come first, which are those with the shortest expected longest item, and among these the longest items, because
-// the last item to end decides when the step is whole. Groups that come first in a job were left over from an earlier
-// one and are waited for in any case.
-func (s Spec) order(carried int) []int {
-	longest := make(map[identifier.Group]int)
-	rank := make(map[identifier.Group]int)
-	var groups []identifier.Group
-	for _, item := range s.Items {
-		if _, seen := rank[item.Group]; !seen {
-			rank[item.Group] = len(groups)
-			groups = append(groups, item.Group)
-		}
-		longest[item.Group] = max(longest[item.Group], item.Hint)
-	}
-	rest := groups[min(carried, len(groups)):]
-	slices.SortStableFunc(rest, func(a, b identifier.Group) int { return cmp.Compare(longest[a], longest[b]) })
-	waited := make(map[identifier.Group]bool, s.Desired)
-	for _, g := range groups[:min(max(s.Desired, 1), len(groups))] {
-		waited[g] = true
-	}
+// order returns the indices of the items in the order in which they start. The longest are first, because the last item
+// to end decides when a group is whole, and nearly every group has a long one.
+func (s Spec) order() []int {
 	indices := make([]int, len(s.Items))
 	for i := range indices {
 		indices[i] = i
 	}
-	slices.SortStableFunc(indices, func(a, b int) int {
-		x, y := s.Items[a], s.Items[b]
-		if waited[x.Group] != waited[y.Group] {
-			if waited[x.Group] {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(y.Hint, x.Hint)
-	})
+	slices.SortStableFunc(indices, func(a, b int) int { return cmp.Compare(s.Items[b].Hint, s.Items[a].Hint) })
 	return indices
 }
