batcher: a second confirmation of the same results changes nothing

Cause: since a stopping entry stores pending results before it hands a job over, its write and that of the commit loop may both be confirmed (the second one by comparing bytes); the second confirmation listed results that were never stored. Change: Durable takes the position that it confirms and ignores one that has passed.

--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -249,10 +249,14 @@
 	return len(j.listed), slices.Clone(j.pending)
 }
 
-// Durable makes the first n pending results readable.
-func (j *Job) Durable(n int) {
+// Durable makes the first n pending results readable, if the first of them has position from. Two writes of the same
+// results may both be confirmed; the second one changes nothing.
+func (j *Job) Durable(from, n int) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
+	if from != len(j.listed) {
+		return
+	}
 	j.listed = append(j.listed, j.pending[:n]...)
 	j.pending = slices.Clone(j.pending[n:])
 	j.wake()
--- a/internal/batcher/job_test.go
+++ b/internal/batcher/job_test.go
@@ -143,7 +143,10 @@
 		t.Fatalf("position %d after %d results", from, len(m.seen))
 	}
 	n := rapid.IntRange(1, len(pending)).Draw(t, "stored")
-	m.job.Durable(n)
+	m.job.Durable(from, n)
+	if rapid.Bool().Draw(t, "confirmed twice") {
+		m.job.Durable(from, n)
+	}
 	m.seen = append(m.seen, pending[:n]...)
 }
 
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -292,6 +292,33 @@
 	r.check(c)
 }
 
+// Guards against results that are listed twice or not at all when a process stops while a write of results is on its way.
+func TestHandOverDuringAWrite(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 9, 0)
+	w.engine.takes = 30 * time.Millisecond
+	a, b := w.start("a"), w.start("b")
+	s := job("job", 3000)
+	c.Assert(a.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	w.kv.Set(keyvalue.Faults{Takes: 150 * time.Millisecond})
+	r := &reader{world: w, spec: s}
+	for len(r.seen) < 100 {
+		r.next(c, b)
+	}
+	a.Close(t.Context())
+	for len(r.seen) < len(s.Items) {
+		r.next(c, b)
+	}
+	r.check(c)
+	again := &reader{world: w, spec: s}
+	for len(again.seen) < len(s.Items) {
+		again.next(c, b)
+	}
+	for i := range r.seen {
+		c.Assert(again.seen[i].Item, qt.Equals, r.seen[i].Item)
+	}
+}
+
 // Guards against a process that waits for its own earlier start to be given up before it takes its jobs over.
 func TestRestartedProcessReclaimsItsJobs(t *testing.T) {
 	c := qt.New(t)
--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -218,7 +218,7 @@
 		c.lock.Lock()
 		l.confirmed = c.Clock.Boot()
 		c.lock.Unlock()
-		l.job.Durable(len(results))
+		l.job.Durable(from, len(results))
 		return commitPause
 	case out == conflict:
 		// Another process leads the job or it has ended.
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -37,6 +37,8 @@
 	Lose int
 	// Delay is the number of writes that get no answer and take effect at CarryOut.
 	Delay int
+	// Takes is the time that each write takes before it is applied.
+	Takes time.Duration
 }
 
 type item struct {
@@ -195,7 +197,19 @@
 }
 
 // Commit applies a transaction.
-func (s *Service) Commit(_ context.Context, t storer.Transaction) storer.Outcome {
+func (s *Service) Commit(ctx context.Context, t storer.Transaction) storer.Outcome {
+	s.mutex.Lock()
+	takes := s.faults.Takes
+	s.mutex.Unlock()
+	if takes > 0 {
+		sub := s.clock.After(takes)
+		defer sub.Stop()
+		select {
+		case <-sub.C():
+		case <-ctx.Done():
+			return storer.Unknown
+		}
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch {
