conductor: a job that others have led is loaded with its results

Change: the submitted body is used only for the first term of a job. A stopping process no longer logs the end of its watches as a loss of the store.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -338,3 +338,57 @@
 	r.check(c)
 	c.Assert(w.clock.Boot()-began < time.Second, qt.IsTrue, qt.Commentf("it took %v", w.clock.Boot()-began))
 }
+
+// Guards against a job that is submitted again to a restarted process while that takes it over, and is led without the
+// results that are there.
+func TestResubmissionDuringReclaim(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 10, 0)
+	w.engine.takes = 100 * time.Millisecond
+	first := w.start("n")
+	s := job("job", 1000)
+	c.Assert(first.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	r := &reader{world: w, spec: s}
+	for len(r.seen) < 100 {
+		r.next(c, first)
+	}
+	w.cut(first)
+	const takes = 300 * time.Millisecond
+	w.kv.Set(keyvalue.Faults{Takes: takes})
+	second := w.restart("n", 2)
+	<-w.clock.After(takes / 2).C()
+	c.Assert(second.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	w.kv.Set(keyvalue.Faults{})
+	for len(r.seen) < len(s.Items) {
+		page, found := second.Results(t.Context(), "team", "job", 0, readWait)
+		if found == conductor.Found {
+			c.Assert(len(page.Results) > 0, qt.IsTrue, qt.Commentf("results that were read are gone"))
+		}
+		r.next(c, second)
+	}
+	r.check(c)
+}
+
+// Guards against a job that stands still because an earlier write of its results was carried out late, with fewer
+// results than the next try.
+func TestLateWriteOfResults(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 11, 0)
+	w.engine.takes = 40 * time.Millisecond
+	p := w.start("n")
+	s := job("job", 1500)
+	c.Assert(p.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	r := &reader{world: w, spec: s}
+	for len(r.seen) < 50 {
+		r.next(c, p)
+	}
+	for range 3 {
+		w.kv.Set(keyvalue.Faults{Delay: 1})
+		<-w.clock.After(450 * time.Millisecond).C()
+		w.kv.CarryOut()
+	}
+	for len(r.seen) < len(s.Items) {
+		r.next(c, p)
+	}
+	r.check(c)
+}
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -52,6 +52,8 @@
 	delete(c.fresh, r.ID)
 	c.lock.Unlock()
 	mine := r.Owner == c.Me
+	// Only a job that nobody has led before this process has no results and texts in the store.
+	fresh = fresh && r.Term == 1
 	switch {
 	case l != nil && !mine:
 		c.abandon(l, "another process leads the job")
--- a/internal/storer/feed.go
+++ b/internal/storer/feed.go
@@ -84,6 +84,9 @@
 		stop := f.bound(callCtx, cancel, f.wait+callTimeout)
 		changes, next, out := f.feed.Changes(callCtx, f.prefix, revision, f.wait)
 		stop()
+		if ctx.Err() != nil {
+			return
+		}
 		switch out {
 		case Applied:
 			*failures = 0
