--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -109,14 +109,27 @@
 // notifyTime bounds a notice. The process that gets it reads the store before it answers.
 const notifyTime = time.Second
 
-// call makes one call within a time.
+// call makes one call within a time. A kept connection may lead to an earlier start of the process; when the call fails
+// on it, it is made once more on a new one. Calls change nothing, so that a repeat does no harm.
 func (c *Client) call(ctx context.Context, address, method string, args, reply any, within time.Duration) bool {
 	ctx, cancel := timer.WithTimeout(ctx, c.clock, within)
 	defer cancel()
-	conn, err := c.conn(ctx, address)
+	_, kept := c.conns.Get(address)
+	err := c.try(ctx, address, method, args, reply)
+	if err != nil && kept && ctx.Err() == nil {
+		err = c.try(ctx, address, method, args, reply)
+	}
 	if err != nil {
 		c.log.Emit(logger.PeerFailed, "address", address, "call", method, "error", err)
-		return false
+	}
+	return err == nil
+}
+
+// try makes one call on the connection to an address.
+func (c *Client) try(ctx context.Context, address, method string, args, reply any) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
 	}
 	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
@@ -127,10 +140,8 @@
 	}
 	if err != nil {
 		c.drop(address, conn)
-		c.log.Emit(logger.PeerFailed, "address", address, "call", method, "error", err)
-		return false
 	}
-	return true
+	return err
 }
 
 func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -12,6 +12,7 @@
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/standin/keyvalue"
 )
 
@@ -392,3 +393,27 @@
 	}
 	r.check(c)
 }
+
+// Guards against a job that nobody leads because its new owner was not told.
+func TestLostNoticeIsMadeUp(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 12, 0)
+	w.engine.takes = 50 * time.Millisecond
+	a, b := w.start("a"), w.start("b")
+	s := job("job", 1000)
+	c.Assert(a.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	r := &reader{world: w, spec: s}
+	for len(r.seen) < 50 {
+		r.next(c, b)
+	}
+	w.deaf.Store(true)
+	a.Close(t.Context())
+	w.deaf.Store(false)
+	w.kv.Remove(recorder.NodeKey("a"))
+	began := w.clock.Boot()
+	for len(r.seen) < len(s.Items) {
+		r.next(c, b)
+	}
+	r.check(c)
+	c.Assert(w.clock.Boot()-began < 10*time.Second, qt.IsTrue, qt.Commentf("it took %v", w.clock.Boot()-began))
+}
--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -137,7 +137,7 @@
 	return Unsure
 }
 
-// tell lets the owner of a job know that its record has changed. An owner that is not told finds out by itself.
+// tell lets the owner of a job read its record. An owner that leads the job and is not told finds out by itself.
 func (c *Conductor) tell(ctx context.Context, r recorder.Record) {
 	if r.Owner == c.Me {
 		c.Refresh(ctx, r.ID)
--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -155,8 +155,12 @@
 		case age > c.Retention+time.Minute && (r.Ended || !there), age > 2*c.Retention+time.Minute:
 			out := c.Recorder.Erase(ctx, r)
 			c.Log.Emit(logger.JobErased, "job", r.ID, "outcome", out.String())
-		case !there && !r.Ended:
+		case r.Ended:
+		case !there:
 			c.reassign(ctx, r)
+		default:
+			// The notice that made it the owner may have been lost.
+			c.tell(ctx, r)
 		}
 	}
 }
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -232,6 +232,8 @@
 	kv        *keyvalue.Service
 	engine    *engine
 	processes []*process
+	// deaf processes get no notice.
+	deaf atomic.Bool
 }
 
 func newWorld(t *testing.T, seed uint64, faults float64) *world {
@@ -255,7 +257,7 @@
 
 func (p peers) Notify(ctx context.Context, address string, id identifier.Job) bool {
 	for _, other := range p.world.processes {
-		if string(other.node) == address && !other.link.cut.Load() {
+		if string(other.node) == address && !other.link.cut.Load() && !p.world.deaf.Load() {
 			other.Refresh(ctx, id)
 			return true
 		}
