hoster: bound a controller's look at the key of the duty

Cause: between two campaigns a controller reads the key of the duty. That read had no time limit. Ruled out: the lease or fence of the duty; no campaign was begun at all.

Change: the read ends after the usual time of a call to the store. TestSilentStoreDoesNotHoldTheCampaign failed before and passes now.

--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -62,7 +62,9 @@
 
 // pause waits until the key of the duty has changed, or for a third of d if the key-value service gives no answer.
 func (c *Controller) pause(ctx context.Context, key string, d time.Duration) {
-	held, revision, out := c.platform.KeyValue.Snapshot(ctx, key)
+	look, done := timer.WithTimeout(ctx, c.clock, callTimeout)
+	defer done()
+	held, revision, out := c.platform.KeyValue.Snapshot(look, key)
 	if out == storer.Applied && len(held) == 0 {
 		return
 	}
