recorder: send a write again whose answer was lost

Cause: when the answer to a write of results was lost, the storer only read the key back, with growing pauses, for about ten seconds: the write might still be on its way. During an outage the write is never executed, so all results of that time stayed unreadable for seconds after the store's return.

Change: Storer.CommitWithRetry sends the same guarded write again while the old state is there. The guard lets only one of the sends take effect. The recorder uses it for results, records and acceptance. Append takes a stored beginning of the same results as durable.

Tests: TestLostWriteOfResults failed before (5.9 s) and passes now. TestRefusedJobDoesNotRun expected 'undecided' after one lost write; that write is now sent again and the job is accepted, so the test loses every write to reach the same state.

--- a/internal/batcher/spec.go
+++ b/internal/batcher/spec.go
@@ -3,6 +3,7 @@
 package batcher
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -68,6 +69,12 @@
 	Score    string
 }
 
+// Equal reports whether two results are the same.
+func (r Result) Equal(other Result) bool {
+	return r.Item == other.Item && r.State == other.State && bytes.Equal(r.Output, other.Output) &&
+		slices.Equal(r.Versions, other.Versions) && r.Score == other.Score
+}
+
 // order returns the indices of the items in the order in which they start. The longest are first, because the last item
 // to end decides when a group is whole, and nearly every group has a long one.
 func (s Spec) order() []int {
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -187,8 +187,10 @@
 	c.Assert(found, qt.Equals, conductor.Missing)
 	c.Assert(w.engine.calls.Load(), qt.Equals, int64(0))
 
-	w.kv.Set(keyvalue.Faults{Delay: 1})
+	// A write that is lost once is sent again, so only one that is lost each time leaves the acceptance open.
+	w.kv.Set(keyvalue.Faults{Delay: 100})
 	c.Assert(p.Submit(t.Context(), job("late", 4)), qt.Equals, conductor.Undecided)
+	w.kv.Set(keyvalue.Faults{})
 	w.kv.CarryOut()
 	r := &reader{world: w, spec: job("late", 4)}
 	for len(r.seen) < 4 {
--- a/internal/conductor/takeover_test.go
+++ b/internal/conductor/takeover_test.go
@@ -132,6 +132,24 @@
 	r.check(c)
 }
 
+// Guards against results that are held back for ten seconds because a write of them was lost on its way and nobody sends
+// it again.
+func TestLostWriteOfResults(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 11, 0)
+	p := w.start("n")
+	s := job("job", 12)
+	c.Assert(p.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	w.kv.Set(keyvalue.Faults{Delay: 1})
+	began := w.clock.Boot()
+	r := &reader{world: w, spec: s}
+	for len(r.seen) < len(s.Items) {
+		r.next(c, p)
+	}
+	r.check(c)
+	c.Assert(w.clock.Boot()-began < 3*time.Second, qt.IsTrue, qt.Commentf("the results took %s", w.clock.Boot()-began))
+}
+
 // Guards against a job that nobody leads because its new owner was not told.
 func TestLostNoticeIsMadeUp(t *testing.T) {
 	c := qt.New(t)
--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -217,13 +217,13 @@
 
 // store makes results durable. It returns the pause until the next write.
 func (c *Conductor) store(ctx context.Context, l *led, from int, results []batcher.Result) time.Duration {
-	out, err := c.Recorder.Append(ctx, c.recordOf(l), from, results)
+	durable, out, err := c.Recorder.Append(ctx, c.recordOf(l), from, results)
 	switch {
 	case out == applied && err == nil:
 		c.lock.Lock()
 		l.confirmed = c.Clock.Boot()
 		c.lock.Unlock()
-		l.job.Durable(from, len(results))
+		l.job.Durable(from, durable)
 		return commitPause
 	case out == conflict:
 		// Another process leads the job or it has ended.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -2,8 +2,8 @@
 package recorder
 
 import (
-	"bytes"
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -88,6 +88,7 @@
 	Get(ctx context.Context, key string) (storer.Entry, storer.Outcome)
 	List(ctx context.Context, prefix string) ([]storer.Entry, storer.Outcome)
 	Commit(ctx context.Context, t storer.Transaction) storer.Outcome
+	CommitWithRetry(ctx context.Context, t storer.Transaction) storer.Outcome
 	Delete(ctx context.Context, t storer.Transaction) storer.Outcome
 }
 
@@ -116,7 +117,7 @@
 	for i, part := range parts {
 		t = t.WithPut(specKey(s.ID, i), part, 0)
 	}
-	return r.store.Commit(ctx, t), nil
+	return r.store.CommitWithRetry(ctx, t), nil
 }
 
 // Record returns the record of a job; one with Changed zero does not exist.
@@ -159,7 +160,7 @@
 	if err != nil {
 		return storer.Unavailable, err
 	}
-	return r.store.Commit(ctx, storer.Transaction{}.WithGuard(jobKey(old.ID), old.Changed).WithPut(jobKey(old.ID), data, 0)), nil
+	return r.store.CommitWithRetry(ctx, storer.Transaction{}.WithGuard(jobKey(old.ID), old.Changed).WithPut(jobKey(old.ID), data, 0)), nil
 }
 
 // HandOver stores the next form of a record together with the texts that have no result yet. Texts that are too large
@@ -177,7 +178,7 @@
 	if len(parts) > 0 && len(texts) <= partSize {
 		t = t.WithPut(partKey(old.ID), texts, 0)
 	}
-	return r.store.Commit(ctx, t), nil
+	return r.store.CommitWithRetry(ctx, t), nil
 }
 
 // Parts returns the texts that the owner before has left.
@@ -225,29 +226,45 @@
 	return all, out, nil
 }
 
-// Append stores results at a position, on condition that the record of the job is unchanged. Conflict means that
-// another process leads the job or that it has ended.
-func (r *Recorder) Append(ctx context.Context, record Record, from int, results []batcher.Result) (storer.Outcome, error) {
+// Append stores results at a position, on condition that the record of the job is unchanged, and returns how many of
+// them are durable. Conflict means that another process leads the job or that it has ended.
+func (r *Recorder) Append(ctx context.Context, record Record, from int, results []batcher.Result) (int, storer.Outcome, error) {
 	data, err := r.form.EncodeResults(from, results)
 	if err != nil {
-		return storer.Unavailable, err
+		return 0, storer.Unavailable, err
 	}
 	key := resultKey(record.ID, from)
-	out := r.store.Commit(ctx, storer.Transaction{}.
+	out := r.store.CommitWithRetry(ctx, storer.Transaction{}.
 		WithGuard(key, 0).WithPut(key, data, 0).WithGuard(jobKey(record.ID), record.Changed))
-	if out != storer.Conflict {
-		return out, nil
+	switch out {
+	case storer.Applied:
+		return len(results), out, nil
+	case storer.Conflict:
+		return r.stored(ctx, key, from, results)
+	default:
+		return 0, out, nil
 	}
-	// An earlier try whose answer was lost may have stored the same bytes.
-	e, read := r.store.Get(ctx, key)
+}
+
+// stored returns how many results are durable at a position. An earlier try, whose answer was lost, may have stored the
+// first of them.
+func (r *Recorder) stored(ctx context.Context, key string, from int, results []batcher.Result) (int, storer.Outcome, error) {
+	e, out := r.store.Get(ctx, key)
 	switch {
-	case read != storer.Applied:
-		return read, nil
-	case bytes.Equal(e.Value, data):
-		return storer.Applied, nil
-	default:
-		return storer.Conflict, nil
+	case out != storer.Applied:
+		return 0, out, nil
+	case e.Changed == 0:
+		return 0, storer.Conflict, nil
+	}
+	at, there, err := r.form.DecodeResults(e.Value)
+	if err != nil {
+		return 0, storer.Unavailable, err
+	}
+	n := len(there)
+	if at != from || n > len(results) || !slices.EqualFunc(there, results[:n], batcher.Result.Equal) {
+		return 0, storer.Conflict, nil
 	}
+	return n, storer.Applied, nil
 }
 
 // Erase deletes a job. The record goes last: until then the job is found, and its erasure can be taken up again.
--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -14,6 +14,8 @@
 	// settleTries bounds the reads that settle one lost answer. With doubling pauses they span about 10 s, longer than a
 	// lost request can stay under way.
 	settleTries = 8
+	// settlePause bounds the pause between two of them.
+	settlePause = 2 * time.Second
 )
 
 // Storer calls the key-value service within a budget and with deadlines, and settles lost answers. A Storer has one
@@ -91,7 +93,10 @@
 
 // Commit applies a transaction whose first guard and first write are of the same key. That write must be unlike any
 // other to its key: a lost answer is settled by reading it back. The outcome is Unknown only when that failed too.
-func (s *Storer) Commit(ctx context.Context, t Transaction) Outcome {
+func (s *Storer) Commit(ctx context.Context, t Transaction) Outcome { return s.commit(ctx, t, nil) }
+
+// commit applies a transaction. With again it is sent once more while a lost answer is settled.
+func (s *Storer) commit(ctx context.Context, t Transaction, again func(context.Context) Outcome) Outcome {
 	if len(t.Guards) == 0 || len(t.Puts) == 0 || t.Guards[0].Key != t.Puts[0].Key {
 		panic("invariant write-identity: a transaction begins with a guarded write of one key")
 	}
@@ -99,7 +104,13 @@
 	if out != Unknown {
 		return out
 	}
-	return s.settle(ctx, t.Puts[0].Key, t.Guards[0].Changed, t.Puts[0].Value)
+	return s.settle(ctx, t, again)
+}
+
+// CommitWithRetry applies a transaction as Commit does, and sends it again while the old state is still there after a
+// lost answer. The guard lets only one of the sends take effect. It is for writes that may also take effect late.
+func (s *Storer) CommitWithRetry(ctx context.Context, t Transaction) Outcome {
+	return s.commit(ctx, t, func(ctx context.Context) Outcome { return s.driver.Commit(ctx, t) })
 }
 
 // Delete applies a transaction that writes nothing but deletes. A repeat changes nothing, so that a lost answer needs no
@@ -178,11 +189,16 @@
 	}
 }
 
-// settle reads key back until it is known whether the write of value took effect. Its reads have pauses of their own,
-// so they are not subject to the back-off.
-func (s *Storer) settle(ctx context.Context, key string, changed int64, value []byte) Outcome {
+// settle reads the key of a transaction's first write back until it is known whether the write took effect. Its calls
+// have pauses of their own, so they are not subject to the back-off.
+func (s *Storer) settle(ctx context.Context, t Transaction, again func(context.Context) Outcome) Outcome {
+	key, changed, value := t.Puts[0].Key, t.Guards[0].Changed, t.Puts[0].Value
+	longest := settlePause
+	if again != nil {
+		longest = min(longest, s.shared.backoff.most())
+	}
 	for try := range settleTries {
-		if !timer.Wait(ctx, s.clock, pause(try+1, 2*time.Second)) {
+		if !timer.Wait(ctx, s.clock, pause(try+1, longest)) {
 			return Unknown
 		}
 		var e Entry
@@ -191,16 +207,18 @@
 			e, out = s.driver.Get(ctx, key)
 			return out
 		})
-		if out != Applied {
+		switch {
+		case out != Applied:
 			continue
-		}
-		if bytes.Equal(e.Value, value) {
+		case bytes.Equal(e.Value, value):
 			return Applied
-		}
-		if e.Changed != changed {
+		case e.Changed != changed:
 			return Conflict
 		}
 		// The old state is still there, but the lost write may be on its way; it fails its guard once the key changes.
+		if again != nil && s.attempt(ctx, again) == Applied {
+			return Applied
+		}
 	}
 	return Unknown
 }
