hoster: entries watch only the configuration below the operators' keys

Cause: entries watched all keys of the operators. Trainers name a version every second or two there, and each one woke the watch of every entry, for nothing: only controllers use it.

Change: an entry follows the prefix of the configuration.

--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -109,7 +109,7 @@
 	e.cancel = cancel
 	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, changed: e.conductor.Signal}
 	e.running.Go(func() {
-		e.follow(ctx, p.OperatorPrefix, 0, e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log})
+		e.follow(ctx, p.PlanPrefix, 0, e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log})
 	})
 	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, e.Drain/settleShare, e.Drain, targets) })
 	e.running.Go(func() { e.follow(ctx, recorder.NodePrefix, 0, nodesWithin, conductor.NewView(e.conductor, e.form)) })
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -76,8 +76,10 @@
 	Intake   tallier.Intake
 	Decoder  Decoder
 	Dial     jobpeer.Dial
-	// OperatorPrefix and TargetPrefix are the prefixes of the keys that a Decoder reads.
+	// OperatorPrefix and TargetPrefix are the prefixes of the keys that a Decoder reads, and PlanPrefix is that of those
+	// operators' keys that hold the plan.
 	OperatorPrefix string
+	PlanPrefix     string
 	TargetPrefix   string
 }
 
