conductor: read ended jobs from the memory of their owner too

Cause: reads of an ended job at other entries went to the store, twice each: once for the record and once for the results, although its owner keeps the results for 20 s.

Change: the owner is asked whether the job has ended or not. It says that it does not lead the job once it has dropped it, and the store is read then.

--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -57,7 +57,7 @@
 	c.lock.Lock()
 	owner, there := c.nodes[r.Owner.Node], c.there(r.Owner)
 	c.lock.Unlock()
-	if !there || r.Owner == c.Me || r.Ended {
+	if !there || r.Owner == c.Me {
 		return nil, false
 	}
 	return c.Peers.Results(ctx, owner.Address, r.ID, after, wait)
