--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -120,13 +120,19 @@
 	return due
 }
 
+// Sweeps reports whether this process is the one that gives the jobs of missing processes to others.
+func (c *Conductor) Sweeps() bool {
+	sweeper, ok := c.heir("sweep", anyone)
+	return ok && sweeper.Owner == c.Me
+}
+
 // sweepDue reports whether this process is to look through all jobs now.
 func (c *Conductor) sweepDue() bool {
-	sweeper, ok := c.heir("sweep", anyone)
+	sweeps := c.Sweeps()
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	now := c.Clock.Boot()
-	if !ok || sweeper.Owner != c.Me || c.closing || !c.trusted || now-c.since < regainAfter {
+	if !sweeps || c.closing || !c.trusted || now-c.since < regainAfter {
 		return false
 	}
 	if now < c.nextSweep && (c.moved <= c.swept || now-c.moved < adoptAfter) {
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -300,7 +300,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() {
-		storer.NewFollower(l, store.For(storer.PurposeConfig), recorder.NodePrefix, 0, 300*time.Millisecond).
+		storer.NewFollower(l, store.For(storer.PurposeConfig), recorder.NodePrefix, func() time.Duration { return 0 }, 300*time.Millisecond).
 			Follow(ctx, conductor.NewView(p.Conductor, codec.Jobs{}))
 	})
 	p.Start()
--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -103,8 +103,8 @@
 	for _, part := range []func(){
 		func() { up.Run(ctx) },
 		func() { report.Run(ctx) },
-		func() { c.follow(ctx, c.platform.OperatorPrefix, 0, c.Apply, operators) },
-		func() { c.follow(ctx, c.platform.TargetPrefix, c.Drain/settleShare, c.Drain, targets) },
+		func() { c.follow(ctx, c.platform.OperatorPrefix, at(0), c.Apply, operators) },
+		func() { c.follow(ctx, c.platform.TargetPrefix, at(c.Drain/settleShare), c.Drain, targets) },
 	} {
 		work.Go(func() {
 			defer cancel()
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -109,10 +109,10 @@
 	e.cancel = cancel
 	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, changed: e.conductor.Signal}
 	e.running.Go(func() {
-		e.follow(ctx, p.PlanPrefix, 0, e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log})
+		e.follow(ctx, p.PlanPrefix, at(0), e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log})
 	})
-	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, e.Drain/settleShare, e.Drain, targets) })
-	e.running.Go(func() { e.follow(ctx, recorder.NodePrefix, 0, nodesWithin, conductor.NewView(e.conductor, e.form)) })
+	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, at(e.Drain/settleShare), e.Drain, targets) })
+	e.running.Go(func() { e.follow(ctx, recorder.NodePrefix, e.nodesSettle, nodesWithin, conductor.NewView(e.conductor, e.form)) })
 	attending, leave := context.WithCancel(ctx)
 	e.leave = leave
 	e.attending.Go(func() { e.presence.attend(attending) })
@@ -156,6 +156,15 @@
 	return nil
 }
 
+// nodesSettle returns the pause of the watch of the processes after a change. The process that gives the jobs of missing
+// ones to others learns of each at once.
+func (e *Entry) nodesSettle() time.Duration {
+	if e.conductor.Sweeps() {
+		return 0
+	}
+	return nodesSettle
+}
+
 // expire drops targets whose listings did not come back in time.
 func (e *Entry) expire(ctx context.Context, v *targetView) {
 	ticks := e.clock.Every(time.Second)
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -120,6 +120,9 @@
 	// settleShare is the part of the time in which the leaving of a target must be known for which a watch pauses after a
 	// change: the changes of one wave of loads then cost one call.
 	settleShare = 2
+	// nodesSettle is the pause of the watch of the processes after a change. When processes are restarted one after the
+	// other, each change would otherwise wake every entry.
+	nodesSettle = time.Second
 	// nodesWithin is the time in which the coming and going of processes is to be known even if a watch is silent.
 	nodesWithin = 7 * time.Second
 	// freshMargin is the part of the time in which a change must be in force that is left for reading it.
@@ -160,11 +163,14 @@
 func (b base) owner() recorder.Owner { return recorder.Owner{Node: b.Node, Incarnation: b.incarnation} }
 
 // follow keeps a view of the keys below a prefix up to date, within the time that a change may take.
-func (b base) follow(ctx context.Context, prefix string, settle, within time.Duration, v storer.View) {
+func (b base) follow(ctx context.Context, prefix string, settle func() time.Duration, within time.Duration, v storer.View) {
 	wait := max(leastWait, within-freshMargin)
 	storer.NewFollower(b.platform.KeyValue, b.store.For(storer.PurposeConfig), prefix, settle, wait).Follow(ctx, v)
 }
 
+// at returns a settle time that is always the same.
+func at(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // export serves the metrics. It returns a function that ends that.
 func (b base) export(state exporter.HostedState) (stop func(), err error) {
 	state.Dropped = b.parts.Lines.Dropped
--- a/internal/storer/feed.go
+++ b/internal/storer/feed.go
@@ -38,7 +38,7 @@
 	feed   Feed
 	store  *Storer
 	prefix string
-	settle time.Duration
+	settle func() time.Duration
 	wait   time.Duration
 }
 
@@ -51,10 +51,10 @@
 	followMost  = 800 * time.Millisecond
 )
 
-// NewFollower returns a Follower of a prefix. After a change it waits for settle before it asks for further ones, so that
-// changes that come in a row cost one call. A call waits for changes no longer than wait: a watch may stay silent while
+// NewFollower returns a Follower of a prefix. After a change it waits for as long as settle says before it asks for
+// further ones, so that changes that come in a row cost one call. A call waits for changes no longer than wait: a watch may stay silent while
 // changes are made, and the next call finds out.
-func NewFollower(feed Feed, store *Storer, prefix string, settle, wait time.Duration) *Follower {
+func NewFollower(feed Feed, store *Storer, prefix string, settle func() time.Duration, wait time.Duration) *Follower {
 	return &Follower{feed: feed, store: store, prefix: prefix, settle: settle, wait: wait}
 }
 
@@ -94,8 +94,8 @@
 				v.Apply(c)
 			}
 			revision = next
-			if len(changes) > 0 && f.settle > 0 {
-				timer.Wait(ctx, f.store.clock, f.settle)
+			if len(changes) > 0 {
+				timer.Wait(ctx, f.store.clock, f.settle())
 			}
 		case Conflict:
 			return
