conductor: the jobs of a model are led by one entry of the region

Cause: each job was led by the entry that took it, which is another one at each step of a trainer. Small machines led jobs as often as large ones.

Change: an entry passes a submission on to the entry that rendezvous hashing names for team and model within the region, weighted by the share of a processor. That one declines when it has as much to do as it takes; then, and when it is not reached, the first entry accepts the job itself. When it is not known what became of the submission, a failure there is answered as undecided, not as refused.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
@@ -38,6 +39,8 @@
 // Reader reads the jobs that a process leads.
 type Reader interface {
 	Local(ctx context.Context, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool)
+	// AcceptFor accepts a job that another process got.
+	AcceptFor(ctx context.Context, s batcher.Spec) conductor.Acceptance
 	// Refresh reads the record of a job again.
 	Refresh(ctx context.Context, id identifier.Job)
 }
@@ -53,6 +56,12 @@
 	return nil
 }
 
+// Submit accepts a job.
+func (j *Jobs) Submit(s batcher.Spec, accepted *conductor.Acceptance) error {
+	*accepted = j.reader.AcceptFor(context.Background(), s)
+	return nil
+}
+
 // Notify takes over that the record of a job has changed.
 func (j *Jobs) Notify(id identifier.Job, told *bool) error {
 	*told = true
@@ -100,6 +109,16 @@
 	return reply.Results, reply.Led
 }
 
+// Submit lets the process at an address accept a job.
+func (c *Client) Submit(ctx context.Context, address string, s batcher.Spec) (conductor.Acceptance, bool) {
+	var accepted conductor.Acceptance
+	known := c.call(ctx, address, "Jobs.Submit", s, &accepted, submitTime)
+	return accepted, known
+}
+
+// submitTime bounds a submission. A process that takes longer is frozen or has lost the store.
+const submitTime = 600 * time.Millisecond
+
 // Notify tells the process at an address that the record of a job has changed.
 func (c *Client) Notify(ctx context.Context, address string, id identifier.Job) bool {
 	var told bool
--- a/internal/adapter/jobpeer/jobpeer_test.go
+++ b/internal/adapter/jobpeer/jobpeer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
@@ -25,6 +26,13 @@
 	return []batcher.Result{{Item: identifier.Item(id), Versions: []identifier.Version{identifier.Version(after)}}}, id == "led"
 }
 
+func (*reader) AcceptFor(_ context.Context, s batcher.Spec) conductor.Acceptance {
+	if s.Items[0].Header["Model"] != "m" || s.Submitted.IsZero() {
+		return conductor.Refused
+	}
+	return conductor.Accepted
+}
+
 func (r *reader) Refresh(_ context.Context, id identifier.Job) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -89,6 +97,10 @@
 	c.Assert(results, qt.DeepEquals, []batcher.Result{{Item: "led", Versions: []identifier.Version{7}}})
 	_, ok = client.Results(t.Context(), address, "other", 0, time.Second)
 	c.Assert(ok, qt.IsFalse)
+	s := batcher.Spec{ID: "job", Submitted: time.Now(), Items: []batcher.Item{{ID: "i", Header: map[string]string{"Model": "m"}}}}
+	accepted, ok := client.Submit(t.Context(), address, s)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(accepted, qt.Equals, conductor.Accepted)
 	stop()
 	_, stop = serve(t, address, &second)
 	c.Assert(client.Notify(t.Context(), address, "job"), qt.IsTrue)
--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -290,6 +290,16 @@
 	return len(j.listed) == len(j.items)
 }
 
+// Unfinished returns the number of items that still run; zero once the job has ended.
+func (j *Job) Unfinished() int {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	if j.finished {
+		return 0
+	}
+	return len(j.items) - len(j.listed) - len(j.pending)
+}
+
 // Results returns the readable results from position after on, at most limit bytes of them but at least one, and a
 // channel that is closed at the next change.
 func (j *Job) Results(after int, limit int) ([]Result, <-chan struct{}) {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -26,6 +26,9 @@
 	// Results asks the process at an address for readable results. A false second result means that it does not lead
 	// the job or could not be asked.
 	Results(ctx context.Context, address string, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool)
+	// Submit lets the process at an address accept a job. A false second result means that it is not known what became of
+	// the submission.
+	Submit(ctx context.Context, address string, s batcher.Spec) (Acceptance, bool)
 	// Notify tells the process at an address that the record of a job has changed, and reports whether it was told.
 	Notify(ctx context.Context, address string, id identifier.Job) bool
 }
@@ -52,13 +55,8 @@
 	Sampler *logger.Sampler
 }
 
-const (
-	// workers bounds the items that one process runs or has scored at a time.
-	workers = 192
-	// submitPatience bounds the storing of a job. A caller that hears nothing would wait in vain for an entry that has lost
-	// the store, while another entry can take the job.
-	submitPatience = 800 * time.Millisecond
-)
+// workers bounds the items that one process runs or has scored at a time.
+const workers = 320
 
 // Conductor leads the jobs of one process.
 //
@@ -152,73 +150,3 @@
 	default:
 	}
 }
-
-// Submit accepts a job: once it returns Accepted, the job is kept.
-func (c *Conductor) Submit(ctx context.Context, s batcher.Spec) Acceptance {
-	c.lock.Lock()
-	known, seen := c.records[s.ID]
-	closing := c.closing
-	if !seen && !closing {
-		c.fresh[s.ID] = s
-	}
-	c.lock.Unlock()
-	if seen {
-		return repeated(known, s)
-	}
-	owner := recorder.Presence{Owner: c.Me}
-	if closing {
-		var ok bool
-		if owner, ok = c.heir(string(s.ID), func(p recorder.Presence) bool { return p.Owner.Node != c.Me.Node }); !ok {
-			return Refused
-		}
-	}
-	storing, cancel := timer.WithTimeout(ctx, c.Clock, submitPatience)
-	defer cancel()
-	out, err := c.Recorder.Create(storing, s, owner.Owner)
-	acceptance := c.accepted(ctx, s, out)
-	c.Log.Emit(logger.JobSubmitted, "job", s.ID, "team", s.Team, "items", len(s.Items), "desired", s.Desired, "least", s.Least,
-		"outcome", acceptance.String(), "store", out.String(), "error", err)
-	switch {
-	case acceptance != Accepted || out != applied:
-	case closing:
-		c.Peers.Notify(ctx, owner.Address, s.ID)
-	default:
-		c.Refresh(context.WithoutCancel(ctx), s.ID)
-	}
-	return acceptance
-}
-
-// release forgets the body of a job that was not accepted here.
-func (c *Conductor) release(id identifier.Job) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	delete(c.fresh, id)
-}
-
-// accepted decides on a submission by what the store answered.
-func (c *Conductor) accepted(ctx context.Context, s batcher.Spec, out storeOutcome) Acceptance {
-	switch out {
-	case applied:
-		return Accepted
-	case conflict:
-		c.release(s.ID)
-		record, read, err := c.Recorder.Record(ctx, s.ID)
-		if read != applied || err != nil || record.Changed == 0 {
-			return Undecided
-		}
-		return repeated(record, s)
-	case unavailable:
-		c.release(s.ID)
-		return Refused
-	default:
-		return Undecided
-	}
-}
-
-// repeated decides on a submission whose job is there already.
-func repeated(r recorder.Record, s batcher.Spec) Acceptance {
-	if r.Team != s.Team {
-		return Foreign
-	}
-	return Accepted
-}
--- /dev/null
+++ b/internal/conductor/export_test.go
@@ -0,0 +1,8 @@
+package conductor
+
+// Processes returns the number of processes that this one knows.
+func (c *Conductor) Processes() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return len(c.nodes)
+}
--- a/internal/conductor/outcome.go
+++ b/internal/conductor/outcome.go
@@ -23,11 +23,13 @@
 	Undecided
 	// Foreign means that another team has a job of that identity.
 	Foreign
+	// Declined means that the process that was asked does not lead the job, which may be led by another one.
+	Declined
 )
 
 // String returns the name of the acceptance.
 func (a Acceptance) String() string {
-	names := [...]string{"none", "accepted", "refused", "undecided", "foreign"}
+	names := [...]string{"none", "accepted", "refused", "undecided", "foreign", "declined"}
 	if a < 0 || int(a) >= len(names) {
 		return "invalid"
 	}
--- a/internal/conductor/view.go
+++ b/internal/conductor/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"strings"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -87,25 +88,39 @@
 	return ok && p.Owner == o
 }
 
-// heir returns the process that should do a work, by rendezvous hashing over those that stay and fit.
+// heir returns the process that should do a work, by rendezvous hashing over those that stay and fit, weighted by their
+// processors.
 func (c *Conductor) heir(work string, fits func(recorder.Presence) bool) (recorder.Presence, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	var best recorder.Presence
-	var most uint64
+	var most float64
 	found := false
 	for name, p := range c.nodes {
 		if p.Leaving || !fits(p) {
 			continue
 		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(work + "/" + string(name))) // a hash takes every write
-		if weight := h.Sum64(); !found || weight > most {
+		if weight := weigh(work, name, p.Cores); !found || weight > most {
 			best, most, found = p, weight, true
 		}
 	}
 	return best, found
 }
 
+// weigh returns the weight of a process for a work. The largest of independent weights of this form belongs to each
+// process with a probability in proportion to its cores.
+func weigh(work string, name identifier.Node, cores float64) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(work + "/" + string(name))) // a hash takes every write
+	mixed := h.Sum64()
+	// The upper bits of the hash hardly depend on its last bytes.
+	mixed = (mixed ^ mixed>>32) * 0x9e3779b97f4a7c15
+	share := (float64(mixed>>11) + 0.5) / (1 << 53)
+	if cores <= 0 {
+		cores = 1
+	}
+	return -cores / math.Log(share)
+}
+
 // anyone fits every process.
 func anyone(recorder.Presence) bool { return true }
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -255,6 +255,15 @@
 	return nil, false
 }
 
+func (p peers) Submit(ctx context.Context, address string, s batcher.Spec) (conductor.Acceptance, bool) {
+	for _, other := range p.world.processes {
+		if string(other.node) == address && !other.link.cut.Load() {
+			return other.AcceptFor(ctx, s), true
+		}
+	}
+	return 0, false
+}
+
 func (p peers) Notify(ctx context.Context, address string, id identifier.Job) bool {
 	for _, other := range p.world.processes {
 		if string(other.node) == address && !other.link.cut.Load() && !p.world.deaf.Load() {
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -112,7 +112,9 @@
 		e.follow(ctx, p.PlanPrefix, at(0), e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log})
 	})
 	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, at(e.Drain/settleShare), e.Drain, targets) })
-	e.running.Go(func() { e.follow(ctx, recorder.NodePrefix, e.nodesSettle, nodesWithin, conductor.NewView(e.conductor, e.form)) })
+	e.running.Go(func() {
+		e.follow(ctx, recorder.NodePrefix, e.nodesSettle, nodesWithin, conductor.NewView(e.conductor, e.form))
+	})
 	attending, leave := context.WithCancel(ctx)
 	e.leave = leave
 	e.attending.Go(func() { e.presence.attend(attending) })
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -89,6 +89,8 @@
 	Zone    identifier.Zone
 	Region  identifier.Region
 	Regions map[identifier.Zone]identifier.Region
+	// Cores is the part of a core that the process may use; zero if it is not known.
+	Cores float64
 	// Callers, Ready and Peer are the addresses on which an entry listens, and Metrics that of the metrics; there are none
 	// without it.
 	Callers string
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -69,6 +69,9 @@
 	Address string
 	// Leaving is set when the process stops; it takes no further work.
 	Leaving bool
+	Region  identifier.Region
+	// Cores is the part of a core that the process may use; zero if it is not known.
+	Cores float64
 }
 
 // Form is the stored form of jobs.
