--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -1,5 +1,5 @@
 // Package link is the stand-in for a network link: it passes connections to an address and can let those that exist go
-// silent for good while new ones work.
+// silent for good while new ones work, swallow what one side sends, delay all data and refuse new connections.
 package link
 
 import (
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // Link passes connections from its own address to another.
@@ -15,13 +16,25 @@
 	listener net.Listener
 	done     sync.WaitGroup
 
-	mu    sync.Mutex
-	to    string
-	pairs map[*pair]struct{}
+	mu     sync.Mutex
+	to     string
+	pairs  map[*pair]struct{}
+	faults Faults
+}
+
+// Faults are what a link does to its connections, present and new. The zero value passes all data at once.
+type Faults struct {
+	// Refuse resets new connections.
+	Refuse bool
+	// Deaf swallows what comes from the near side and Mute what comes from the far side.
+	Deaf, Mute bool
+	// Delay holds each piece of data for that long.
+	Delay time.Duration
 }
 
 // pair is one connection on both sides of the link. Once silent is closed, no more data passes.
 type pair struct {
+	link      *Link
 	near, far net.Conn
 	silent    chan struct{}
 	ended     chan struct{}
@@ -49,6 +62,19 @@
 	l.to = to
 }
 
+// Set replaces the faults of the link.
+func (l *Link) Set(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+func (l *Link) present() Faults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
 // Silence lets the present connections go silent: they stay open and pass nothing. It returns how many there were.
 func (l *Link) Silence() int {
 	l.mu.Lock()
@@ -74,6 +100,17 @@
 	}
 }
 
+// Reset resets the present connections on both sides.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		reset(p.near)
+		reset(p.far)
+		p.end()
+	}
+}
+
 // Close cuts the link and accepts no more.
 func (l *Link) Close() {
 	_ = l.listener.Close()
@@ -88,14 +125,18 @@
 			return
 		}
 		l.mu.Lock()
-		to := l.to
+		to, refuse := l.to, l.faults.Refuse
 		l.mu.Unlock()
+		if refuse {
+			reset(near)
+			continue
+		}
 		far, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", to)
 		if err != nil {
-			_ = near.Close()
+			reset(near)
 			continue
 		}
-		p := &pair{near: near, far: far, silent: make(chan struct{}), ended: make(chan struct{})}
+		p := &pair{link: l, near: near, far: far, silent: make(chan struct{}), ended: make(chan struct{})}
 		l.mu.Lock()
 		l.pairs[p] = struct{}{}
 		l.mu.Unlock()
@@ -110,6 +151,14 @@
 	}
 }
 
+// reset closes a connection so that its other side sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // without it the close below is an orderly one
+	}
+	_ = c.Close()
+}
+
 // pass copies one direction. On a silent pair it swallows the data, and passes on the end of neither side.
 func (p *pair) pass(from, to net.Conn) {
 	_, err := io.Copy(quiet{p: p, to: to}, from)
@@ -138,8 +187,20 @@
 	to net.Conn
 }
 
-// Write drops b on a silent pair.
+// Write drops b on a silent pair or where the link swallows this direction.
 func (q quiet) Write(b []byte) (int, error) {
+	f := q.p.link.present()
+	if f.Delay > 0 {
+		held := time.NewTimer(f.Delay)
+		defer held.Stop()
+		select {
+		case <-held.C:
+		case <-q.p.ended:
+		}
+	}
+	if f.Deaf && q.to == q.p.far || f.Mute && q.to == q.p.near {
+		return len(b), nil
+	}
 	select {
 	case <-q.p.silent:
 		return len(b), nil
--- a/internal/storer/feed_test.go
+++ b/internal/storer/feed_test.go
@@ -73,7 +73,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var following sync.WaitGroup
 	following.Go(func() {
-		storer.NewFollower(kv, storer.NewStorer(kv, clock), "p/", func() time.Duration { return 10 * time.Millisecond }, 200*time.Millisecond).Follow(ctx, v)
+		settle := func() time.Duration { return 10 * time.Millisecond }
+		storer.NewFollower(kv, storer.NewStorer(kv, clock), "p/", settle, 200*time.Millisecond).Follow(ctx, v)
 	})
 	until := func(want string) {
 		for !v.shows(want) {
