conductor: use the texts of an earlier job for items that come again

Cause: groups that were not whole come again in a later job.

Change: a new job takes over the texts of items that come again with the same body, as far as their versions fit. A completed item keeps its text and is scored anew. Test: TestKeptTextsOfItemsThatComeAgain (new call).

--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -118,6 +118,28 @@
 	return parts
 }
 
+// Kept returns the texts of those items that come again, unchanged, in another job. A completed item is scored anew there.
+func (j *Job) Kept(next Spec) []Part {
+	again := make(map[identifier.Item]bool)
+	for _, item := range next.Items {
+		if i, ok := j.byID[item.ID]; ok && bytes.Equal(item.Body, j.spec.Items[i].Body) {
+			again[item.ID] = true
+		}
+	}
+	if len(again) == 0 {
+		return nil
+	}
+	kept := slices.DeleteFunc(j.Parts(), func(p Part) bool { return !again[p.Item] })
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	for _, r := range slices.Concat(j.listed, j.pending) {
+		if r.State == Completed && again[r.Item] {
+			kept = append(kept, Part{Item: r.Item, Text: [][]byte{r.Output}, Versions: slices.Clone(r.Versions), Whole: true})
+		}
+	}
+	return kept
+}
+
 // Spec returns the job as it was submitted.
 func (j *Job) Spec() Spec { return j.spec }
 
--- a/internal/batcher/job_test.go
+++ b/internal/batcher/job_test.go
@@ -235,6 +235,42 @@
 	c.Assert(had, qt.DeepEquals, map[identifier.Item]int{"g0-0": 0, "g0-1": 1})
 }
 
+// Guards against texts that are made again although an earlier job has them, and against those of an item that has changed.
+func TestKeptTextsOfItemsThatComeAgain(t *testing.T) {
+	c := qt.New(t)
+	s := spec(2, 2)
+	for i := range s.Items {
+		s.Items[i].Body = []byte(s.Items[i].ID)
+	}
+	earlier := batcher.NewJob(s)
+	for range s.Items {
+		task, _, _ := earlier.Next(0)
+		c.Assert(earlier.Append(task.Index, 1, []byte(task.Item.ID+"/1"), 2, false), qt.IsTrue)
+		switch task.Item.ID {
+		case "g0-0":
+			earlier.Whole(task.Index)
+			earlier.Scored(task.Index, "score")
+		case "g0-1":
+			earlier.Whole(task.Index)
+		}
+	}
+	earlier.Finish()
+	next := spec(2, 2)
+	for i := range next.Items {
+		next.Items[i].Body = []byte(next.Items[i].ID)
+	}
+	next.Items[3].Body = []byte("changed")
+	job := batcher.NewJob(next)
+	job.Resume(earlier.Kept(next))
+	var out strings.Builder
+	for range next.Items {
+		task, _, _ := job.Next(0)
+		fmt.Fprintf(&out, "%s had %d whole %v\n", task.Item.ID, task.Had, task.Whole)
+	}
+	goldie.New(t).Assert(t, "kept", []byte(out.String()))
+	c.Assert(earlier.Kept(batcher.Spec{}), qt.HasLen, 0)
+}
+
 // Guards against a page that is larger than its limit, or empty.
 func TestPage(t *testing.T) {
 	c := qt.New(t)
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
@@ -60,7 +61,9 @@
 	case l != nil && r.Ended:
 		l.job.Finish()
 	case l == nil && mine && !r.Ended && fresh:
-		c.lead(r, batcher.NewJob(spec))
+		job := batcher.NewJob(spec)
+		job.Resume(c.kept(spec))
+		c.lead(r, job)
 	case l == nil && mine && !r.Ended:
 		c.load(ctx, r)
 	}
@@ -107,6 +110,22 @@
 	c.Signal()
 }
 
+// kept returns the texts that earlier jobs of the same model have left here for items that come again.
+func (c *Conductor) kept(next batcher.Spec) []batcher.Part {
+	var parts []batcher.Part
+	earlier := c.leading()
+	slices.Reverse(earlier)
+	for _, l := range earlier {
+		if s := l.job.Spec(); l.job.Finished() && s.Team == next.Team && s.Model == next.Model {
+			parts = append(parts, l.job.Kept(next)...)
+		}
+	}
+	if len(parts) > 0 {
+		c.Log.Emit(logger.TextsKept, "job", next.ID, "texts", len(parts))
+	}
+	return parts
+}
+
 // load begins to lead a job whose body is in the store.
 func (c *Conductor) load(ctx context.Context, r recorder.Record) {
 	spec, out, err := c.Recorder.Spec(ctx, r)
