--- a/cmd/mimosalb-node/main.go
+++ b/cmd/mimosalb-node/main.go
@@ -30,7 +30,7 @@
 	memoryPercent = 80
 	// collectPercent is the growth of the heap after which garbage is collected. Memory is dear on the platform and the
 	// live heap is small.
-	collectPercent = 50
+	collectPercent = 20
 )
 
 // stopper is a started process.
