hoster: one entry of a region reads changes for the others

Change: rendezvous hashing names one entry of each region. The others ask it for changes by net/rpc, a second at a time, and ask the store themselves for 5 s when it does not answer, or when its own last read is older than a watch may last. What an entry reads at the store it keeps for others, at most 256 changes and 512 KB (Relay). An entry that the store turns away learns of a later configuration in this way too.

Tests: TestRelay, TestSharedFeed (both of new parts).

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -1,4 +1,5 @@
-// Package jobpeer carries the reads of batch jobs between the processes that lead them, over net/rpc.
+// Package jobpeer carries submissions and reads of batch jobs between the processes that lead them, and the changes that
+// one of them reads for others, over net/rpc.
 package jobpeer
 
 import (
@@ -13,6 +14,7 @@
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
@@ -45,6 +47,34 @@
 	Refresh(ctx context.Context, id identifier.Job)
 }
 
+// FeedQuery asks for the changes of keys below a prefix after a revision.
+type FeedQuery struct {
+	Prefix string
+	After  int64
+	Wait   time.Duration
+}
+
+// FeedReply holds changes and the revision to go on from.
+type FeedReply struct {
+	Changes  []storer.Change
+	Revision int64
+	Outcome  storer.Outcome
+}
+
+// Feeds is the receiver of the calls for changes.
+type Feeds struct {
+	relays map[string]*storer.Relay
+}
+
+// Changes answers a query.
+func (f *Feeds) Changes(q FeedQuery, reply *FeedReply) error {
+	reply.Outcome = storer.Unavailable
+	if relay := f.relays[q.Prefix]; relay != nil {
+		reply.Changes, reply.Revision, reply.Outcome = relay.Changes(context.Background(), q.After, min(q.Wait, longestWait))
+	}
+	return nil
+}
+
 // Jobs is the receiver of the calls.
 type Jobs struct {
 	reader Reader
@@ -69,11 +99,13 @@
 	return nil
 }
 
-// Serve answers queries on a listener until it is closed.
-func Serve(l net.Listener, r Reader) error {
+// Serve answers queries on a listener until it is closed. The relays are those of prefixes that others may read here.
+func Serve(l net.Listener, r Reader, relays map[string]*storer.Relay) error {
 	server := rpc.NewServer()
-	if err := server.Register(&Jobs{reader: r}); err != nil {
-		return fmt.Errorf("register jobs: %w", err)
+	for _, receiver := range []any{&Jobs{reader: r}, &Feeds{relays: relays}} {
+		if err := server.Register(receiver); err != nil {
+			return fmt.Errorf("register receiver: %w", err)
+		}
 	}
 	for {
 		conn, err := l.Accept()
@@ -109,6 +141,15 @@
 	return reply.Results, reply.Led
 }
 
+// Changes asks the process at an address for the changes that it has read.
+func (c *Client) Changes(ctx context.Context, address, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, storer.Outcome) {
+	var reply FeedReply
+	if !c.call(ctx, address, "Feeds.Changes", FeedQuery{Prefix: prefix, After: after, Wait: wait}, &reply, wait+slack) {
+		return nil, 0, storer.Unavailable
+	}
+	return reply.Changes, reply.Revision, reply.Outcome
+}
+
 // Submit lets the process at an address accept a job.
 func (c *Client) Submit(ctx context.Context, address string, s batcher.Spec) (conductor.Acceptance, bool) {
 	var accepted conductor.Acceptance
--- a/internal/adapter/jobpeer/jobpeer_test.go
+++ b/internal/adapter/jobpeer/jobpeer_test.go
@@ -49,7 +49,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = jobpeer.Serve(kept, r)
+		_ = jobpeer.Serve(kept, r, nil)
 	}()
 	return l.Addr().String(), func() {
 		_ = l.Close()
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -65,6 +65,9 @@
 	presence  *presence
 	servers   []*http.Server
 	peers     net.Listener
+	client    *jobpeer.Client
+	// relays pass the changes below a prefix on to other entries.
+	relays map[string]*storer.Relay
 	// connected is the boot clock time of the last new connection.
 	connected atomic.Int64
 	cancel    context.CancelFunc
@@ -85,9 +88,14 @@
 		Navigator: nav, Registrar: reg, Router: route, Caller: p.Targets, Opener: p.Targets, Tally: tally, Clock: e.clock,
 		Zone: s.Zone, Region: s.Region,
 	})
+	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
+	e.relays = map[string]*storer.Relay{
+		p.PlanPrefix:   storer.NewRelay(e.clock, watchWait(e.Apply)+relayMargin),
+		p.TargetPrefix: storer.NewRelay(e.clock, watchWait(e.Drain)+relayMargin),
+	}
 	e.conductor = conductor.NewConductor(conductor.Parts{
 		Me: e.owner(), Recorder: recorder.NewRecorder(e.store.For(storer.PurposeRun), e.form), Navigator: nav, Registrar: reg, Router: route,
-		Forwarder: fwd, Caller: p.Targets, Opener: p.Targets, Peers: jobpeer.NewClient(p.Dial, e.clock, log), Clock: e.clock, Log: log,
+		Forwarder: fwd, Caller: p.Targets, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, Observe: o.Metrics.Item, Sampler: sampler,
 	})
 	e.presence = newPresence(e.base)
@@ -108,10 +116,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, changed: e.conductor.Signal}
+	operators := &operatorView{decoder: p.Decoder, navigator: nav, log: log}
+	e.running.Go(func() { e.followShared(ctx, p.PlanPrefix, 0, e.Apply, operators, source{e}, e.relays[p.PlanPrefix]) })
 	e.running.Go(func() {
-		e.follow(ctx, p.PlanPrefix, at(0), e.Apply, &operatorView{decoder: p.Decoder, navigator: nav, log: log})
+		e.followShared(ctx, p.TargetPrefix, e.Drain/settleShare, e.Drain, targets, source{e}, e.relays[p.TargetPrefix])
 	})
-	e.running.Go(func() { e.follow(ctx, p.TargetPrefix, at(e.Drain/settleShare), e.Drain, targets) })
 	e.running.Go(func() {
 		e.follow(ctx, recorder.NodePrefix, e.nodesSettle, nodesWithin, conductor.NewView(e.conductor, e.form))
 	})
@@ -151,13 +160,33 @@
 	}
 	e.peers = l
 	e.running.Go(func() {
-		if err := jobpeer.Serve(l, e.conductor); err != nil {
+		if err := jobpeer.Serve(l, e.conductor, e.relays); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
 		}
 	})
 	return nil
 }
 
+// source is the entry of the region that reads changes for the others.
+type source struct{ *Entry }
+
+// Address returns that entry, unless it is this one.
+func (s source) Address() (string, bool) {
+	p, ok := s.conductor.Reader()
+	return p.Address, ok && p.Owner != s.owner()
+}
+
+// Serves reports whether other entries read changes at this one.
+func (s source) Serves() bool {
+	p, ok := s.conductor.Reader()
+	return ok && p.Owner == s.owner() && s.conductor.Neighbours() > 0
+}
+
+// Ask reads changes at an entry.
+func (s source) Ask(ctx context.Context, address, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, storer.Outcome) {
+	return s.client.Changes(ctx, address, prefix, after, wait)
+}
+
 // nodesSettle returns the pause of the watch of the processes after a change. The process that gives the jobs of missing
 // ones to others learns of each at once.
 func (e *Entry) nodesSettle() time.Duration {
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -129,6 +129,8 @@
 	nodesWithin = 7 * time.Second
 	// freshMargin is the part of the time in which a change must be in force that is left for reading it.
 	freshMargin = 700 * time.Millisecond
+	// relayMargin is how much older than the wait of a watch the last read of the process that reads for others may be.
+	relayMargin = 300 * time.Millisecond
 	// leastWait bounds the wait of a watch from below, so that short times do not multiply the calls.
 	leastWait = 500 * time.Millisecond
 )
@@ -166,10 +168,33 @@
 
 // follow keeps a view of the keys below a prefix up to date, within the time that a change may take.
 func (b base) follow(ctx context.Context, prefix string, settle func() time.Duration, within time.Duration, v storer.View) {
-	wait := max(leastWait, within-freshMargin)
-	storer.NewFollower(b.platform.KeyValue, b.store.For(storer.PurposeConfig), prefix, settle, wait).Follow(ctx, v)
+	storer.NewFollower(b.platform.KeyValue, b.store.For(storer.PurposeConfig), prefix, settle, watchWait(within)).Follow(ctx, v)
 }
 
+// followShared keeps a view of the keys below a prefix up to date as follow does, and reads the changes at the process
+// that reads for others while there is one. What this process reads itself is passed on to the relay.
+func (b base) followShared(ctx context.Context, prefix string, settle, within time.Duration, v storer.View, s source, r *storer.Relay) {
+	feed := storer.NewSharedFeed(b.platform.KeyValue, s, r, b.clock)
+	pause := func() time.Duration {
+		switch {
+		case feed.Shared():
+			// The pause saves calls to the service, and there are none.
+			return 0
+		case s.Serves():
+			// Others wait for what is read.
+			return settle / 2
+		default:
+			return settle
+		}
+	}
+	// A pause and a wait together keep the last read within the limit of the relay.
+	wait := watchWait(within) - settle/2
+	storer.NewFollower(feed, b.store.For(storer.PurposeConfig), prefix, pause, wait).Follow(ctx, v)
+}
+
+// watchWait returns how long a watch waits for changes that must be in force within a time.
+func watchWait(within time.Duration) time.Duration { return max(leastWait, within-freshMargin) }
+
 // at returns a settle time that is always the same.
 func at(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
--- /dev/null
+++ b/internal/storer/relay_test.go
@@ -0,0 +1,156 @@
+package storer_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mimosalb/mimosalb/internal/standin/keyvalue"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+func change(key string, revision int64) storer.Change {
+	return storer.Change{Entry: storer.Entry{Key: key, Value: []byte(key), Changed: revision}}
+}
+
+// Guards against readers that miss a change of a relay, that are told that nothing has changed by one that has read
+// nothing for too long, and against a relay that grows without bound.
+func TestRelay(t *testing.T) {
+	clock := &timer.Manual{}
+	r := storer.NewRelay(clock, time.Second)
+	var out strings.Builder
+	ask := func(what string, after int64) {
+		changes, revision, o := r.Changes(context.Background(), after, 0)
+		keys := make([]string, 0, len(changes))
+		for _, c := range changes {
+			keys = append(keys, c.Key)
+		}
+		fmt.Fprintf(&out, "%s, after %d: %s %v up to %d\n", what, after, o, keys, revision)
+	}
+	ask("nothing read", 0)
+	clock.Advance(time.Second)
+	r.Reset(10)
+	ask("entries read", 10)
+	ask("entries read", 9)
+	ask("entries read, a reader ahead", 12)
+	r.Add(10, []storer.Change{change("a", 11), change("b", 13)}, 14)
+	ask("changes read", 10)
+	ask("changes read", 11)
+	ask("changes read", 14)
+	clock.Advance(1100 * time.Millisecond)
+	ask("last read too old", 14)
+	r.Add(14, nil, 14)
+	ask("read again", 10)
+	r.Add(20, []storer.Change{change("c", 21)}, 21)
+	ask("read elsewhere up to 20", 14)
+	ask("read elsewhere up to 20", 20)
+	for i := range int64(400) {
+		r.Add(21+i, []storer.Change{change("d", 22+i)}, 22+i)
+	}
+	ask("more than is kept", 100)
+	ask("more than is kept", 420)
+	goldie.New(t).Assert(t, "relay", []byte(out.String()))
+}
+
+// neighbour reads for others, unless it is away or frozen.
+type neighbour struct {
+	relay *storer.Relay
+	mutex sync.Mutex
+	away  bool
+	asked int
+}
+
+func (n *neighbour) Address() (string, bool) { return "n", true }
+
+func (n *neighbour) Ask(ctx context.Context, _, _ string, after int64, wait time.Duration) ([]storer.Change, int64, storer.Outcome) {
+	n.mutex.Lock()
+	n.asked++
+	away := n.away
+	n.mutex.Unlock()
+	if away {
+		return nil, 0, storer.Unavailable
+	}
+	return n.relay.Changes(ctx, after, wait)
+}
+
+// counted counts the calls to a key-value service.
+type counted struct {
+	*keyvalue.Service
+	mutex sync.Mutex
+	calls int
+}
+
+func (c *counted) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, storer.Outcome) {
+	c.mutex.Lock()
+	c.calls++
+	c.mutex.Unlock()
+	return c.Service.Changes(ctx, prefix, after, wait)
+}
+
+// Guards against a reader that stays behind when the process that reads for it is away, has lost the service or its
+// history, and against one that asks the service although another process reads for it.
+func TestSharedFeed(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewSystem()
+	kv := keyvalue.NewService(clock)
+	direct := &counted{Service: kv}
+	n := &neighbour{relay: storer.NewRelay(clock, 300*time.Millisecond)}
+	none := func() time.Duration { return 0 }
+	first, second := &view{changed: make(chan struct{}, 1000)}, &view{changed: make(chan struct{}, 1000)}
+	ctx, cancel := context.WithCancel(t.Context())
+	var following sync.WaitGroup
+	following.Go(func() {
+		alone := storer.NewSharedFeed(kv, nobody{}, n.relay, clock)
+		storer.NewFollower(alone, storer.NewStorer(kv, clock), "p/", none, 100*time.Millisecond).Follow(ctx, first)
+	})
+	kv.Write("p/a", []byte("0"))
+	for !first.shows("p/a=0") {
+		<-first.changed
+	}
+	following.Go(func() {
+		feed := storer.NewSharedFeed(direct, n, storer.NewRelay(clock, time.Second), clock)
+		storer.NewFollower(feed, storer.NewStorer(kv, clock), "p/", none, 200*time.Millisecond).Follow(ctx, second)
+	})
+	until := func(want string) {
+		for !second.shows(want) {
+			<-second.changed
+		}
+	}
+	kv.Write("p/a", []byte("1"))
+	until("p/a=1")
+	for i := range 20 {
+		kv.Write("p/b", fmt.Append(nil, i))
+		until(fmt.Sprintf("p/a=1 p/b=%d", i))
+	}
+	direct.mutex.Lock()
+	calls := direct.calls
+	direct.mutex.Unlock()
+	c.Assert(calls < 3, qt.IsTrue, qt.Commentf("%d calls to the service", calls))
+	kv.Compact()
+	kv.Write("p/b", []byte("x"))
+	until("p/a=1 p/b=x")
+	n.mutex.Lock()
+	n.away = true
+	n.mutex.Unlock()
+	kv.Write("p/a", []byte("2"))
+	until("p/a=2 p/b=x")
+	cancel()
+	following.Wait()
+	c.Assert(n.asked > 0, qt.IsTrue)
+}
+
+// nobody reads for others.
+type nobody struct{}
+
+func (nobody) Address() (string, bool) { return "", false }
+
+func (nobody) Ask(context.Context, string, string, int64, time.Duration) ([]storer.Change, int64, storer.Outcome) {
+	return nil, 0, storer.Unavailable
+}
