storer: a relay stops answering when its reads fail

It went on answering 'nothing new' until its last read was 2.1 s old, and its reader waited a further second at it; a target that had said at 2.1 s that it leaves got an item at 5.1 s.

Change: a failed read ends the answers at once, and a call never waits past the time at which the last read becomes too old. Readers ask the store then. Tests: TestRelay (read failed), TestRelayDoesNotHoldReaders; the second failed before for both cases by waiting 5 s.

--- a/internal/storer/relay.go
+++ b/internal/storer/relay.go
@@ -76,6 +76,14 @@
 	}
 }
 
+// Fail takes over that a read failed: from now on others read elsewhere, until the next read succeeds.
+func (r *Relay) Fail() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.read = 0
+	r.signal()
+}
+
 // signal wakes those who wait for changes. The caller holds the lock.
 func (r *Relay) signal() {
 	if r.wake != nil {
@@ -86,7 +94,7 @@
 
 // Changes waits for changes after a revision as Feed.Changes does. It is Unavailable when the last read is too old.
 func (r *Relay) Changes(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, Outcome) {
-	over := r.clock.After(wait)
+	over := r.clock.After(min(wait, r.left()))
 	defer over.Stop()
 	for {
 		found, revision, out, wake := r.since(after)
@@ -104,6 +112,13 @@
 	}
 }
 
+// left returns the time until the last read is too old.
+func (r *Relay) left() time.Duration {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return max(0, r.read+r.limit-r.clock.Boot())
+}
+
 // since returns the changes after a revision, the revision to go on from and a channel that is closed at the next change.
 func (r *Relay) since(after int64) ([]Change, int64, Outcome, <-chan struct{}) {
 	r.lock.Lock()
@@ -166,6 +181,8 @@
 	entries, revision, out := f.Feed.Snapshot(ctx, prefix)
 	if out == Applied {
 		f.relay.Reset(revision)
+	} else {
+		f.relay.Fail()
 	}
 	return entries, revision, out
 }
@@ -190,6 +207,8 @@
 	changes, revision, out := f.Feed.Changes(ctx, prefix, after, wait)
 	if out == Applied {
 		f.relay.Add(after, changes, revision)
+	} else {
+		f.relay.Fail()
 	}
 	return changes, revision, out
 }
--- a/internal/storer/relay_test.go
+++ b/internal/storer/relay_test.go
@@ -48,6 +48,8 @@
 	ask("last read too old", 14)
 	r.Add(14, nil, 14)
 	ask("read again", 10)
+	r.Fail()
+	ask("read failed", 14)
 	r.Add(20, []storer.Change{change("c", 21)}, 21)
 	ask("read elsewhere up to 20", 14)
 	ask("read elsewhere up to 20", 20)
@@ -146,6 +148,28 @@
 	c.Assert(n.asked > 0, qt.IsTrue)
 }
 
+// Guards against a reader that waits at another process which has lost the service, until long after that one's last read
+// is too old: it would work with a target that has left.
+func TestRelayDoesNotHoldReaders(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewSystem()
+	for name, lose := range map[string]func(*storer.Relay){"failing": (*storer.Relay).Fail, "silent": func(*storer.Relay) {}} {
+		r := storer.NewRelay(clock, 100*time.Millisecond)
+		r.Reset(1)
+		began := clock.Boot()
+		ended := make(chan storer.Outcome)
+		go func() {
+			_, _, out := r.Changes(t.Context(), 1, 5*time.Second)
+			ended <- out
+		}()
+		lose(r)
+		out := <-ended
+		if took := clock.Boot() - began; took > time.Second || name == "failing" && out != storer.Unavailable {
+			c.Errorf("%s: %s after %s", name, out, took)
+		}
+	}
+}
+
 // nobody reads for others.
 type nobody struct{}
 
