forwarder: a request held back as harmful is tried again after 15 s

Cause: after three attempts that broke off, requests with the same path, key and body were held back until one of them was answered, and none was sent that could be. Targets that broke off for a reason of their own, such as a crash, left harmless requests answered 502 by that process for good.

Change: like requests are held for 15 s after the last break; then one attempt finds out. TestHeldRequestIsTriedAgain failed before and passes now; TestHarmfulRequestIsHeld holds as before.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -111,7 +111,7 @@
 		return true, r.deliver(e, r.sink)
 	}
 	if e.try.Fault == Broken {
-		r.suspects.add(r.request)
+		r.suspects.add(r.request, r.Clock.Boot())
 	}
 	if e.ran() && e.try.Fault == Fine {
 		r.failure = &e
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -105,7 +105,7 @@
 	if !ok {
 		return result.refused(NoTarget)
 	}
-	if f.suspects.held(q) {
+	if f.suspects.held(q, f.Clock.Boot()) {
 		result.Outcome, result.Reason = Unknown, Suspect
 		return result
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -148,6 +148,10 @@
 }
 
 func newBench(p navigator.Plan, targets int, replies ...reply) bench {
+	return newTimedBench(timer.NewSystem(), p, targets, replies...)
+}
+
+func newTimedBench(clock timer.Service, p navigator.Plan, targets int, replies ...reply) bench {
 	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(nil), router.NewRouter(router.WithSeed(1))
 	nav.Adopt(p)
 	for i := range targets {
@@ -157,7 +161,7 @@
 	route.Adopt(view)
 	b := bench{caller: &caller{replies: replies}, tally: &tally{}}
 	b.Forwarder = forwarder.NewForwarder(forwarder.Parts{
-		Navigator: nav, Registrar: reg, Router: route, Caller: b.caller, Opener: b.caller, Tally: b.tally, Clock: timer.NewSystem(), Zone: "z",
+		Navigator: nav, Registrar: reg, Router: route, Caller: b.caller, Opener: b.caller, Tally: b.tally, Clock: clock, Zone: "z",
 	})
 	return b
 }
@@ -257,3 +261,19 @@
 	b.caller.replies = nil
 	c.Assert(b.Forward(t.Context(), q, &sink{}).Outcome, qt.Equals, forwarder.Answered)
 }
+
+// Guards against a harmless request that is held back for good because its targets once broke off for a reason of their
+// own: nothing else would ever clear it.
+func TestHeldRequestIsTriedAgain(t *testing.T) {
+	c := qt.New(t)
+	clock := &timer.Manual{}
+	broke := reply{fault: forwarder.Broken}
+	b := newTimedBench(clock, plan(), 9, broke, broke, broke)
+	q := forwarder.Request{ID: "r", Path: "/again/x", Host: "h", Key: "key"}
+	c.Assert(b.Forward(t.Context(), q, &sink{}).Outcome, qt.Equals, forwarder.Unknown)
+	clock.Advance(14 * time.Second)
+	c.Assert(b.Forward(t.Context(), q, &sink{}).Reason, qt.Equals, forwarder.Suspect)
+	clock.Advance(2 * time.Second)
+	c.Assert(b.Forward(t.Context(), q, &sink{}).Outcome, qt.Equals, forwarder.Answered)
+	c.Assert(b.Forward(t.Context(), q, &sink{}).Outcome, qt.Equals, forwarder.Answered)
+}
