httpserver: 503 and not 404 from an entry without a configuration

Cause: an entry that was started again answered 404 no-such-service until it had taken the configuration over: it looked the service up in the empty document. Callers do not send such a request again.

Change: without a configuration the answer is 503 no-configuration, to callers and trainers.

--- a/internal/adapter/httpserver/caller.go
+++ b/internal/adapter/httpserver/caller.go
@@ -64,9 +64,9 @@
 // open finds the service and the caller's team. The exchange ends early when the caller's key is withdrawn. A problem
 // with a status was found if ok is false.
 func (cs *Callers) open(c echo.Context, name identifier.Service, kind configurator.Kind) (*exchange, Problem, bool) {
-	service, ok := cs.config.Current().Service(name)
-	if !ok || service.Kind != kind {
-		return nil, refused(http.StatusNotFound, "no-such-service", "there is no "+string(kind)+" service of this name"), false
+	service, problem, ok := serviceOf(cs.config.Current(), name, kind)
+	if !ok {
+		return nil, problem, false
 	}
 	var who authenticator.Identity
 	var revoked <-chan struct{}
@@ -102,6 +102,19 @@
 	}, Problem{}, true
 }
 
+// serviceOf finds a service of a kind. An entry that has no configuration yet can't say that there is none.
+func serviceOf(d configurator.Document, name identifier.Service, kind configurator.Kind) (configurator.Service, Problem, bool) {
+	service, ok := d.Service(name)
+	switch {
+	case ok && service.Kind == kind:
+		return service, Problem{}, true
+	case d.Revision() == 0:
+		return service, refused(http.StatusServiceUnavailable, "no-configuration", "this entry has no configuration yet"), false
+	default:
+		return service, refused(http.StatusNotFound, "no-such-service", "there is no "+string(kind)+" service of this name"), false
+	}
+}
+
 // bearer returns the key of the Authorization header.
 func bearer(r *http.Request) (string, bool) {
 	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
--- a/internal/adapter/httpserver/trainer.go
+++ b/internal/adapter/httpserver/trainer.go
@@ -89,8 +89,8 @@
 	if detail := spec.Problem(); detail != "" {
 		return refused(http.StatusBadRequest, "bad-field", detail).write(c, 0)
 	}
-	if s, ok := ts.config.Current().Service(spec.Service); !ok || s.Kind != configurator.Model {
-		return refused(http.StatusNotFound, "no-such-service", "there is no model service of this name").write(c, 0)
+	if _, problem, ok := serviceOf(ts.config.Current(), spec.Service, configurator.Model); !ok {
+		return problem.write(c, 0)
 	}
 	if r := ts.runs.Open(ctx, spec); r.Outcome != collector.Done {
 		return ofReceipt(r).write(c, movedRetry)
