tracker: probe targets that have said that they leave

Cause: an observer probed no target whose standing was 'leaving'. The digest of a zone covers only observers of that zone, so that a target of another zone that drained and was started again under the same entry of the VM list stayed 'leaving' at that observer for good. Soak seed 25: all three ledger agents were stopped and started; one entry answered 503 no-target from then on (1,775 of 5,000 answers), two runs alike. A stack dump showed one probe left of six. Ruled out: a hanging call, the VM list, the key-value service.

Change: only targets that the VM list calls leaving are left out. Those that say so themselves are probed last, and as many of them as of the others. TestRestartedTargetIsFoundAgain failed before and passes now; seed 25 of the soak passes and stays as a case.

--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -238,3 +238,35 @@
 		c.Assert(serving(&tr), qt.Equals, 10, qt.Commentf("second %d", s))
 	}
 }
+
+// Guards against a target of another zone that drained and was started again, and that an observer never finds again
+// because it probes no target that has said that it leaves.
+func TestRestartedTargetIsFoundAgain(t *testing.T) {
+	c := qt.New(t)
+	var tr tracker.Tracker
+	tr.AdoptList(listOf(3, "a", "b"), 0)
+	probed := func() map[identifier.Target]bool {
+		all := make(map[identifier.Target]bool)
+		for _, m := range tr.Probes("a", "south", 1, tracker.DefaultProbes, 0, period) {
+			all[m.Target] = true
+		}
+		return all
+	}
+	for i := range 6 {
+		tr.Observe(target(i), tracker.Report{Incarnation: 1}, 0)
+	}
+	c.Assert(serving(&tr), qt.Equals, 6)
+	for i := range 6 {
+		tr.Observe(target(i), tracker.Report{Incarnation: 1, Draining: true}, 0)
+	}
+	c.Assert(serving(&tr), qt.Equals, 0)
+	for id := range probed() {
+		tr.Observe(id, tracker.Report{Incarnation: 2}, 0)
+	}
+	// Three of the own zone and two of the other.
+	c.Assert(serving(&tr), qt.Equals, 5)
+	leaving := listOf(3, "a", "b")
+	leaving[0].Leaving = true
+	tr.AdoptList(leaving, 0)
+	c.Assert(probed()[target(0)], qt.IsFalse)
+}
--- a/internal/tracker/zone.go
+++ b/internal/tracker/zone.go
@@ -72,7 +72,8 @@
 
 // Probes returns the targets that the observer probes itself, at most limit: those of its own zone that the digest does
 // not cover, then for each service some of other zones, near ones first. Observers with different seeds probe different
-// targets of a zone.
+// targets of a zone. Targets that have said that they leave come last, and as many of them: only a probe finds out that
+// one was started again.
 func (t *Tracker) Probes(zone identifier.Zone, region identifier.Region, seed uint64, limit int, now, period time.Duration) []Member {
 	t.lock.Lock()
 	defer t.lock.Unlock()
@@ -81,10 +82,11 @@
 		near    int
 		order   uint64
 		covered bool
+		leaving bool
 	}
 	var all []candidate
 	for id, m := range t.members {
-		c := candidate{member: m.listed, order: mix(seed, id), near: 2}
+		c := candidate{member: m.listed, order: mix(seed, id), near: 2, leaving: m.standing == Leaving}
 		switch {
 		case m.listed.Zone == zone:
 			c.near = 0
@@ -92,17 +94,21 @@
 		case m.listed.Region == region:
 			c.near = 1
 		}
-		if !c.covered && m.standing != Leaving {
+		if !c.covered && !m.listed.Leaving {
 			all = append(all, c)
 		}
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.near, b.near), cmp.Compare(a.order, b.order), cmp.Compare(a.member.Target, b.member.Target))
+		return cmp.Or(cmp.Compare(rank(a.leaving), rank(b.leaving)), cmp.Compare(a.near, b.near), cmp.Compare(a.order, b.order), cmp.Compare(a.member.Target, b.member.Target))
 	})
 	var out []Member
-	count := make(map[place]int)
+	type group struct {
+		place
+		leaving bool
+	}
+	count := make(map[group]int)
 	for _, c := range all {
-		at := place{c.member.Zone, c.member.Service}
+		at := group{place{c.member.Zone, c.member.Service}, c.leaving}
 		if len(out) < limit && (c.near == 0 || count[at] < perPlace) {
 			count[at]++
 			out = append(out, c.member)
@@ -111,6 +117,14 @@
 	return out
 }
 
+// rank orders false before true.
+func rank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // mix orders targets differently for each seed.
 func mix(seed uint64, id identifier.Target) uint64 {
 	h := fnv.New64a()
--- a/soak_test.go
+++ b/soak_test.go
@@ -6,12 +6,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,8 +29,11 @@
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
 
-// soakSeed is the seed of the run in CI; MIMOSALB_SOAK_SEED plays another one.
-const soakSeed = 1
+// soakSeeds are the seeds that failed once, with the cause. MIMOSALB_SOAK_SEED plays another one in their place.
+var soakSeeds = map[uint64]string{
+	1:  "an entry without a configuration answered 404",
+	25: "an entry never probed targets again that had drained and were started again",
+}
 
 // soakGrace is the time that a process has to stop, and soakBack the time within which all is well after the last fault.
 const (
@@ -46,6 +52,8 @@
 	callers []string
 	health  []string
 	key     string
+	// last is the last probe that failed.
+	last call
 }
 
 // newFleet starts the deployment.
@@ -124,7 +132,8 @@
 // answers reports whether every entry answers a probe with 200.
 func (f *fleet) answers(ctx context.Context, probe func(entry int) call) bool {
 	for i := range f.callers {
-		if probe(i).send(ctx).status != http.StatusOK {
+		if k := probe(i).send(ctx); k.status != http.StatusOK {
+			f.last = k
 			return false
 		}
 	}
@@ -138,7 +147,7 @@
 	for !f.answers(over, probe) {
 		select {
 		case <-over.Done():
-			f.c.Errorf("it did not come about that %s", what)
+			f.c.Errorf("it did not come about that %s; last %s: %d %s", what, f.last.url, f.last.status, f.last.answer)
 			return
 		case <-time.After(50 * time.Millisecond):
 		}
@@ -257,6 +266,19 @@
 // Guards against calls that run twice, refusals that are not true, texts that are cut and look whole, processes that end by
 // themselves and a deployment that does not recover, while entries and agents are killed, paused and stopped.
 func TestSoakOfOwnInterface(t *testing.T) {
+	seeds := slices.Sorted(maps.Keys(soakSeeds))
+	if text := os.Getenv("MIMOSALB_SOAK_SEED"); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		qt.Assert(t, err, qt.IsNil)
+		seeds = []uint64{seed}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+// soak plays one seed.
+func soak(t *testing.T, seed uint64) {
 	c := qt.New(t)
 	f := newFleet(c)
 	f.await(t.Context(), "every entry runs", f.healthy)
@@ -268,11 +290,6 @@
 	f.await(t.Context(), "every entry serves calls", func(i int) call { return f.pledge(i, "start") })
 	f.await(t.Context(), "every entry serves texts", f.completion)
 
-	seed := uint64(soakSeed)
-	if text := os.Getenv("MIMOSALB_SOAK_SEED"); text != "" {
-		_, err := fmt.Sscan(text, &seed)
-		c.Assert(err, qt.IsNil)
-	}
 	calling, hangUp := context.WithCancel(t.Context())
 	var mutex sync.Mutex
 	var done []call
