--- a/internal/tracker/zone.go
+++ b/internal/tracker/zone.go
@@ -99,7 +99,8 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(rank(a.leaving), rank(b.leaving)), cmp.Compare(a.near, b.near), cmp.Compare(a.order, b.order), cmp.Compare(a.member.Target, b.member.Target))
+		return cmp.Or(cmp.Compare(rank(a.leaving), rank(b.leaving)), cmp.Compare(a.near, b.near), cmp.Compare(a.order, b.order),
+			cmp.Compare(a.member.Target, b.member.Target))
 	})
 	var out []Member
 	type group struct {
