hoster: an entry is ready once it has read the listings

Change: readiness needs one whole reading of the listings. TestReadyOnceTargetsAreKnown holds that reading back for a second; it failed before and passes now. TestConfigurationChanges is as it was.

--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -32,7 +32,7 @@
 	Conductor *conductor.Conductor
 	Clock     timer.Service
 	Log       *logger.Logger
-	// InTouch reports whether the key-value service was reached lately.
+	// InTouch reports whether the key-value service was reached lately and the listings of targets have been read.
 	InTouch func() bool
 	Meter   Meter
 	Sampler *logger.Sampler
@@ -98,10 +98,12 @@
 		Forwarder: fwd, Caller: p.Targets, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, Observe: o.Metrics.Item, Sampler: sampler,
 	})
+	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, changed: e.conductor.Signal}
 	e.presence = newPresence(e.base)
 	e.front = newFront(FrontParts{
-		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log, InTouch: e.presence.inTouch,
-		Meter: o.Metrics, Sampler: sampler,
+		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log,
+		InTouch: func() bool { return e.presence.inTouch() && targets.known.Load() },
+		Meter:   o.Metrics, Sampler: sampler,
 	})
 	if err := e.serve(); err != nil {
 		return nil, err
@@ -115,7 +117,6 @@
 	e.unexport = unexport
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, changed: e.conductor.Signal}
 	operators := &operatorView{decoder: p.Decoder, navigator: nav, log: log}
 	e.running.Go(func() { e.followShared(ctx, p.PlanPrefix, 0, e.Apply, operators, source{e}, e.relays[p.PlanPrefix]) })
 	e.running.Go(func() {
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -77,6 +78,8 @@
 	// interrupted is the boot clock time of the last interruption; zero before the first.
 	interrupted time.Duration
 	changed     func()
+	// known is set once all listings have been read.
+	known atomic.Bool
 }
 
 // Reset takes over all entries.
@@ -89,6 +92,7 @@
 	}
 	v.registrar.Replace(all, v.clock.Boot())
 	v.adopt()
+	v.known.Store(true)
 }
 
 // Interrupted tells that listings may be missed.
