--- a/internal/conductor/tend.go
+++ b/internal/conductor/tend.go
@@ -120,30 +120,6 @@
 	return due
 }
 
-// Sweeps reports whether this process is the one that gives the jobs of missing processes to others.
-func (c *Conductor) Sweeps() bool {
-	sweeper, ok := c.heir("sweep", anyone)
-	return ok && sweeper.Owner == c.Me
-}
-
-// Reader returns the process that reads what operators and targets write for the others of its region.
-func (c *Conductor) Reader() (recorder.Presence, bool) {
-	return c.heir("read", func(p recorder.Presence) bool { return p.Region == c.Region })
-}
-
-// Neighbours returns the number of other processes of the region.
-func (c *Conductor) Neighbours() int {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	n := 0
-	for _, p := range c.nodes {
-		if p.Region == c.Region && p.Owner != c.Me {
-			n++
-		}
-	}
-	return n
-}
-
 // sweepDue reports whether this process is to look through all jobs now.
 func (c *Conductor) sweepDue() bool {
 	sweeps := c.Sweeps()
--- a/internal/conductor/view.go
+++ b/internal/conductor/view.go
@@ -124,3 +124,27 @@
 
 // anyone fits every process.
 func anyone(recorder.Presence) bool { return true }
+
+// Sweeps reports whether this process is the one that gives the jobs of missing processes to others.
+func (c *Conductor) Sweeps() bool {
+	sweeper, ok := c.heir("sweep", anyone)
+	return ok && sweeper.Owner == c.Me
+}
+
+// Reader returns the process that reads what operators and targets write for the others of its region.
+func (c *Conductor) Reader() (recorder.Presence, bool) {
+	return c.heir("read", func(p recorder.Presence) bool { return p.Region == c.Region })
+}
+
+// Neighbours returns the number of other processes of the region.
+func (c *Conductor) Neighbours() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	n := 0
+	for _, p := range c.nodes {
+		if p.Region == c.Region && p.Owner != c.Me {
+			n++
+		}
+	}
+	return n
+}
