forwarder: a caller that leaves does not suspend its target

Cause: when the caller and its attempt end together, a select takes either. If it took the attempt, the attempt was recorded as a failure of its target, which was suspended for half a second and more, and the outcome was "unknown". Streams recorded such a failure whenever their caller left. Change: an attempt without an answer whose caller has left is recorded as pending, and its target is left as it was. Before/after: TestLeavingCallerDoesNotSuspendTheTarget and TestCallerLeavesMidStream failed, now pass.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -170,11 +171,17 @@
 	x.Counter.Count(x.team, at)
 }
 
-// recordAttempt adds an ended attempt to the result and updates the state of its target in the registrar.
-func (x *exchange) recordAttempt(a Attempt) {
+// recordAttempt adds an ended attempt to the result and updates the state of its target in the registrar. An attempt that
+// ended because its caller left says nothing about its target.
+func (x *exchange) recordAttempt(ctx context.Context, a Attempt) {
+	abandoned := a.Fault != NoFault && callerLeft(ctx)
+	if abandoned {
+		a.Fault = Pending
+	}
 	x.result.Attempts = append(x.result.Attempts, a)
 	now := x.Clock.Monotonic()
 	switch {
+	case abandoned:
 	case a.Fault != NoFault:
 		x.Registrar.RecordFailure(a.Target, now)
 	case a.NotRun:
@@ -184,6 +191,11 @@
 	}
 }
 
+// callerLeft reports whether the context of a request ended because its caller left, and not because its time was up.
+func callerLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 // failureResult returns the result of a request that has no attempts left and no answer.
 func (x *exchange) failureResult() Result {
 	r := x.result
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -33,6 +33,8 @@
 	cut bool
 	// hang blocks the call until it is cancelled.
 	hang bool
+	// before is called before the reply is given.
+	before func()
 }
 
 // caller returns the replies in order, whichever target is called.
@@ -56,6 +58,9 @@
 		r, c.replies = c.replies[0], c.replies[1:]
 	}
 	c.mutex.Unlock()
+	if r.before != nil {
+		r.before()
+	}
 	if r.hang {
 		<-ctx.Done()
 		return forwarder.Answer{}, forwarder.Broken
@@ -249,6 +254,32 @@
 	c.Assert(r.Outcome, qt.Equals, forwarder.CallerLeft)
 }
 
+// Guards against a target that is suspended because a caller left: whether the end of the attempt or the end of the
+// caller's context is seen first, the outcome is that the caller left and the target keeps getting requests.
+func TestLeavingCallerDoesNotSuspendTheTarget(t *testing.T) {
+	c := qt.New(t)
+	for _, path := range []string{"/once/x", "/again/x", "/stream/x", "/resume/x"} {
+		for range 50 {
+			ctx, cancel := context.WithCancel(t.Context())
+			f := newFixtureWithClock(&timer.Manual{}, plan(), 1, reply{fault: forwarder.Broken, before: cancel})
+			r := f.Forward(ctx, forwarder.Request{ID: "r", Path: path, Host: "h", Key: "key"}, &sink{})
+			c.Assert(r.Outcome, qt.Equals, forwarder.CallerLeft, qt.Commentf(path))
+			c.Assert(r.FormatAttempts(), qt.Matches, "t0:pending:0", qt.Commentf(path))
+			c.Assert(f.Registrar.TargetsToAvoid("s", "", 0, 0), qt.HasLen, 0, qt.Commentf(path))
+		}
+	}
+}
+
+// Guards against a stream whose target is suspended because its caller left in the middle of it.
+func TestCallerLeavesMidStream(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	f := newFixtureWithClock(&timer.Manual{}, plan(), 1, reply{status: 200, body: "1:a\n", cut: true, before: cancel})
+	r := f.Forward(ctx, forwarder.Request{ID: "r", Path: "/resume/x", Host: "h", Key: "key"}, &sink{})
+	c.Assert(r.Outcome, qt.Equals, forwarder.CallerLeft)
+	c.Assert(f.Registrar.TargetsToAvoid("s", "", 0, 0), qt.HasLen, 0)
+}
+
 // Guards against a request that crashes one target after another because its caller keeps retrying it.
 func TestHarmfulRequestIsHeldBack(t *testing.T) {
 	c := qt.New(t)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -58,7 +58,7 @@
 // interruptedStream returns the result of a stream whose context ended.
 func (x *exchange) interruptedStream(ctx context.Context, p progress) Result {
 	switch {
-	case !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case callerLeft(ctx):
 		x.result.Outcome = CallerLeft
 	case p.begun:
 		x.result.Outcome = Interrupted
@@ -84,7 +84,7 @@
 	a, fault := x.TargetClient.Call(ctx, call)
 	attempt := Attempt{Target: target.ID, Status: a.Status, NotRun: a.NotRun, Fault: fault}
 	if fault != NoFault || a.NotRun || a.Status >= 300 {
-		return x.attemptWithoutEvents(attempt, a, began, sentAt, p)
+		return x.attemptWithoutEvents(ctx, attempt, a, began, sentAt, p)
 	}
 	defer a.Body.Close() //nolint:errcheck // the answer was read, so the error changes nothing
 	x.countRequest(sentAt)
@@ -98,12 +98,12 @@
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			attempt.Took = x.Clock.Monotonic() - began
-			x.recordAttempt(attempt)
+			x.recordAttempt(ctx, attempt)
 			return true, false
 		}
 		if err != nil {
 			attempt.Fault, attempt.Took = Broken, x.Clock.Monotonic()-began
-			x.recordAttempt(attempt)
+			x.recordAttempt(ctx, attempt)
 			return false, x.route.Resumable && ctx.Err() == nil
 		}
 		if p.hasEvent && e.Number <= p.lastEvent {
@@ -119,9 +119,11 @@
 
 // attemptWithoutEvents handles an attempt of a stream that has a fault, a refusal or an answer other than a stream.
 // Its results are those of attemptStream.
-func (x *exchange) attemptWithoutEvents(attempt Attempt, a Answer, began time.Duration, sentAt time.Time, p *progress) (complete, retry bool) {
+func (x *exchange) attemptWithoutEvents(
+	ctx context.Context, attempt Attempt, a Answer, began time.Duration, sentAt time.Time, p *progress,
+) (complete, retry bool) {
 	attempt.Took = x.Clock.Monotonic() - began
-	x.recordAttempt(attempt)
+	x.recordAttempt(ctx, attempt)
 	mayHaveRun := attempt.Fault == Broken || attempt.Fault == NoFault && !attempt.NotRun
 	if mayHaveRun {
 		x.countRequest(sentAt)
--- a/internal/forwarder/unary.go
+++ b/internal/forwarder/unary.go
@@ -111,8 +111,13 @@
 // reports whether the request has ended.
 func (r *unaryExchange) handleEndedAttempt(e endedAttempt) (bool, Result) {
 	r.running--
+	if e.attempt.Fault != NoFault && callerLeft(r.ctx) {
+		// The end of the caller's context ended the attempt; both may become visible in either order.
+		e.release()
+		return true, r.interrupted(CallerLeft)
+	}
 	delete(r.runningAttempts, e.attempt.Target)
-	r.recordAttempt(e.attempt)
+	r.recordAttempt(r.ctx, e.attempt)
 	if e.mayHaveRun() {
 		r.countRequest(e.sentAt)
 	}
