authenticator: judge no key before keys are adopted

Cause: an entry that starts puts its configuration in force before its authenticator adopts the keys in it. In between a valid key was answered 401, which no caller repeats. Callers' routes also asked for the freshness after the refusal, so that the answer could change in between; trainers' routes did not ask at all. Change: Authenticate returns a verdict with a value for a key that can't be judged yet; callers and trainers get 503 "not run".

--- a/internal/adapter/httpserver/caller.go
+++ b/internal/adapter/httpserver/caller.go
@@ -71,11 +71,9 @@
 	var identity authenticator.Identity
 	var revoked <-chan struct{}
 	if key, given := bearerToken(c.Request()); given {
-		if identity, revoked, ok = cs.auth.Authenticate(key); !ok && !cs.auth.IsFresh() {
-			return nil, notRunProblem(http.StatusServiceUnavailable, "keys-stale", "this entry's list of withdrawn keys is out of date"), false
-		}
-		if !ok {
-			return nil, notRunProblem(http.StatusUnauthorized, "key-refused", "the key is unknown or withdrawn"), false
+		var verdict authenticator.Verdict
+		if identity, revoked, verdict = cs.auth.Authenticate(key); verdict != authenticator.Accepted {
+			return nil, keyProblem(verdict), false
 		}
 	} else if !service.Open {
 		return nil, notRunProblem(http.StatusUnauthorized, "key-missing", "want an Authorization header with a bearer key"), false
@@ -102,6 +100,14 @@
 	}, Problem{}, true
 }
 
+// keyProblem returns the problem for a key that was not accepted.
+func keyProblem(v authenticator.Verdict) Problem {
+	if v == authenticator.Undecided {
+		return notRunProblem(http.StatusServiceUnavailable, "keys-stale", "this entry has no current list of keys")
+	}
+	return notRunProblem(http.StatusUnauthorized, "key-refused", "the key is missing, unknown or withdrawn")
+}
+
 // findService looks up a service of the given kind. If the entry has no configuration yet, the problem has status 503
 // instead of 404, since the service may exist.
 func findService(d configurator.Document, name identifier.Service, kind configurator.Kind) (configurator.Service, Problem, bool) {
--- a/internal/adapter/httpserver/trainer.go
+++ b/internal/adapter/httpserver/trainer.go
@@ -57,9 +57,9 @@
 // cancelled when the key is withdrawn.
 func (ts *TrainerRoutes) readRequest(c echo.Context, body any) (context.Context, context.CancelFunc, identifier.Team, *Problem) {
 	key, _ := bearerToken(c.Request())
-	identity, revoked, ok := ts.auth.Authenticate(key)
-	if !ok {
-		p := notRunProblem(http.StatusUnauthorized, "key-refused", "the key is missing, unknown or withdrawn")
+	identity, revoked, verdict := ts.auth.Authenticate(key)
+	if verdict != authenticator.Accepted {
+		p := keyProblem(verdict)
 		return nil, nil, "", &p
 	}
 	if body != nil {
--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -26,7 +26,20 @@
 	Caller identifier.Caller
 }
 
-// Authenticator validates keys against the adopted configuration.
+// Verdict is the outcome of Authenticate.
+type Verdict int
+
+const (
+	// Accepted means that the key is valid.
+	Accepted Verdict = iota + 1
+	// Refused means that the key is unknown or withdrawn.
+	Refused
+	// Undecided means that this node can't judge keys now: it has adopted no keys yet, or its list of withdrawn keys is
+	// out of date.
+	Undecided
+)
+
+// Authenticator validates keys against the adopted configuration. The zero value has adopted no keys and judges none.
 //
 // Invariant: a key that was withdrawn at this node is never accepted again. Lock rank: container.RankAuthenticator.
 type Authenticator struct {
@@ -36,6 +49,8 @@
 	// byHash finds a key by its hash. A lookup reveals nothing about the key, since its input is a keyed hash.
 	byHash   map[[configurator.HashSize]byte]*keyState
 	byCaller map[identifier.Caller]*keyState
+	// adopted is set by the first call of Adopt.
+	adopted bool
 }
 
 // keyState is a key of the configuration with a channel that is closed when the key is no longer accepted.
@@ -71,8 +86,13 @@
 	}
 }
 
-// IsFresh reports whether the node knows of recent withdrawals, so that keys are accepted.
-func (a *Authenticator) IsFresh() bool { return a.fresh == nil || a.fresh() }
+// IsFresh reports whether the node has adopted keys and knows of recent withdrawals, so that keys are judged.
+func (a *Authenticator) IsFresh() bool {
+	a.lock.Lock()
+	adopted := a.adopted
+	a.lock.Unlock()
+	return adopted && (a.fresh == nil || a.fresh())
+}
 
 // NewAuthenticator returns an Authenticator without keys.
 func NewAuthenticator(opts ...Option) *Authenticator {
@@ -83,20 +103,20 @@
 	return a
 }
 
-// Authenticate returns the identity of key and a channel that is closed when the key is withdrawn. The third result is
-// false for a key that is unknown or withdrawn, and for every key while IsFresh is false.
-func (a *Authenticator) Authenticate(key string) (Identity, <-chan struct{}, bool) {
+// Authenticate judges a key. If it is accepted, Authenticate also returns its identity and a channel that is closed when
+// the key is withdrawn.
+func (a *Authenticator) Authenticate(key string) (Identity, <-chan struct{}, Verdict) {
 	if !a.IsFresh() {
-		return Identity{}, nil, false
+		return Identity{}, nil, Undecided
 	}
 	sum := Hash(a.pepper, key)
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	e, ok := a.byHash[sum]
 	if !ok || e.key.Withdrawn || !hmac.Equal(e.key.Hash[:], sum[:]) {
-		return Identity{}, nil, false
+		return Identity{}, nil, Refused
 	}
-	return Identity{Team: e.key.Team, Caller: e.key.Caller}, e.revoked, true
+	return Identity{Team: e.key.Team, Caller: e.key.Caller}, e.revoked, Accepted
 }
 
 // Adopt replaces the keys by those of a configuration. Keys that were removed, withdrawn or changed are revoked.
@@ -117,7 +137,7 @@
 			revoke(old)
 		}
 	}
-	a.byHash, a.byCaller = byHash, byCaller
+	a.byHash, a.byCaller, a.adopted = byHash, byCaller, true
 }
 
 // keyStateFor returns the current state of k if the key is unchanged, otherwise a new one.
--- a/internal/authenticator/authenticator_test.go
+++ b/internal/authenticator/authenticator_test.go
@@ -41,7 +41,7 @@
 	show := func(when string) {
 		_, _, good := a.Authenticate("key-0")
 		_, _, withdrawn := a.Authenticate("key-1")
-		fmt.Fprintf(&out, "%s: good key %v, withdrawn key %v\n", when, good, withdrawn)
+		fmt.Fprintf(&out, "%s: good key %v, withdrawn key %v\n", when, good == authenticator.Accepted, withdrawn == authenticator.Accepted)
 	}
 	show("before any proof")
 	proven = true
@@ -74,7 +74,8 @@
 			}
 			a.Adopt(config.Current())
 			for name, w := range withdrawn {
-				_, revoked, ok := a.Authenticate(name)
+				_, revoked, verdict := a.Authenticate(name)
+				ok := verdict == authenticator.Accepted
 				if ok == w {
 					t.Fatalf("key-withdrawn: Authenticate(%s) returned %v at step %d", name, ok, step)
 				}
@@ -101,13 +102,27 @@
 	c := qt.New(t)
 	a := authenticator.NewAuthenticator(authenticator.WithPepper(pepper))
 	a.Adopt(keys(false))
-	_, revoked, ok := a.Authenticate("key-0")
-	c.Assert(ok, qt.IsTrue)
+	_, revoked, verdict := a.Authenticate("key-0")
+	c.Assert(verdict, qt.Equals, authenticator.Accepted)
 	d := keys(false)
 	k := d.Keys()[0]
 	k.Hash = authenticator.Hash(pepper, "other")
 	a.Adopt(d.WithKey(k))
-	_, _, ok = a.Authenticate("key-0")
-	c.Assert(ok, qt.IsFalse)
+	_, _, verdict = a.Authenticate("key-0")
+	c.Assert(verdict, qt.Equals, authenticator.Refused)
 	<-revoked
 }
+
+// Guards against a valid key that is refused as unknown by an entry that has started and not adopted its keys yet. A
+// caller does not repeat a request after that refusal.
+func TestNoKeyIsJudgedBeforeAdoption(t *testing.T) {
+	c := qt.New(t)
+	a := authenticator.NewAuthenticator(authenticator.WithPepper(pepper))
+	_, _, verdict := a.Authenticate("key-0")
+	c.Assert(verdict, qt.Equals, authenticator.Undecided)
+	a.Adopt(keys(false))
+	_, _, verdict = a.Authenticate("key-0")
+	c.Assert(verdict, qt.Equals, authenticator.Accepted)
+	_, _, verdict = a.Authenticate("another")
+	c.Assert(verdict, qt.Equals, authenticator.Refused)
+}
