executor, gatekeeper: free the slot before the answer can be read

Cause: the final record of an attempt could be read before the gate counted the attempt as ended. An entry that reads it sends its next attempt at once; at an agent at its limit that attempt was refused. Four such refusals of one request, or a used-up retry budget, are answered 503 targets-busy (seen once in TestWholeAnswersHaveTheirUsage). Change: the gate frees the slot before the stream gets its final record. Running attempts still hold a planned stop.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -175,6 +175,7 @@
 		f(EndedAttempt{Attempt: j.attempt, Call: j.call, Final: final})
 	}
 	e.jobs.Delete(j.attempt)
+	e.gate.Free(j.attempt)
 	j.stream.Finish(final)
 	e.gate.End(j.attempt, e.clock.Now())
 }
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -43,6 +43,8 @@
 	once   bool
 	ended  bool
 	read   bool
+	// freed is set when the attempt no longer counts against the concurrency.
+	freed bool
 }
 
 // releaseAnswer drops the answer of a read attempt that may be repeated: an entry that did not get the final record
@@ -66,8 +68,10 @@
 	capacity    int
 	concurrency int
 	running     int
-	draining    bool
-	records     map[identifier.Attempt]*record
+	// occupied counts the admitted attempts that count against the concurrency.
+	occupied int
+	draining bool
+	records  map[identifier.Attempt]*record
 	// expiries holds the expiry of each attempt that ended or was ruled out, earliest first.
 	expiries container.Queue[expiry]
 	idle     chan struct{}
@@ -134,9 +138,28 @@
 	r := &record{stream: &streamer.Stream{}, once: o.Once}
 	g.records[o.Attempt] = r
 	g.running++
+	g.occupied++
 	return Admitted, r.stream
 }
 
+// Free makes room for another attempt in place of one whose target has ended. It is called before the final record can
+// be read, because the entry that reads the record may send its next attempt at once.
+func (g *Gatekeeper) Free(a identifier.Attempt) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if r, ok := g.records[a]; ok && r.stream != nil {
+		g.free(r)
+	}
+}
+
+// free is Free with the lock held.
+func (g *Gatekeeper) free(r *record) {
+	if !r.freed {
+		r.freed = true
+		g.occupied--
+	}
+}
+
 // End records that an admitted attempt has ended. The caller must finish its stream before.
 func (g *Gatekeeper) End(a identifier.Attempt, now time.Time) {
 	g.lock.Lock()
@@ -146,6 +169,7 @@
 		panic("invariant at-most-once: only a running attempt ends: " + a.String())
 	}
 	r.ended = true
+	g.free(r)
 	g.expiries.Push(expiry{attempt: a, expiresAt: now.Add(g.retention)})
 	g.running--
 	if !r.read {
@@ -264,7 +288,7 @@
 
 // full reports whether the bound on running attempts or the capacity of the ledger is reached.
 func (g *Gatekeeper) full() bool {
-	return g.concurrency > 0 && g.running >= g.concurrency || len(g.records) >= g.capacity
+	return g.concurrency > 0 && g.occupied >= g.concurrency || len(g.records) >= g.capacity
 }
 
 // dropExpired drops the records past their retention.
