upgrader: share targets among models by their work

Cause: each trained model was kept up to date at an equal share of the targets. While only one model had a version it took all targets. The end of a load was seen up to 150 ms late, which holds back the next one. Change: a job's record says its model and expected work; the holder of the duty reads the records after each announcement and gives each model targets in proportion, at least half of an equal share. Reports are read each 50 ms while a load ends. The golden file of TestChooseLoads has the pattern: long and short texts on thirty targets.

--- a/internal/batcher/spec.go
+++ b/internal/batcher/spec.go
@@ -74,6 +74,15 @@
 		slices.Equal(r.Versions, other.Versions) && r.Score == other.Score
 }
 
+// Work returns the expected length of all texts in tokens. An item without a hint counts as one token.
+func (s Spec) Work() int {
+	work := 0
+	for _, item := range s.Items {
+		work += max(item.Hint, 1)
+	}
+	return work
+}
+
 // startOrder returns the indices of the items in the order in which they start. The longest are first, because a group
 // is complete only when its last item ends, and nearly every group has a long one.
 func (s Spec) startOrder() []int {
--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -11,6 +11,7 @@
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/storer"
@@ -89,7 +90,7 @@
 	}
 	nav, reg := &c.plan, registrar.NewRegistrar(c.Regions)
 	up := upgrader.NewUpgrader(upgrader.Dependencies{
-		Navigator: nav, Registrar: reg, Engines: c.platform.Targets, Clock: c.clock, Log: c.log,
+		Navigator: nav, Registrar: reg, Engines: c.platform.Targets, Work: c.modelWork, Clock: c.clock, Log: c.log,
 	}, term, valid)
 	report := tallier.NewReporter(
 		meter.Calendar{Length: c.Window}, c.store.WithPurpose(storer.PurposeSeal), c.codec, c.platform.ReportReceiver, c.clock, c.log, term, valid)
@@ -117,6 +118,20 @@
 	c.log.Emit(logger.DutyEnded, "duty", Duty, "fence", term.Fence)
 }
 
+// modelWork returns the work of each model in the batch jobs on record.
+func (c *Controller) modelWork(ctx context.Context) (map[identifier.Model]int, bool) {
+	records, out, err := recorder.NewRecorder(c.store.WithPurpose(storer.PurposeConfig), c.codec).Records(ctx)
+	if out != storer.Applied || err != nil {
+		c.log.Emit(logger.JobUnreadable, "outcome", out.String(), "error", err)
+		return nil, false
+	}
+	work := make(map[identifier.Model]int)
+	for _, r := range records {
+		work[r.Model] += r.Work
+	}
+	return work, true
+}
+
 // retire writes the status that releases a VM with a disk. It does so at once, because the service keeps no data on the
 // disk.
 func (c *Controller) retire(ctx context.Context, n identifier.Node, status storer.Put) {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -44,6 +44,9 @@
 	Parts     int
 	Total     int
 	Submitted time.Time
+	// Model is the model whose weights generate the texts, and Work the expected length of all of them in tokens.
+	Model identifier.Model
+	Work  int
 	// Ended is set when the job was ended; no further items run.
 	Ended bool
 	// Changed is the revision of the record in the key-value service, or zero if the record does not exist.
@@ -113,7 +116,10 @@
 		return storer.Unavailable, err
 	}
 	parts := splitValue(data)
-	record := Record{ID: s.ID, Team: s.Team, Owner: o, Term: 1, Parts: len(parts), Total: len(s.Items), Submitted: s.Submitted}
+	record := Record{
+		ID: s.ID, Team: s.Team, Owner: o, Term: 1, Parts: len(parts), Total: len(s.Items), Submitted: s.Submitted,
+		Model: s.Model, Work: s.Work(),
+	}
 	encodedRecord, err := r.codec.EncodeRecord(record)
 	if err != nil {
 		return storer.Unavailable, err
--- a/internal/upgrader/load_test.go
+++ b/internal/upgrader/load_test.go
@@ -14,7 +14,8 @@
 )
 
 // Guards against more targets loading at a time than maxLoadingShare, loads at draining targets, loads of one model
-// at every target of a service with several models, and targets that change their model with each version.
+// at every target of a service with several models, targets that change their model with each version, and a model of long
+// texts that waits for targets because models of short texts have as many.
 func TestChooseLoads(t *testing.T) {
 	type versions = map[identifier.Model]identifier.Version
 	fleet := func(n int, v versions) []registrar.Listing {
@@ -25,6 +26,7 @@
 		return all
 	}
 	var out strings.Builder
+	var work map[identifier.Model]int
 	show := func(what string, models []identifier.Model, all []registrar.Listing, desired versions, loading ...identifier.Target) {
 		plan := navigator.NewPlan(1).WithServices(navigator.Service{Name: "s", Models: models})
 		loadingServices := make(map[identifier.Target]identifier.Service)
@@ -32,7 +34,7 @@
 			loadingServices[id] = "s"
 		}
 		lines := make([]string, 0, len(all))
-		for _, w := range chooseLoads(plan, all, desired, loadingServices) {
+		for _, w := range chooseLoads(plan, all, desired, work, loadingServices) {
 			lines = append(lines, fmt.Sprintf("%s:%s=%d", w.listing.ID, w.model, w.version))
 		}
 		fmt.Fprintf(&out, "%-40s %s\n", what, strings.Join(lines, " "))
@@ -42,7 +44,7 @@
 		plan := navigator.NewPlan(1).WithServices(navigator.Service{Name: "s", Models: models})
 		loads := 0
 		for {
-			next := chooseLoads(plan, all, desired, nil)
+			next := chooseLoads(plan, all, desired, work, nil)
 			if len(next) == 0 {
 				break
 			}
@@ -72,5 +74,13 @@
 	all := loadAll("three models share eight targets", three, fleet(8, versions{"a": 1, "b": 1, "c": 1}), versions{"a": 2, "b": 2, "c": 2})
 	loadAll("the next version goes to the same", three, all, versions{"a": 3, "b": 2, "c": 2})
 	loadAll("three models on two targets", three, fleet(2, versions{"a": 1, "b": 1, "c": 1}), versions{"a": 2, "b": 2, "c": 2})
+	work = map[identifier.Model]int{"a": 8200, "b": 2600, "c": 0}
+	two := three[:2]
+	all = loadAll("long and short texts on thirty targets", two, fleet(30, versions{"a": 1, "b": 1}), versions{"a": 2, "b": 2})
+	loadAll("the next version of the long texts", two, all, versions{"a": 3, "b": 2})
+	loadAll("only the short texts have a version", two, fleet(30, versions{"a": 1, "b": 1}), versions{"b": 2})
+	loadAll("a model without known work", three, fleet(9, versions{"a": 1, "b": 1, "c": 1}), versions{"a": 2, "b": 2, "c": 2})
+	work = map[identifier.Model]int{"a": 100000, "b": 1}
+	loadAll("hardly any work for the second", two, fleet(8, versions{"a": 1, "b": 1}), versions{"a": 2, "b": 2})
 	goldie.New(t).Assert(t, "plan", []byte(out.String()))
 }
--- a/internal/upgrader/upgrader.go
+++ b/internal/upgrader/upgrader.go
@@ -95,7 +95,7 @@
 	// firstPollDelay is the time from an order to the first request for the target's report, and pollInterval the time
 	// between further ones.
 	firstPollDelay = 700 * time.Millisecond
-	pollInterval   = 150 * time.Millisecond
+	pollInterval   = 50 * time.Millisecond
 	// callTimeout is the timeout of one call to a target.
 	callTimeout = 800 * time.Millisecond
 	// retryDelay is the delay after an order that was not accepted.
@@ -109,8 +109,10 @@
 	Navigator *navigator.Navigator
 	Registrar *registrar.Registrar
 	Engines   Engines
-	Clock     timer.Service
-	Log       *logger.Logger
+	// Work returns the recent work of each model in tokens, and false if it is not known now. It may be nil.
+	Work  func(ctx context.Context) (map[identifier.Model]int, bool)
+	Clock timer.Service
+	Log   *logger.Logger
 }
 
 // announcement is a version that a trainer has announced, with the monotonic time at which it was received.
@@ -128,7 +130,10 @@
 	mutex   sync.Mutex
 	desired map[identifier.Model]announcement
 	loading map[identifier.Target]identifier.Service
-	wake    chan struct{}
+	// work is the work of each model when it was last read. workRead is cleared by each announcement.
+	work     map[identifier.Model]int
+	workRead bool
+	wake     chan struct{}
 }
 
 // NewUpgrader returns an Upgrader for a term. It sends no order once valid returns false.
@@ -150,6 +155,7 @@
 			next.receivedAt -= startDelay
 		}
 		u.desired[w.Model] = next
+		u.workRead = false
 		u.notify()
 	}
 }
@@ -169,6 +175,7 @@
 	defer running.Wait()
 	for ctx.Err() == nil {
 		_, changed := u.Registrar.Watch()
+		u.readWork(ctx)
 		for _, w := range u.startable() {
 			running.Go(func() {
 				if u.load(ctx, w) == StaleFence {
@@ -191,6 +198,24 @@
 	}
 }
 
+// readWork reads the work of the models once after each announcement. If it can't be read, the previous figures are kept.
+func (u *Upgrader) readWork(ctx context.Context) {
+	u.mutex.Lock()
+	skip := u.workRead || u.Work == nil || len(u.desired) == 0
+	u.workRead = true
+	u.mutex.Unlock()
+	if skip {
+		return
+	}
+	ctx, cancel := timer.WithTimeout(ctx, u.Clock, callTimeout)
+	defer cancel()
+	if work, ok := u.Work(ctx); ok {
+		u.mutex.Lock()
+		u.work = work
+		u.mutex.Unlock()
+	}
+}
+
 // pause returns the time until the next check of all targets.
 func (u *Upgrader) pause() time.Duration {
 	u.mutex.Lock()
@@ -216,7 +241,7 @@
 			desired[m] = n.version
 		}
 	}
-	loads := chooseLoads(plan, u.Registrar.Listings(), desired, u.loading)
+	loads := chooseLoads(plan, u.Registrar.Listings(), desired, u.work, u.loading)
 	for _, w := range loads {
 		u.loading[w.listing.ID] = w.listing.Service
 	}
