conductor: texts outlive their process, leaders have enough cores, a whole step is written at once

Spec, results and texts are read at the same time, and a restarted process takes its jobs over at the same time. - Results with which as many groups are complete as the trainer waits for are written at once, all others each 500 ms.

--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -32,11 +32,15 @@
 	failures int
 	// complete is set when the text is complete.
 	complete bool
+	// saved is the number of events that are durable.
+	saved int
 }
 
-// PartialText is the text that an item without a result has so far. It is immutable.
+// PartialText is the text that an item without a result has so far, or a later part of it. It is immutable.
 type PartialText struct {
 	Item identifier.Item
+	// From is the number of events of the text before Text.
+	From int
 	Text [][]byte
 	// Last is the number of the last event in Text.
 	Last     int
@@ -69,38 +73,71 @@
 	durable    []Result
 	pending    []Result
 	finished   bool
-	changed    chan struct{}
-	done       chan struct{}
+	// groupLeft counts the items without a result of each group, and completeGroups the groups without such an item.
+	groupLeft      map[identifier.Group]int
+	completeGroups int
+	// stepPending is set while the pending results complete a group and enough groups are complete with them.
+	stepPending bool
+	changed     chan struct{}
+	done        chan struct{}
 }
 
 // NewJob returns a job whose given results are already durable.
 func NewJob(s Spec, durable ...Result) *Job {
 	j := &Job{
 		spec: s, startOrder: s.startOrder(), items: make([]itemState, len(s.Items)), byID: make(map[identifier.Item]int, len(s.Items)),
-		done: make(chan struct{}),
+		done: make(chan struct{}), groupLeft: make(map[identifier.Group]int),
 	}
 	for i, item := range s.Items {
 		j.byID[item.ID] = i
+		j.groupLeft[item.Group]++
 	}
 	j.durable = slices.Clone(durable)
 	for _, r := range durable {
 		if i, ok := j.byID[r.Item]; ok {
 			j.items[i].stage = stageEnded
+			j.countResult(i)
 		}
 	}
 	return j
 }
 
-// RestoreTexts sets the partial texts of waiting items, for example those that a previous owner stored. It ignores a
-// text that contains a weight version older than Spec.Least.
+// countResult counts the result of an item and reports whether it completes the item's group.
+func (j *Job) countResult(i int) bool {
+	group := j.spec.Items[i].Group
+	j.groupLeft[group]--
+	if j.groupLeft[group] > 0 {
+		return false
+	}
+	j.completeGroups++
+	return true
+}
+
+// RestoreTexts sets the partial texts of waiting items to those that an earlier job has. It ignores a text that contains
+// a weight version older than Spec.Least.
 func (j *Job) RestoreTexts(parts []PartialText) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
+	j.restoreTexts(parts, false)
+}
+
+// RestoreSavedTexts sets the partial texts of waiting items to those that an earlier owner of the job has saved.
+func (j *Job) RestoreSavedTexts(parts []PartialText) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	j.restoreTexts(parts, true)
+}
+
+// restoreTexts sets the partial texts of waiting items. The caller holds the lock.
+func (j *Job) restoreTexts(parts []PartialText, saved bool) {
 	for _, part := range parts {
 		i, ok := j.byID[part.Item]
 		old := slices.ContainsFunc(part.Versions, func(v identifier.Version) bool { return v < j.spec.Least })
 		if p := &j.items[i]; ok && !old && p.stage == stageWaiting && len(p.events) == 0 {
 			p.events, p.lastEvent, p.versions, p.complete = part.Text, part.Last, slices.Clone(part.Versions), part.Whole
+			if saved {
+				p.saved = len(p.events)
+			}
 		}
 	}
 }
@@ -112,9 +149,7 @@
 	var parts []PartialText
 	for i, p := range j.items {
 		if p.stage != stageEnded && len(p.events) > 0 {
-			parts = append(parts, PartialText{
-				Item: j.spec.Items[i].ID, Text: slices.Clone(p.events), Last: p.lastEvent, Versions: slices.Clone(p.versions), Whole: p.complete,
-			})
+			parts = append(parts, j.partialText(i))
 		}
 	}
 	return parts
@@ -203,7 +238,7 @@
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	p := &j.items[i]
-	p.events, p.lastEvent, p.versions, p.complete = nil, 0, nil, false
+	p.events, p.lastEvent, p.versions, p.complete, p.saved = nil, 0, nil, false, 0
 }
 
 // Retry makes a running item wait again. Next does not return it before notBefore.
@@ -276,6 +311,14 @@
 	return len(j.durable), slices.Clone(j.pending)
 }
 
+// StepPending reports whether the trainer can go on once the pending results are durable: they complete a group, and at
+// least Spec.Desired groups are complete with them.
+func (j *Job) StepPending() bool {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return j.stepPending
+}
+
 // MarkDurable makes the first n pending results readable if the first of them has position from. Two writes of the
 // same results may both be confirmed; the second confirmation has no effect.
 func (j *Job) MarkDurable(from, n int) {
@@ -286,6 +329,7 @@
 	}
 	j.durable = append(j.durable, j.pending[:n]...)
 	j.pending = slices.Clone(j.pending[n:])
+	j.stepPending = j.stepPending && len(j.pending) > 0
 	j.notifyChange()
 }
 
@@ -371,6 +415,9 @@
 	}
 	*p = itemState{stage: stageEnded}
 	j.pending = append(j.pending, r)
+	if j.countResult(i) && j.completeGroups >= j.spec.Desired {
+		j.stepPending = true
+	}
 	j.notifyChange()
 }
 
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -41,6 +41,12 @@
 	// lateCalls counts the calls for items of endedJobs, the jobs whose owner knows that they have ended.
 	endedJobs sync.Map
 	lateCalls atomic.Int64
+	// textEvents is the number of events of each text, or zero for texts of random length.
+	textEvents int
+	// pauseAfter is the number of the event after which each text stops growing, or zero.
+	pauseAfter atomic.Int64
+	// resumedAfter is the lowest event after which a text was continued, or zero.
+	resumedAfter atomic.Int64
 }
 
 func newEngine(seed uint64, faults float64) *engine {
@@ -79,6 +85,16 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, errBroken }
 
+// blockedReader returns nothing until its context ends.
+type blockedReader struct {
+	ctx context.Context
+}
+
+func (b blockedReader) Read([]byte) (int, error) {
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+
 func newAnswer(status int, body io.Reader) forwarder.Answer {
 	return forwarder.Answer{Status: status, Stamp: "stamp", Length: -1, Body: io.NopCloser(body), Header: map[string][]string{}}
 }
@@ -115,20 +131,31 @@
 		a.Stamp = "stamp-of-" + id
 		return a, forwarder.NoFault
 	}
-	return e.answerText(c), forwarder.NoFault
+	return e.answerText(ctx, c), forwarder.NoFault
 }
 
 // answerText answers an item with its events, starting after the last event that the caller has.
-func (e *engine) answerText(c forwarder.Call) forwarder.Answer {
+func (e *engine) answerText(ctx context.Context, c forwarder.Call) forwarder.Answer {
 	var body bytes.Buffer
 	first := 1
 	if c.Resume {
 		first = c.ResumeAfter + 1
 	}
-	for n := first; n <= eventCount(string(c.ID)); n++ {
+	if lowest := e.resumedAfter.Load(); c.Resume && (lowest == 0 || int64(c.ResumeAfter) < lowest) {
+		e.resumedAfter.Store(int64(c.ResumeAfter))
+	}
+	count := eventCount(string(c.ID))
+	if e.textEvents > 0 {
+		count = e.textEvents
+	}
+	pause := int(e.pauseAfter.Load())
+	for n := first; n <= count && (pause == 0 || n <= pause); n++ {
 		fmt.Fprintf(&body, "%d|%s\n", n, eventData(string(c.ID), n))
 	}
 	var r io.Reader = &body
+	if pause > 0 {
+		r = io.MultiReader(&body, blockedReader{ctx})
+	}
 	if e.randomFloat()/max(e.faultRate, 1e-9) < 0.5 {
 		r = io.MultiReader(io.LimitReader(&body, int64(body.Len()/2)), brokenReader{})
 	}
@@ -232,6 +259,8 @@
 	kv        *keyvalue.Service
 	engine    *engine
 	processes []*process
+	// cores holds the cores of the processes; a process that is not in it has an unknown number.
+	cores map[identifier.Node]float64
 	// dropNotifications makes every notification between processes fail.
 	dropNotifications atomic.Bool
 }
@@ -326,7 +355,7 @@
 }
 
 func (cl *cluster) register(p *process) {
-	data, err := codec.Jobs{}.EncodeRegistration(recorder.Registration{Owner: p.owner, Address: string(p.node)})
+	data, err := codec.Jobs{}.EncodeRegistration(recorder.Registration{Owner: p.owner, Address: string(p.node), Cores: cl.cores[p.node]})
 	if err != nil {
 		cl.t.Fatal(err)
 	}
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
@@ -17,9 +18,11 @@
 	submitted time.Time
 	job       *batcher.Job
 	stop      context.CancelFunc
-	// The conductor's lock guards record, finishedAt and confirmedAt.
+	// The conductor's lock guards record, finishedAt, confirmedAt and saves.
 	record     recorder.Record
 	finishedAt time.Duration
+	// saves counts the writes of partial texts by this process.
+	saves int
 	// confirmedAt is the monotonic time at which the store last confirmed the record, or at which a read of it was
 	// last due.
 	confirmedAt time.Duration
@@ -108,6 +111,7 @@
 	}
 	c.led[r.ID] = l
 	c.background.Go(func() { c.commitResults(ctx, l) })
+	c.background.Go(func() { c.saveTexts(ctx, l) })
 	c.lock.Unlock()
 	c.Log.Emit(logger.JobLeadBegan, "job", r.ID, "term", r.Term, "items", r.Total)
 	c.TriggerAssignment()
@@ -132,21 +136,28 @@
 
 // loadJob reads the spec, results and partial texts of a job from the store and starts leading it.
 func (c *Conductor) loadJob(ctx context.Context, r recorder.Record) {
+	var reads sync.WaitGroup
+	var results []batcher.Result
+	var resultsOut storeOutcome
+	var resultsErr error
+	var texts []batcher.PartialText
+	reads.Go(func() { results, resultsOut, resultsErr = c.Recorder.Results(ctx, r.ID) })
+	reads.Go(func() { texts = c.storedTexts(ctx, r) })
 	spec, out, err := c.Recorder.Spec(ctx, r)
-	if out == applied && err == nil && len(spec.Items) > 0 {
-		var results []batcher.Result
-		if results, out, err = c.Recorder.Results(ctx, r.ID); out == applied && err == nil {
-			job := batcher.NewJob(spec, results...)
-			job.RestoreTexts(c.storedTexts(ctx, r))
-			c.startLeading(r, job)
-			return
-		}
+	reads.Wait()
+	if out == applied && err == nil {
+		out, err = resultsOut, resultsErr
+	}
+	if out != applied || err != nil || len(spec.Items) == 0 {
+		c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
+		return
 	}
-	c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
+	job := batcher.NewJob(spec, results...)
+	job.RestoreSavedTexts(texts)
+	c.startLeading(r, job)
 }
 
-// storedTexts returns the partial texts that the previous owner stored when it handed the job over. Without them the
-// items are generated again.
+// storedTexts returns the partial texts that previous owners have saved. Without them the items are generated again.
 func (c *Conductor) storedTexts(ctx context.Context, r recorder.Record) []batcher.PartialText {
 	texts, out, err := c.Recorder.PartialTexts(ctx, r.ID)
 	if out != applied || err != nil {
@@ -166,7 +177,7 @@
 		c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes))
 	}
 	texts := l.job.PartialTexts()
-	out, err := c.Recorder.HandOver(ctx, record, record.WithOwner(successor.Owner), texts)
+	out, err := c.Recorder.HandOver(ctx, record, record.WithOwner(successor.Owner), c.nextSave(l), texts)
 	c.Log.Emit(logger.JobHandedOver, "job", record.ID, "to", successor.Owner.Node, "texts", len(texts), "outcome", out.String(), "error", err)
 	if out == applied {
 		c.Peers.Notify(ctx, successor.Address, l.id)
--- a/internal/conductor/maintain.go
+++ b/internal/conductor/maintain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
@@ -73,16 +74,20 @@
 	if out != applied || err != nil {
 		return false
 	}
+	var takeovers sync.WaitGroup
 	for _, r := range records {
 		if r.Owner.Node != c.Self.Node || r.Owner == c.Self || r.Ended {
 			continue
 		}
-		out, err := c.Recorder.Replace(ctx, r, r.WithOwner(c.Self))
-		c.Log.Emit(logger.JobAdopted, "job", r.ID, "from", r.Owner.Node, "to", c.Self.Node, "outcome", out.String(), "error", err)
-		if out == applied {
-			c.Refresh(ctx, r.ID)
-		}
+		takeovers.Go(func() {
+			out, err := c.Recorder.Replace(ctx, r, r.WithOwner(c.Self))
+			c.Log.Emit(logger.JobAdopted, "job", r.ID, "from", r.Owner.Node, "to", c.Self.Node, "outcome", out.String(), "error", err)
+			if out == applied {
+				c.Refresh(ctx, r.ID)
+			}
+		})
 	}
+	takeovers.Wait()
 	return true
 }
 
@@ -198,8 +203,8 @@
 
 const (
 	// commitInterval is the time between two writes of a job's results; results that arrive in between share one
-	// write.
-	commitInterval = 350 * time.Millisecond
+	// write. Results with which the trainer can go on are written at once.
+	commitInterval = 500 * time.Millisecond
 	// maxCommitBytes limits the size of the results of one write.
 	maxCommitBytes = 512 << 10
 	// commitRetryDelay is the delay after a failed write.
@@ -219,12 +224,36 @@
 			}
 			continue
 		}
-		timer.Wait(ctx, c.Clock, c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes)))
+		delay, ok := c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes))
+		if !ok {
+			timer.Wait(ctx, c.Clock, delay)
+			continue
+		}
+		c.awaitCommit(ctx, l, delay)
+	}
+}
+
+// awaitCommit waits for the given delay, or until the trainer can go on with the pending results.
+func (c *Conductor) awaitCommit(ctx context.Context, l *ledJob, delay time.Duration) {
+	timeout := c.Clock.After(delay)
+	defer timeout.Stop()
+	for {
+		changed := l.job.Watch()
+		if l.job.StepPending() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C():
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-// storeResults writes results to the store and returns the delay until the next write.
-func (c *Conductor) storeResults(ctx context.Context, l *ledJob, from int, results []batcher.Result) time.Duration {
+// storeResults writes results to the store. It returns the delay until the next write and whether the write succeeded.
+func (c *Conductor) storeResults(ctx context.Context, l *ledJob, from int, results []batcher.Result) (time.Duration, bool) {
 	durable, out, err := c.Recorder.Append(ctx, c.currentRecord(l), from, results)
 	switch {
 	case out == applied && err == nil:
@@ -232,14 +261,14 @@
 		l.confirmedAt = c.Clock.Monotonic()
 		c.lock.Unlock()
 		l.job.MarkDurable(from, durable)
-		return commitInterval
+		return commitInterval, true
 	case out == conflict:
 		// Another process leads the job, or the job has ended.
 		c.Refresh(ctx, l.id)
 	default:
 		c.Log.Emit(logger.ResultsHeld, "job", l.id, "results", len(results), "outcome", out.String(), "error", err)
 	}
-	return commitRetryDelay
+	return commitRetryDelay, false
 }
 
 func (c *Conductor) currentRecord(l *ledJob) recorder.Record {
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -90,16 +90,26 @@
 	return ok && p.Owner == o
 }
 
+// capableShare is the fraction of the cores of the largest eligible process that a process needs to be selected. A process
+// with a small share of a processor can't follow the streams of a job, which then all look slow to it.
+const capableShare = 0.5
+
 // selectProcess chooses the process that is responsible for a key, by rendezvous hashing over the eligible processes
-// that are not leaving, weighted by their cores.
+// that are not leaving and have enough cores, weighted by their cores.
 func (c *Conductor) selectProcess(key string, eligible func(recorder.Registration) bool) (recorder.Registration, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	largest := 0.0
+	for _, p := range c.members {
+		if !p.Leaving && eligible(p) {
+			largest = max(largest, p.Cores)
+		}
+	}
 	var best recorder.Registration
 	var highest float64
 	found := false
 	for name, p := range c.members {
-		if p.Leaving || !eligible(p) {
+		if p.Leaving || !eligible(p) || p.Cores < largest*capableShare {
 			continue
 		}
 		if score := rendezvousScore(key, name, p.Cores); !found || score > highest {
--- a/internal/conductor/submit_test.go
+++ b/internal/conductor/submit_test.go
@@ -82,3 +82,20 @@
 	// Jobs that callers submit to the process itself are still accepted.
 	c.Assert(first.Accept(t.Context(), large("c")), qt.Equals, conductor.Accepted)
 }
+
+// Guards against a job of many streams that is led by a process with a small share of a processor: all its streams stall,
+// and it moves them from one target to the next because each looks slow.
+func TestLeadersHaveEnoughCores(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 23, 0)
+	cl.cores = map[identifier.Node]float64{"n0": 0.8, "n1": 0.8, "n2": 0.14, "n3": 0.14, "n4": 0.14, "n5": 0.14}
+	startProcesses(cl, len(cl.cores))
+	for i := range 30 {
+		s := newSpec(fmt.Sprint("job", i), 2)
+		s.Model = identifier.Model(fmt.Sprint("model", i))
+		c.Assert(cl.processes[i%len(cl.processes)].Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	}
+	for node, jobs := range jobsByProcess(cl) {
+		c.Assert(cl.cores[node], qt.Equals, 0.8, qt.Commentf("%s leads %d jobs", node, jobs))
+	}
+}
--- a/internal/conductor/takeover_test.go
+++ b/internal/conductor/takeover_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -173,3 +174,32 @@
 	r.checkComplete(c)
 	c.Assert(cl.clock.Monotonic()-began < 10*time.Second, qt.IsTrue, qt.Commentf("it took %v", cl.clock.Monotonic()-began))
 }
+
+// Guards against long texts that die with their process and are generated again from the start: the pattern is an owner
+// that is killed when the texts of its job have 95% of their events.
+func TestLongTextsOutliveTheirProcess(t *testing.T) {
+	c := qt.New(t)
+	const length, reached = 280, 266
+	cl := newCluster(t, 14, 0)
+	cl.engine.textEvents = length
+	cl.engine.pauseAfter.Store(reached)
+	first := cl.start("n")
+	s := newSpec("job", 8)
+	c.Assert(first.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	for saved := 0; saved == 0; {
+		<-cl.clock.After(20 * time.Millisecond).C()
+		entries, _, _ := cl.kv.Snapshot(t.Context(), "parts/")
+		saved = len(entries)
+	}
+	cl.isolate(first)
+	cl.engine.pauseAfter.Store(0)
+	second := cl.restart("n", 2)
+	r := &reader{cluster: cl, spec: s}
+	for len(r.seen) < len(s.Items) {
+		r.readPage(c, second)
+	}
+	c.Assert(int(cl.engine.resumedAfter.Load()), qt.Equals, reached)
+	for _, result := range r.seen {
+		c.Assert(bytes.Count(result.Output, []byte("\n")), qt.Equals, length-1, qt.Commentf("%s", result.Item))
+	}
+}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -150,10 +150,13 @@
 	ResultsHeld = Event{
 		Number: 1518, Level: hclog.Warn, Text: "results not stored yet", Action: "check the key-value service if this persists",
 	}
-	JobRead               = Event{Number: 1519, Level: hclog.Info, Text: "batch job read", Action: "none"}
-	ItemAttempted         = Event{Number: 1520, Level: hclog.Info, Text: "attempt of an item ended", Action: "none"}
-	ItemScored            = Event{Number: 1521, Level: hclog.Info, Text: "scoring call of an item ended", Action: "none"}
-	TextsReused           = Event{Number: 1522, Level: hclog.Info, Text: "texts of an earlier job reused", Action: "none"}
+	JobRead       = Event{Number: 1519, Level: hclog.Info, Text: "batch job read", Action: "none"}
+	ItemAttempted = Event{Number: 1520, Level: hclog.Info, Text: "attempt of an item ended", Action: "none"}
+	ItemScored    = Event{Number: 1521, Level: hclog.Info, Text: "scoring call of an item ended", Action: "none"}
+	TextsReused   = Event{Number: 1522, Level: hclog.Info, Text: "texts of an earlier job reused", Action: "none"}
+	TextsUnsaved  = Event{
+		Number: 1523, Level: hclog.Warn, Text: "texts of a batch job not saved", Action: "check the key-value service if this persists",
+	}
 	WantedVersionReceived = Event{Number: 1530, Level: hclog.Info, Text: "wanted weight version received", Action: "none"}
 	LoadOrdered           = Event{Number: 1531, Level: hclog.Info, Text: "load of weights ordered", Action: "none"}
 	LoadEnded             = Event{Number: 1532, Level: hclog.Info, Text: "load of weights ended or abandoned", Action: "none"}
@@ -174,7 +177,7 @@
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
-		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused,
+		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -174,9 +174,9 @@
 	return r.store.CommitWithRetry(ctx, storer.Transaction{}.WithGuard(jobKey(old.ID), old.Changed).WithPut(jobKey(old.ID), data, 0)), nil
 }
 
-// HandOver replaces a record and stores partial texts in the same transaction. Texts that exceed the size of one value
-// are left out; the next owner generates them again.
-func (r *Recorder) HandOver(ctx context.Context, old, next Record, texts []batcher.PartialText) (storer.Outcome, error) {
+// HandOver replaces a record and stores partial texts in the same transaction, as the owner's nth save. Texts that exceed
+// the size of one value are left out; the next owner generates them again.
+func (r *Recorder) HandOver(ctx context.Context, old, next Record, n int, texts []batcher.PartialText) (storer.Outcome, error) {
 	data, err := r.codec.EncodeRecord(next)
 	if err != nil {
 		return storer.Unavailable, err
@@ -187,19 +187,38 @@
 		return storer.Unavailable, err
 	}
 	if len(texts) > 0 && len(encoded) <= maxValueBytes {
-		t = t.WithPut(partialTextKey(old.ID), encoded, 0)
+		t = t.WithPut(partialTextKey(old, n), encoded, 0)
 	}
 	return r.store.CommitWithRetry(ctx, t), nil
 }
 
-// PartialTexts returns the partial texts that the previous owner stored when it handed the job over.
+// SaveTexts stores parts of texts as the nth save of the job's owner. Conflict means that another process leads the job or
+// that the job has ended.
+func (r *Recorder) SaveTexts(ctx context.Context, record Record, n int, texts []batcher.PartialText) (storer.Outcome, error) {
+	encoded, err := r.codec.EncodePartialTexts(texts)
+	if err != nil {
+		return storer.Unavailable, err
+	}
+	key := partialTextKey(record, n)
+	return r.store.Commit(ctx, storer.Transaction{}.
+		WithGuard(key, 0).WithPut(key, encoded, 0).WithGuard(jobKey(record.ID), record.Changed)), nil
+}
+
+// PartialTexts returns the texts that previous owners of a job have saved.
 func (r *Recorder) PartialTexts(ctx context.Context, id identifier.Job) ([]batcher.PartialText, storer.Outcome, error) {
-	e, out := r.store.Get(ctx, partialTextKey(id))
-	if out != storer.Applied || e.Changed == 0 {
+	entries, out := r.store.List(ctx, partialTextPrefix+string(id))
+	if out != storer.Applied {
 		return nil, out, nil
 	}
-	texts, err := r.codec.DecodePartialTexts(e.Value)
-	return texts, out, err
+	var parts []batcher.PartialText
+	for _, e := range entries {
+		texts, err := r.codec.DecodePartialTexts(e.Value)
+		if err != nil {
+			return nil, out, err
+		}
+		parts = append(parts, texts...)
+	}
+	return batcher.MergeTexts(parts), out, nil
 }
 
 // Spec returns a job as it was submitted.
@@ -281,23 +300,23 @@
 // Erase deletes a job. The record is deleted last: until then the job is still found, and an interrupted erasure can
 // be repeated.
 func (r *Recorder) Erase(ctx context.Context, record Record) storer.Outcome {
-	entries, out := r.store.List(ctx, resultPrefix+string(record.ID)+"/")
-	if out != storer.Applied {
-		return out
-	}
 	guarded := storer.Transaction{}.WithGuard(jobKey(record.ID), record.Changed)
-	for len(entries) > 0 {
-		n := min(len(entries), maxErasedKeys)
-		t := guarded
-		for _, e := range entries[:n] {
-			t = t.WithDelete(e.Key)
-		}
-		if out := r.store.Delete(ctx, t); out != storer.Applied {
+	for _, prefix := range []string{resultPrefix + string(record.ID) + "/", partialTextPrefix + string(record.ID)} {
+		entries, out := r.store.List(ctx, prefix)
+		if out != storer.Applied {
 			return out
 		}
-		entries = entries[n:]
+		for chunk := range slices.Chunk(entries, maxErasedKeys) {
+			t := guarded
+			for _, e := range chunk {
+				t = t.WithDelete(e.Key)
+			}
+			if out := r.store.Delete(ctx, t); out != storer.Applied {
+				return out
+			}
+		}
 	}
-	t := guarded.WithDelete(jobKey(record.ID)).WithDelete(partialTextKey(record.ID))
+	t := guarded.WithDelete(jobKey(record.ID))
 	for i := range record.Parts {
 		t = t.WithDelete(specKey(record.ID, i))
 	}
@@ -318,9 +337,14 @@
 }
 
 func jobKey(id identifier.Job) string         { return JobPrefix + string(id) }
-func partialTextKey(id identifier.Job) string { return partialTextPrefix + string(id) }
 func specKey(id identifier.Job, i int) string { return specPrefix + string(id) + "/" + strconv.Itoa(i) }
 
+// partialTextKey returns the key of the nth save of an owner. The keys sort by the order of the saves, also over several
+// owners, since each owner's term is higher than the one before.
+func partialTextKey(r Record, n int) string {
+	return partialTextPrefix + string(r.ID) + "/" + padPosition(r.Term) + "-" + padPosition(n)
+}
+
 func resultKey(id identifier.Job, n int) string {
 	return resultPrefix + string(id) + "/" + padPosition(n)
 }
