conductor: results wait for a whole step, groups that were carried over first

Cause: a trainer reads twice a second and pauses after each answer with results. Change: a result waits for others for 1.2 s, and from 2.7 s before the job's due time until that time; results with which the trainer can go on are written at once. A trainer goes on with as many groups as it wants and all that it has carried over from an earlier job; their items start first. The due time of a route's jobs is read from the configuration.

--- a/internal/batcher/checkpoint_test.go
+++ b/internal/batcher/checkpoint_test.go
@@ -137,3 +137,26 @@
 	c.Assert(job.StepPending(), qt.IsTrue)
 	c.Assert(batcher.NewJob(spec, results...).StepPending(), qt.IsFalse)
 }
+
+// Guards against a step whose trainer waits for the groups that it carried over while their items start last, and against
+// an early write that makes the trainer pause before these groups are complete.
+func TestCarriedGroupsComeFirst(t *testing.T) {
+	c := qt.New(t)
+	spec := newSpec(3, 2)
+	spec.Desired = 1
+	earlier := batcher.Spec{Items: []batcher.Item{spec.Items[1], {ID: "another"}}}
+	job := batcher.NewJob(spec)
+	job.CarryOver(earlier)
+	var order []int
+	for range spec.Items {
+		task, _, _ := job.Next(0)
+		order = append(order, task.Index)
+	}
+	c.Assert(order, qt.DeepEquals, []int{1, 0, 5, 4, 3, 2})
+	for _, i := range []int{5, 4, 1} {
+		job.Abandon(i)
+		c.Assert(job.StepPending(), qt.IsFalse, qt.Commentf("item %d", i))
+	}
+	job.Abandon(0)
+	c.Assert(job.StepPending(), qt.IsTrue)
+}
--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"time"
 
@@ -76,7 +77,9 @@
 	// groupLeft counts the items without a result of each group, and completeGroups the groups without such an item.
 	groupLeft      map[identifier.Group]int
 	completeGroups int
-	// stepPending is set while the pending results complete a group and enough groups are complete with them.
+	// carried holds the groups that an earlier job of the trainer had and that are not complete yet.
+	carried map[identifier.Group]bool
+	// stepPending is set while the pending results complete a group and the trainer can go on with them.
 	stepPending bool
 	changed     chan struct{}
 	done        chan struct{}
@@ -110,9 +113,41 @@
 		return false
 	}
 	j.completeGroups++
+	delete(j.carried, group)
 	return true
 }
 
+// CarryOver marks the groups of which an earlier job has items. A trainer waits for each of them and starts them again
+// until they are complete, so their items start first.
+func (j *Job) CarryOver(earlier Spec) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	known := make(map[identifier.Item]bool, len(earlier.Items))
+	for _, item := range earlier.Items {
+		known[item.ID] = true
+	}
+	for _, item := range j.spec.Items {
+		if known[item.ID] && j.groupLeft[item.Group] > 0 {
+			if j.carried == nil {
+				j.carried = make(map[identifier.Group]bool)
+			}
+			j.carried[item.Group] = true
+		}
+	}
+	slices.SortStableFunc(j.startOrder, func(a, b int) int {
+		return cmp.Compare(j.startRank(a), j.startRank(b))
+	})
+}
+
+// startRank returns the rank of an item among those that wait to be started; lower ranks start first. The caller holds
+// the lock.
+func (j *Job) startRank(i int) int {
+	if j.carried[j.spec.Items[i].Group] {
+		return 0
+	}
+	return 1
+}
+
 // RestoreTexts sets the partial texts of waiting items to those that an earlier job has. It ignores a text that contains
 // a weight version older than Spec.Least.
 func (j *Job) RestoreTexts(parts []PartialText) {
@@ -311,8 +346,8 @@
 	return len(j.durable), slices.Clone(j.pending)
 }
 
-// StepPending reports whether the trainer can go on once the pending results are durable: they complete a group, and at
-// least Spec.Desired groups are complete with them.
+// StepPending reports whether the trainer can go on once the pending results are durable: they complete a group, at least
+// Spec.Desired groups are complete with them, and all that it has carried over.
 func (j *Job) StepPending() bool {
 	j.lock.Lock()
 	defer j.lock.Unlock()
@@ -415,7 +450,7 @@
 	}
 	*p = itemState{stage: stageEnded}
 	j.pending = append(j.pending, r)
-	if j.countResult(i) && j.completeGroups >= j.spec.Desired {
+	if j.countResult(i) && j.completeGroups >= j.spec.Desired && len(j.carried) == 0 {
 		j.stepPending = true
 	}
 	j.notifyChange()
--- a/internal/conductor/export_test.go
+++ b/internal/conductor/export_test.go
@@ -6,3 +6,6 @@
 	defer c.lock.Unlock()
 	return len(c.members)
 }
+
+// ResultDelay is resultDelay for tests.
+var ResultDelay = resultDelay
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -68,7 +68,7 @@
 		l.job.Finish()
 	case l == nil && owned && !r.Ended && submittedHere:
 		job := batcher.NewJob(spec)
-		job.RestoreTexts(c.reusableTexts(spec))
+		job.RestoreTexts(c.reusableTexts(job))
 		c.startLeading(r, job)
 	case l == nil && owned && !r.Ended:
 		c.loadJob(ctx, r)
@@ -117,14 +117,20 @@
 	c.TriggerAssignment()
 }
 
-// reusableTexts returns the texts that earlier, finished jobs of the same team and model hold in this process for
-// items that occur again.
-func (c *Conductor) reusableTexts(next batcher.Spec) []batcher.PartialText {
+// reusableTexts marks the groups of a job that occurred before, and returns the texts that earlier, finished jobs of the
+// same team and model hold in this process for their items.
+func (c *Conductor) reusableTexts(job *batcher.Job) []batcher.PartialText {
+	next := job.Spec()
 	var texts []batcher.PartialText
 	earlier := c.ledJobs()
 	slices.Reverse(earlier)
 	for _, l := range earlier {
-		if s := l.job.Spec(); l.job.Finished() && s.Team == next.Team && s.Model == next.Model {
+		s := l.job.Spec()
+		if s.Team != next.Team || s.Model != next.Model {
+			continue
+		}
+		job.CarryOver(s)
+		if l.job.Finished() {
 			texts = append(texts, l.job.ReusableTexts(next)...)
 		}
 	}
--- a/internal/conductor/maintain.go
+++ b/internal/conductor/maintain.go
@@ -5,11 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
-	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
 const (
@@ -200,79 +198,3 @@
 		c.lock.Unlock()
 	}
 }
-
-const (
-	// commitInterval is the time between two writes of a job's results; results that arrive in between share one
-	// write. Results with which the trainer can go on are written at once.
-	commitInterval = 500 * time.Millisecond
-	// maxCommitBytes limits the size of the results of one write.
-	maxCommitBytes = 512 << 10
-	// commitRetryDelay is the delay after a failed write.
-	commitRetryDelay = 200 * time.Millisecond
-)
-
-// commitResults writes new results of a job to the store until the job has finished.
-func (c *Conductor) commitResults(ctx context.Context, l *ledJob) {
-	for ctx.Err() == nil && !l.job.Finished() {
-		changed := l.job.Watch()
-		from, pending := l.job.Pending()
-		if len(pending) == 0 {
-			select {
-			case <-changed:
-			case <-ctx.Done():
-				return
-			}
-			continue
-		}
-		delay, ok := c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes))
-		if !ok {
-			timer.Wait(ctx, c.Clock, delay)
-			continue
-		}
-		c.awaitCommit(ctx, l, delay)
-	}
-}
-
-// awaitCommit waits for the given delay, or until the trainer can go on with the pending results.
-func (c *Conductor) awaitCommit(ctx context.Context, l *ledJob, delay time.Duration) {
-	timeout := c.Clock.After(delay)
-	defer timeout.Stop()
-	for {
-		changed := l.job.Watch()
-		if l.job.StepPending() {
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout.C():
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// storeResults writes results to the store. It returns the delay until the next write and whether the write succeeded.
-func (c *Conductor) storeResults(ctx context.Context, l *ledJob, from int, results []batcher.Result) (time.Duration, bool) {
-	durable, out, err := c.Recorder.Append(ctx, c.currentRecord(l), from, results)
-	switch {
-	case out == applied && err == nil:
-		c.lock.Lock()
-		l.confirmedAt = c.Clock.Monotonic()
-		c.lock.Unlock()
-		l.job.MarkDurable(from, durable)
-		return commitInterval, true
-	case out == conflict:
-		// Another process leads the job, or the job has ended.
-		c.Refresh(ctx, l.id)
-	default:
-		c.Log.Emit(logger.ResultsHeld, "job", l.id, "results", len(results), "outcome", out.String(), "error", err)
-	}
-	return commitRetryDelay, false
-}
-
-func (c *Conductor) currentRecord(l *ledJob) recorder.Record {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	return l.record
-}
--- a/internal/navigator/plan.go
+++ b/internal/navigator/plan.go
@@ -63,6 +63,8 @@
 	LatencyGoal time.Duration
 	// QueueTTL is the time after which an unfinished item of a batch job may be abandoned.
 	QueueTTL time.Duration
+	// ResultDue is the time from the submission of a batch job until its results are due; zero if it is unknown.
+	ResultDue time.Duration
 }
 
 // Service is a group of targets that do the same work.
