--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -33,6 +33,8 @@
 	cut bool
 	// hang blocks the call until it is cancelled.
 	hang bool
+	// endless makes the body never end.
+	endless bool
 	// before is called before the reply is given.
 	before func()
 }
@@ -72,6 +74,9 @@
 	if r.cut {
 		body = io.MultiReader(body, cutReader{})
 	}
+	if r.endless {
+		body = endlessReader{}
+	}
 	return forwarder.Answer{
 		Status: r.status, NotRun: r.notRun, Stamp: "stamp", Length: -1, Body: io.NopCloser(body), Header: map[string][]string{},
 	}, forwarder.NoFault
@@ -280,6 +285,46 @@
 	c.Assert(f.Registrar.TargetsToAvoid("s", "", 0, 0), qt.HasLen, 0)
 }
 
+// endlessReader returns bytes without end.
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against a body without length that never ends and is sent on for as long as its caller stays: the answer is broken
+// off when the time of the route is up.
+func TestEndlessBodyIsBrokenOff(t *testing.T) {
+	c := qt.New(t)
+	clock := &timer.Manual{}
+	f := newFixtureWithClock(clock, plan(), 1, reply{status: 200, endless: true})
+	sent := 0
+	s := &countingSink{written: func() {
+		if sent++; sent > 20 {
+			clock.Advance(50 * time.Millisecond)
+		}
+	}}
+	r := f.Forward(t.Context(), forwarder.Request{ID: "r", Path: "/again/x", Host: "h", Key: "key"}, s)
+	c.Assert(r.Outcome, qt.Equals, forwarder.Interrupted)
+	c.Assert(clock.Monotonic(), qt.Equals, 300*time.Millisecond)
+}
+
+// countingSink calls a function at each part of an answer, and fails after maxParts of them.
+type countingSink struct {
+	written func()
+	parts   int
+}
+
+const maxParts = 1000
+
+func (*countingSink) Begin(int, map[string][]string, int64) {}
+
+func (s *countingSink) Write([]byte) error {
+	s.written()
+	if s.parts++; s.parts > maxParts {
+		return errCut
+	}
+	return nil
+}
+
 // Guards against a request that crashes one target after another because its caller keeps retrying it.
 func TestHarmfulRequestIsHeldBack(t *testing.T) {
 	c := qt.New(t)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -138,8 +138,8 @@
 	if p.begun {
 		return false, false
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
+	if err != nil || len(body) > maxBufferedBytes {
 		return false, x.route.Resumable
 	}
 	x.result.Status, x.result.Stamp = a.Status, a.Stamp
--- a/internal/forwarder/unary.go
+++ b/internal/forwarder/unary.go
@@ -202,8 +202,25 @@
 	if !e.hasMore {
 		return x.result
 	}
+	return x.copyRest(e, sink)
+}
+
+// copyRest sends the rest of an answer's body to the caller. A body that has not ended when the time of the request is up
+// is broken off, since it may never end.
+func (x *exchange) copyRest(e endedAttempt, sink Sink) Result {
+	timeout := x.Clock.After(x.deadline - x.Clock.Monotonic())
+	defer timeout.Stop()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-timeout.C():
+			e.release()
+		case <-done:
+		}
+	}()
 	buffer := make([]byte, copyBufferBytes)
-	for {
+	for x.Clock.Monotonic() < x.deadline {
 		n, err := e.answer.Body.Read(buffer)
 		if n > 0 && sink.Write(buffer[:n]) != nil {
 			x.result.Outcome = CallerLeft
@@ -213,8 +230,9 @@
 			return x.result
 		}
 		if err != nil {
-			x.result.Outcome = Interrupted
-			return x.result
+			break
 		}
 	}
+	x.result.Outcome = Interrupted
+	return x.result
 }
