--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The tests listed in KNOWN-RED.txt, as alternatives of a regular expression.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 
-.PHONY: demo test known-red golden lint format build spec bench fuzz
+.PHONY: demo test known-red golden lint format build spec bench fuzz regression
 
 # demo runs all roles in one process on embedded stand-ins and executes the demonstration.
 demo:
@@ -52,3 +52,11 @@
 # spec checks the models of the core protocol with spin. Each seeded fault must be caught.
 spec:
 	spec/check
+
+# regression plays the standard days of the users' deployments with their bench and compares them with the journal. BENCH is
+# the path of the bench, SITES the folder with the site files; without them nothing is played.
+regression:
+	@if [ ! -x '$(BENCH)' ] || [ ! -d '$(SITES)' ]; then \
+		echo 'regression: the users'"'"' bench is not here: set BENCH to its path and SITES to the folder of the site files' >&2; exit 1; \
+	fi
+	$(GO) run ./bench/regression --bench '$(BENCH)' --sites '$(SITES)'
--- a/internal/adapter/engineclient/engineclient.go
+++ b/internal/adapter/engineclient/engineclient.go
@@ -24,6 +24,8 @@
 	maxAnswerBytes = 16 << 20
 	// headerTimeout bounds the wait for the first byte of an answer's header.
 	headerTimeout = 2 * time.Minute
+	// maxHeadBytes is the largest size of the head of an answer. A faulty target may send a head without end.
+	maxHeadBytes = 64 << 10
 )
 
 // tracer creates the spans of calls to the target.
@@ -38,9 +40,10 @@
 func newHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			MaxIdleConns:          idleConnections,
-			MaxIdleConnsPerHost:   idleConnections,
-			ResponseHeaderTimeout: headerTimeout,
+			MaxIdleConns:           idleConnections,
+			MaxIdleConnsPerHost:    idleConnections,
+			ResponseHeaderTimeout:  headerTimeout,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -201,6 +201,20 @@
 	*keyvalue.Service
 	*engine
 	down atomic.Bool
+	// past holds what stale reads return; if it is nil, they return the present.
+	past atomic.Pointer[map[string]storer.Entry]
+}
+
+// GetStale returns an entry of the past.
+func (l *link) GetStale(ctx context.Context, key string) (storer.Entry, storer.Outcome) {
+	past := l.past.Load()
+	if past == nil || l.down.Load() {
+		return l.Get(ctx, key)
+	}
+	if e, ok := (*past)[key]; ok {
+		return e, storer.Applied
+	}
+	return storer.Entry{Key: key}, storer.Applied
 }
 
 func (l *link) Get(ctx context.Context, key string) (storer.Entry, storer.Outcome) {
--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -162,7 +162,19 @@
 	r, ok := c.records[id]
 	c.lock.Unlock()
 	if !ok {
-		return c.storedRecord(ctx, team, id)
+		// An old record may name a former owner too, so it serves as well as a cached one, at a lower cost.
+		var out storeOutcome
+		var err error
+		r, out, err = c.Recorder.StaleRecord(ctx, id)
+		switch {
+		case out != applied || err != nil:
+			c.Log.Emit(logger.JobUnreadable, "job", id, "outcome", out.String(), "error", err)
+			return r, ReadFailed
+		case r.Changed == 0:
+			// The job may have been stored since.
+			return c.storedRecord(ctx, team, id)
+		}
+		c.cacheRecord(r)
 	}
 	if r.Team != team {
 		return r, Missing
@@ -170,6 +182,15 @@
 	return r, Found
 }
 
+// cacheRecord caches a record unless a newer one is cached.
+func (c *Conductor) cacheRecord(r recorder.Record) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if old := c.records[r.ID]; old.Changed <= r.Changed {
+		c.records[r.ID] = r
+	}
+}
+
 // storedRecord reads the record of a team's job from the store and caches it.
 func (c *Conductor) storedRecord(ctx context.Context, team identifier.Team, id identifier.Job) (recorder.Record, ReadOutcome) {
 	r, out, err := c.Recorder.Record(ctx, id)
@@ -180,11 +201,7 @@
 	case r.Changed == 0 || r.Team != team:
 		return r, Missing
 	default:
-		c.lock.Lock()
-		if old := c.records[id]; old.Changed <= r.Changed {
-			c.records[id] = r
-		}
-		c.lock.Unlock()
+		c.cacheRecord(r)
 		return r, Found
 	}
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -94,6 +94,7 @@
 // Store is the part of the key-value service that a Recorder uses.
 type Store interface {
 	Get(ctx context.Context, key string) (storer.Entry, storer.Outcome)
+	GetStale(ctx context.Context, key string) (storer.Entry, storer.Outcome)
 	List(ctx context.Context, prefix string) ([]storer.Entry, storer.Outcome)
 	Commit(ctx context.Context, t storer.Transaction) storer.Outcome
 	CommitWithRetry(ctx context.Context, t storer.Transaction) storer.Outcome
@@ -134,6 +135,18 @@
 // Record returns the record of a job. If its Changed is zero, the job does not exist.
 func (r *Recorder) Record(ctx context.Context, id identifier.Job) (Record, storer.Outcome, error) {
 	e, out := r.store.Get(ctx, jobKey(id))
+	return r.decodeRead(id, e, out)
+}
+
+// StaleRecord returns the record of a job as it was up to some seconds ago. If its Changed is zero, the job did not exist
+// then.
+func (r *Recorder) StaleRecord(ctx context.Context, id identifier.Job) (Record, storer.Outcome, error) {
+	e, out := r.store.GetStale(ctx, jobKey(id))
+	return r.decodeRead(id, e, out)
+}
+
+// decodeRead returns the record that a read returned; its Changed is zero if there is none.
+func (r *Recorder) decodeRead(id identifier.Job, e storer.Entry, out storer.Outcome) (Record, storer.Outcome, error) {
 	if out != storer.Applied || e.Changed == 0 {
 		return Record{ID: id}, out, nil
 	}
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -99,3 +99,9 @@
 	// Watch calls changed for each change of key after the given revision until ctx ends or the connection fails.
 	Watch(ctx context.Context, key string, after int64, changed func(Entry)) Outcome
 }
+
+// StaleReader is implemented by drivers whose service answers reads that may be seconds old at a lower cost.
+type StaleReader interface {
+	// GetStale returns the entry of key as it was up to some seconds ago.
+	GetStale(ctx context.Context, key string) (Entry, Outcome)
+}
--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -77,6 +77,15 @@
 	return read(ctx, s, func(ctx context.Context) (Entry, Outcome) { return s.driver.Get(ctx, key) })
 }
 
+// GetStale returns the entry of key as it was up to some seconds ago, at a lower cost than Get if the service offers that.
+func (s *Storer) GetStale(ctx context.Context, key string) (Entry, Outcome) {
+	reader, ok := s.driver.(StaleReader)
+	if !ok {
+		return s.Get(ctx, key)
+	}
+	return read(ctx, s, func(ctx context.Context) (Entry, Outcome) { return reader.GetStale(ctx, key) })
+}
+
 // GetIfChanged returns the entry of key if it was changed after the given revision, else an entry with Changed zero.
 func (s *Storer) GetIfChanged(ctx context.Context, key string, after int64) (Entry, Outcome) {
 	return read(ctx, s, func(ctx context.Context) (Entry, Outcome) { return s.driver.GetIfChanged(ctx, key, after) })
