conductor: entries that do not reach the store serve through peers; a stopping one gives its jobs up

Change: an entry whose registration was not confirmed in the last 1.3 s asks the processes of its region that may lead jobs for the record, 150 ms at most, and reads at the owner; without one it refuses at once. It passes submissions on to another leader. A stopping process drops the jobs that it has handed over.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -14,6 +14,7 @@
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
@@ -45,10 +46,18 @@
 	LocalResults(ctx context.Context, id identifier.Job, after int, wait time.Duration) ([]batcher.Result, bool)
 	// AcceptForwarded accepts a job that was submitted to another process.
 	AcceptForwarded(ctx context.Context, s batcher.Spec) conductor.Acceptance
+	// KnownRecord returns the record of a job as this process knows it.
+	KnownRecord(id identifier.Job) (recorder.Record, bool)
 	// Refresh reads the record of a job from the store again.
 	Refresh(ctx context.Context, id identifier.Job)
 }
 
+// FindReply holds the record of a job. Found is false if the process does not know the job.
+type FindReply struct {
+	Found  bool
+	Record recorder.Record
+}
+
 // FeedQuery asks for the changes of the keys with a prefix after a revision.
 type FeedQuery struct {
 	Prefix string
@@ -94,6 +103,12 @@
 	return nil
 }
 
+// Find returns the record of a job as this process knows it.
+func (j *Jobs) Find(id identifier.Job, reply *FindReply) error {
+	reply.Record, reply.Found = j.handler.KnownRecord(id)
+	return nil
+}
+
 // Notify reads the record of a job from the store again, because another process has changed it.
 func (j *Jobs) Notify(id identifier.Job, received *bool) error {
 	*received = true
@@ -161,6 +176,19 @@
 	return accepted, replied
 }
 
+// Find returns the record of a job as the process at address knows it. The second result is false if the call failed or the
+// process does not know the job.
+func (c *Client) Find(ctx context.Context, address string, id identifier.Job) (recorder.Record, bool) {
+	var reply FindReply
+	if !c.call(ctx, address, "Jobs.Find", id, &reply, findTimeout) {
+		return recorder.Record{}, false
+	}
+	return reply.Record, reply.Found
+}
+
+// findTimeout limits the search for a job at one process. A process that is cut off refuses its caller after that time.
+const findTimeout = 150 * time.Millisecond
+
 // submitTimeout limits a submission. A process that takes longer is frozen or has lost the store.
 const submitTimeout = 600 * time.Millisecond
 
--- a/internal/adapter/jobpeer/jobpeer_test.go
+++ b/internal/adapter/jobpeer/jobpeer_test.go
@@ -13,6 +13,7 @@
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
@@ -33,6 +34,11 @@
 	return conductor.Accepted
 }
 
+// KnownRecord knows every job but one.
+func (*handler) KnownRecord(id identifier.Job) (recorder.Record, bool) {
+	return recorder.Record{ID: id, Team: "team", Changed: 7}, id != "unknown"
+}
+
 func (h *handler) Refresh(_ context.Context, id identifier.Job) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -58,6 +64,11 @@
 	}
 }
 
+// dial opens a TCP connection.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // trackingListener records the connections that it accepts.
 type trackingListener struct {
 	net.Listener
@@ -87,9 +98,6 @@
 // been restarted.
 func TestRestartedPeerIsReached(t *testing.T) {
 	c := qt.New(t)
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	}
 	client := jobpeer.NewClient(dial, timer.NewSystem(), nil)
 	var first, second handler
 	address, stop := serve(t, "127.0.0.1:0", &first)
@@ -109,3 +117,16 @@
 	stop()
 	c.Assert(client.Notify(t.Context(), address, "job"), qt.IsFalse)
 }
+
+// Guards against an entry that takes a process which does not know a job for one that has its record.
+func TestFind(t *testing.T) {
+	c := qt.New(t)
+	address, stop := serve(t, "127.0.0.1:0", &handler{})
+	defer stop()
+	client := jobpeer.NewClient(dial, timer.NewSystem(), nil)
+	r, found := client.Find(t.Context(), address, "led")
+	c.Assert(found, qt.IsTrue)
+	c.Assert(r, qt.Equals, recorder.Record{ID: "led", Team: "team", Changed: 7})
+	_, found = client.Find(t.Context(), address, "unknown")
+	c.Assert(found, qt.IsFalse)
+}
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -307,6 +307,15 @@
 	return 0, false
 }
 
+func (p peers) Find(_ context.Context, address string, id identifier.Job) (recorder.Record, bool) {
+	for _, other := range p.cluster.processes {
+		if string(other.node) == address && !other.link.down.Load() {
+			return other.KnownRecord(id)
+		}
+	}
+	return recorder.Record{}, false
+}
+
 func (p peers) Notify(ctx context.Context, address string, id identifier.Job) bool {
 	for _, other := range p.cluster.processes {
 		if string(other.node) == address && !other.link.down.Load() && !p.cluster.dropNotifications.Load() {
@@ -350,6 +359,7 @@
 	p := &process{link: l, owner: me, node: node, Conductor: conductor.NewConductor(conductor.Dependencies{
 		Self: me, Recorder: recorder.NewRecorder(store.WithPurpose(storer.PurposeRun), codec.Jobs{}), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: l, Opener: cl.engine, Peers: peers{cluster: cl}, Clock: cl.clock, Zone: "z", Retention: 2 * time.Minute,
+		StoreReached: func() bool { return !l.down.Load() },
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -17,10 +17,9 @@
 	commitInterval = 1200 * time.Millisecond
 	// dueWindow is the time before the due time of a job in which its results wait for the whole step until they are due.
 	dueWindow = 1500 * time.Millisecond
-	// dueMargin is the time after the due time within which results are written that wait for it, and lateMargin the one
-	// for those that arrive after it: a result still counts as in time when it is read 0.7 s after it was due.
-	dueMargin  = 100 * time.Millisecond
-	lateMargin = 400 * time.Millisecond
+	// lateWindow is the time after the due time in which a result is written at once: it still counts as in time when it is
+	// read 0.7 s after it was due.
+	lateWindow = 600 * time.Millisecond
 	// maxCommitBytes limits the size of the results of one write.
 	maxCommitBytes = 512 << 10
 	// commitRetryDelay is the delay after a failed write.
@@ -61,12 +60,10 @@
 func resultDelay(due, age time.Duration) time.Duration {
 	left := due - age
 	switch {
-	case due <= 0, left > commitInterval+dueWindow, left < -lateMargin:
+	case due <= 0, left > commitInterval+dueWindow, left < -lateWindow:
 		return commitInterval
-	case left > 0:
-		return left + dueMargin
 	default:
-		return min(commitInterval, left+lateMargin)
+		return max(0, left)
 	}
 }
 
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -29,6 +29,9 @@
 	// Submit forwards a job to the process at an address. The second result is false if the call failed, so that the
 	// outcome of the submission is unknown.
 	Submit(ctx context.Context, address string, s batcher.Spec) (Acceptance, bool)
+	// Find returns the record of a job as the process at an address knows it. The second result is false if that process
+	// does not know the job or the call failed.
+	Find(ctx context.Context, address string, id identifier.Job) (recorder.Record, bool)
 	// Notify tells the process at an address that the record of a job has changed, and reports whether the call
 	// succeeded.
 	Notify(ctx context.Context, address string, id identifier.Job) bool
@@ -51,6 +54,9 @@
 	Region    identifier.Region
 	// Retention is how long results stay readable after their job was submitted.
 	Retention time.Duration
+	// StoreReached reports whether the key-value service was reached a moment ago. While it is false, callers are served
+	// through other processes or refused at once. It may be nil.
+	StoreReached func() bool
 	// ObserveAttempt is called after each attempt of an item. Sampler selects which successful attempts and scoring
 	// calls are logged. Both may be nil.
 	ObserveAttempt func(end string, took time.Duration)
@@ -118,8 +124,8 @@
 	c.lock.Unlock()
 	for _, l := range c.ledJobs() {
 		c.handOver(ctx, l)
-		l.job.Finish()
-		l.stop()
+		// Readers that still ask this process must get the results of the next owner, not the last ones from here.
+		c.stopLeading(l, "the process is stopping")
 	}
 	if c.cancel != nil {
 		c.cancel()
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math"
 	"strings"
 
@@ -99,19 +100,10 @@
 func (c *Conductor) selectProcess(key string, eligible func(recorder.Registration) bool) (recorder.Registration, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	largest := 0.0
-	for _, p := range c.members {
-		if !p.Leaving && eligible(p) {
-			largest = max(largest, p.Cores)
-		}
-	}
 	var best recorder.Registration
 	var highest float64
 	found := false
-	for name, p := range c.members {
-		if p.Leaving || !eligible(p) || p.Cores < largest*capableShare {
-			continue
-		}
+	for name, p := range c.capableMembers(eligible) {
 		if score := rendezvousScore(key, name, p.Cores); !found || score > highest {
 			best, highest, found = p, score, true
 		}
@@ -119,6 +111,33 @@
 	return best, found
 }
 
+// capableMembers returns the eligible processes that are not leaving and have enough cores. The caller holds the lock.
+func (c *Conductor) capableMembers(eligible func(recorder.Registration) bool) map[identifier.Node]recorder.Registration {
+	largest := 0.0
+	capable := make(map[identifier.Node]recorder.Registration)
+	for name, p := range c.members {
+		if !p.Leaving && eligible(p) {
+			capable[name] = p
+			largest = max(largest, p.Cores)
+		}
+	}
+	maps.DeleteFunc(capable, func(_ identifier.Node, p recorder.Registration) bool { return p.Cores < largest*capableShare })
+	return capable
+}
+
+// leaderCandidates returns up to maxAsked other processes of the region that may lead jobs.
+func (c *Conductor) leaderCandidates() []recorder.Registration {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var candidates []recorder.Registration
+	for _, p := range c.capableMembers(func(p recorder.Registration) bool { return p.Region == c.Region }) {
+		if p.Owner != c.Self && len(candidates) < maxAsked {
+			candidates = append(candidates, p)
+		}
+	}
+	return candidates
+}
+
 // rendezvousScore returns the score of a process for a key. The probability that a process has the highest score is
 // proportional to its cores.
 func rendezvousScore(key string, name identifier.Node, cores float64) float64 {
--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -33,6 +33,9 @@
 	if results, ok := c.liveResults(ctx, r, after, wait); ok {
 		return Page{Total: r.Total, Results: results}, Found
 	}
+	if !c.storeReached() {
+		return Page{}, ReadFailed
+	}
 	// The cached record may name a former owner.
 	if current, found := c.storedRecord(ctx, team, id); found == Found && current.Owner != r.Owner {
 		if results, ok := c.liveResults(ctx, current, after, wait); ok {
@@ -162,19 +165,10 @@
 	r, ok := c.records[id]
 	c.lock.Unlock()
 	if !ok {
-		// An old record may name a former owner too, so it serves as well as a cached one, at a lower cost.
-		var out storeOutcome
-		var err error
-		r, out, err = c.Recorder.StaleRecord(ctx, id)
-		switch {
-		case out != applied || err != nil:
-			c.Log.Emit(logger.JobUnreadable, "job", id, "outcome", out.String(), "error", err)
-			return r, ReadFailed
-		case r.Changed == 0:
-			// The job may have been stored since.
-			return c.storedRecord(ctx, team, id)
+		var found ReadOutcome
+		if r, found = c.readRecord(ctx, team, id); found != Found {
+			return r, found
 		}
-		c.cacheRecord(r)
 	}
 	if r.Team != team {
 		return r, Missing
@@ -182,6 +176,67 @@
 	return r, Found
 }
 
+// readRecord reads the record of a job that is not cached: from the store, or from other processes if the store is not
+// reached. It may name a former owner too.
+func (c *Conductor) readRecord(ctx context.Context, team identifier.Team, id identifier.Job) (recorder.Record, ReadOutcome) {
+	out, err := unavailable, error(nil)
+	var r recorder.Record
+	if c.storeReached() {
+		r, out, err = c.Recorder.StaleRecord(ctx, id)
+	}
+	if out == applied && err == nil && r.Changed == 0 {
+		// The job may have been stored since.
+		return c.storedRecord(ctx, team, id)
+	}
+	if out != applied || err != nil {
+		found := false
+		if r, found = c.findRecord(ctx, id); !found {
+			c.Log.Emit(logger.JobUnreadable, "job", id, "outcome", out.String(), "error", err)
+			return r, ReadFailed
+		}
+	}
+	c.cacheRecord(r)
+	return r, Found
+}
+
+// maxAsked is the number of processes that are asked for a job at a time.
+const maxAsked = 8
+
+// findRecord asks other processes of the region, those that lead jobs, for the record of a job.
+func (c *Conductor) findRecord(ctx context.Context, id identifier.Job) (recorder.Record, bool) {
+	peers := c.leaderCandidates()
+	if len(peers) == 0 {
+		return recorder.Record{}, false
+	}
+	replies := make(chan recorder.Record, len(peers))
+	for _, p := range peers {
+		go func() {
+			r, found := c.Peers.Find(ctx, p.Address, id)
+			if !found {
+				r = recorder.Record{}
+			}
+			replies <- r
+		}()
+	}
+	for range peers {
+		if r := <-replies; r.Changed > 0 {
+			return r, true
+		}
+	}
+	return recorder.Record{}, false
+}
+
+// KnownRecord returns the record of a job as this process knows it.
+func (c *Conductor) KnownRecord(id identifier.Job) (recorder.Record, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	r, ok := c.records[id]
+	return r, ok
+}
+
+// storeReached reports whether the key-value service was reached a moment ago.
+func (c *Conductor) storeReached() bool { return c.StoreReached == nil || c.StoreReached() }
+
 // cacheRecord caches a record unless a newer one is cached.
 func (c *Conductor) cacheRecord(r recorder.Record) {
 	c.lock.Lock()
--- a/internal/conductor/read_test.go
+++ b/internal/conductor/read_test.go
@@ -35,3 +35,26 @@
 	}
 	r.checkComplete(c)
 }
+
+// Guards against a trainer that waits for a store call to time out, at one entry after the other, while the results that it
+// asks for are in the memory of an entry nearby: the pattern is a step that is read through entries that the store turns away.
+func TestResultsAreReadThroughPeers(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 32, 0)
+	startProcesses(cl, 3)
+	leader, entry := cl.processes[0], cl.processes[1]
+	s := newSpec("job", 8)
+	c.Assert(leader.Accept(t.Context(), s), qt.Equals, conductor.Accepted)
+	entry.link.down.Store(true)
+	r := &reader{cluster: cl, spec: s}
+	for len(r.seen) < len(s.Items) {
+		r.readPage(c, entry)
+	}
+	r.checkComplete(c)
+	_, found := entry.Results(t.Context(), "another", "job", 0, 0)
+	c.Assert(found, qt.Equals, conductor.Missing)
+	_, found = entry.Results(t.Context(), "team", "unknown", 0, 0)
+	c.Assert(found, qt.Equals, conductor.ReadFailed)
+	// A submission is passed on as well.
+	c.Assert(entry.Submit(t.Context(), newSpec("next", 4)), qt.Equals, conductor.Accepted)
+}
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -33,9 +33,13 @@
 	return a
 }
 
-// modelOwner returns the process that leads the jobs of a team's model submitted in this region.
+// modelOwner returns the process that leads the jobs of a team's model submitted in this region. A process that does not
+// reach the store leaves them to another.
 func (c *Conductor) modelOwner(s batcher.Spec) (recorder.Registration, bool) {
-	return c.selectProcess("model/"+string(s.Team)+"/"+string(s.Model), func(p recorder.Registration) bool { return p.Region == c.Region })
+	reached := c.storeReached()
+	return c.selectProcess("model/"+string(s.Team)+"/"+string(s.Model), func(p recorder.Registration) bool {
+		return p.Region == c.Region && (reached || p.Owner != c.Self)
+	})
 }
 
 // AcceptForwarded accepts a job that a peer forwarded. It declines if this process is closing or its unfinished items
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -94,13 +94,14 @@
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
 		p.TargetPrefix: storer.NewChangeBuffer(e.clock, watchWait(e.Drain)+bufferAgeMargin),
 	}
+	e.presence = newPresence(e.base)
 	e.conductor = conductor.NewConductor(conductor.Dependencies{
 		Self: e.owner(), Recorder: recorder.NewRecorder(e.store.WithPurpose(storer.PurposeRun), e.codec), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: p.Targets, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
+		StoreReached: e.presence.reachedJustNow,
 	})
 	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: e.conductor.TriggerAssignment}
-	e.presence = newPresence(e.base)
 	e.front = newFront(FrontDependencies{
 		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log,
 		Synced: func() bool { return e.presence.storeReached() && targets.synced.Load() },
--- a/internal/hoster/presence.go
+++ b/internal/hoster/presence.go
@@ -30,6 +30,16 @@
 // maxConfirmationAge is how old the last confirmation may be for the key-value service to count as reached.
 const maxConfirmationAge = 4 * presenceTTL / renewalsPerTTL
 
+// maxServingAge is how old the last confirmation may be for callers to be served from the key-value service. It allows for
+// one renewal without an answer.
+const maxServingAge = 2 * presenceTTL / renewalsPerTTL
+
+// reachedJustNow reports whether the key-value service was reached so recently that a call to it is worth waiting for.
+func (p *presence) reachedJustNow() bool {
+	confirmed := p.confirmed.Load()
+	return confirmed > 0 && p.clock.Monotonic()-time.Duration(confirmed) < maxServingAge
+}
+
 // storeReached reports whether the key-value service was reached recently.
 func (p *presence) storeReached() bool {
 	confirmed := p.confirmed.Load()
