conductor: a submission passes over a leader that can't store it

Change: a process that does not reach the store declines jobs that are passed on to it; the one that got the submission tries the next leader and then accepts the job itself. Before/after: TestSubmissionPassesLeaderWithoutStore was refused, now accepted at each process.

--- a/internal/batcher/checkpoint_test.go
+++ b/internal/batcher/checkpoint_test.go
@@ -147,7 +147,7 @@
 	earlier := batcher.Spec{Items: []batcher.Item{spec.Items[1], {ID: "another"}}}
 	job := batcher.NewJob(spec)
 	job.CarryOver(earlier)
-	var order []int
+	order := make([]int, 0, len(spec.Items))
 	for range spec.Items {
 		task, _, _ := job.Next(0)
 		order = append(order, task.Index)
--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"slices"
 	"time"
 
@@ -37,19 +36,6 @@
 	saved int
 }
 
-// PartialText is the text that an item without a result has so far, or a later part of it. It is immutable.
-type PartialText struct {
-	Item identifier.Item
-	// From is the number of events of the text before Text.
-	From int
-	Text [][]byte
-	// Last is the number of the last event in Text.
-	Last     int
-	Versions []identifier.Version
-	// Whole is set when the text is complete and only the score is missing.
-	Whole bool
-}
-
 // Task is an item that was started, with the state of its text. It is immutable.
 type Task struct {
 	Index int
@@ -105,114 +91,6 @@
 	return j
 }
 
-// countResult counts the result of an item and reports whether it completes the item's group.
-func (j *Job) countResult(i int) bool {
-	group := j.spec.Items[i].Group
-	j.groupLeft[group]--
-	if j.groupLeft[group] > 0 {
-		return false
-	}
-	j.completeGroups++
-	delete(j.carried, group)
-	return true
-}
-
-// CarryOver marks the groups of which an earlier job has items. A trainer waits for each of them and starts them again
-// until they are complete, so their items start first.
-func (j *Job) CarryOver(earlier Spec) {
-	j.lock.Lock()
-	defer j.lock.Unlock()
-	known := make(map[identifier.Item]bool, len(earlier.Items))
-	for _, item := range earlier.Items {
-		known[item.ID] = true
-	}
-	for _, item := range j.spec.Items {
-		if known[item.ID] && j.groupLeft[item.Group] > 0 {
-			if j.carried == nil {
-				j.carried = make(map[identifier.Group]bool)
-			}
-			j.carried[item.Group] = true
-		}
-	}
-	slices.SortStableFunc(j.startOrder, func(a, b int) int {
-		return cmp.Compare(j.startRank(a), j.startRank(b))
-	})
-}
-
-// startRank returns the rank of an item among those that wait to be started; lower ranks start first. The caller holds
-// the lock.
-func (j *Job) startRank(i int) int {
-	if j.carried[j.spec.Items[i].Group] {
-		return 0
-	}
-	return 1
-}
-
-// RestoreTexts sets the partial texts of waiting items to those that an earlier job has. It ignores a text that contains
-// a weight version older than Spec.Least.
-func (j *Job) RestoreTexts(parts []PartialText) {
-	j.lock.Lock()
-	defer j.lock.Unlock()
-	j.restoreTexts(parts, false)
-}
-
-// RestoreSavedTexts sets the partial texts of waiting items to those that an earlier owner of the job has saved.
-func (j *Job) RestoreSavedTexts(parts []PartialText) {
-	j.lock.Lock()
-	defer j.lock.Unlock()
-	j.restoreTexts(parts, true)
-}
-
-// restoreTexts sets the partial texts of waiting items. The caller holds the lock.
-func (j *Job) restoreTexts(parts []PartialText, saved bool) {
-	for _, part := range parts {
-		i, ok := j.byID[part.Item]
-		old := slices.ContainsFunc(part.Versions, func(v identifier.Version) bool { return v < j.spec.Least })
-		if p := &j.items[i]; ok && !old && p.stage == stageWaiting && len(p.events) == 0 {
-			p.events, p.lastEvent, p.versions, p.complete = part.Text, part.Last, slices.Clone(part.Versions), part.Whole
-			if saved {
-				p.saved = len(p.events)
-			}
-		}
-	}
-}
-
-// PartialTexts returns the texts of the items that have no result yet.
-func (j *Job) PartialTexts() []PartialText {
-	j.lock.Lock()
-	defer j.lock.Unlock()
-	var parts []PartialText
-	for i, p := range j.items {
-		if p.stage != stageEnded && len(p.events) > 0 {
-			parts = append(parts, j.partialText(i))
-		}
-	}
-	return parts
-}
-
-// ReusableTexts returns the texts of the items that occur unchanged in another job. A completed item is scored again
-// there.
-func (j *Job) ReusableTexts(next Spec) []PartialText {
-	again := make(map[identifier.Item]bool)
-	for _, item := range next.Items {
-		if i, ok := j.byID[item.ID]; ok && bytes.Equal(item.Body, j.spec.Items[i].Body) {
-			again[item.ID] = true
-		}
-	}
-	if len(again) == 0 {
-		return nil
-	}
-	reusable := slices.DeleteFunc(j.PartialTexts(), func(p PartialText) bool { return !again[p.Item] })
-	j.lock.Lock()
-	defer j.lock.Unlock()
-	for _, r := range slices.Concat(j.durable, j.pending) {
-		if r.State == Completed && again[r.Item] {
-			reusable = append(reusable, PartialText{Item: r.Item, Text: [][]byte{r.Output}, Versions: slices.Clone(r.Versions), Whole: true})
-		}
-	}
-	return reusable
-}
-
 // Spec returns the job as it was submitted.
 func (j *Job) Spec() Spec { return j.spec }
 
@@ -346,14 +224,6 @@
 	return len(j.durable), slices.Clone(j.pending)
 }
 
-// StepPending reports whether the trainer can go on once the pending results are durable: they complete a group, at least
-// Spec.Desired groups are complete with them, and all that it has carried over.
-func (j *Job) StepPending() bool {
-	j.lock.Lock()
-	defer j.lock.Unlock()
-	return j.stepPending
-}
-
 // MarkDurable makes the first n pending results readable if the first of them has position from. Two writes of the
 // same results may both be confirmed; the second confirmation has no effect.
 func (j *Job) MarkDurable(from, n int) {
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -201,14 +201,18 @@
 	*keyvalue.Service
 	*engine
 	down atomic.Bool
+	// turnedAway makes the store refuse every call, while other processes are reached.
+	turnedAway atomic.Bool
 	// past holds what stale reads return; if it is nil, they return the present.
 	past atomic.Pointer[map[string]storer.Entry]
 }
 
+func (l *link) reachesStore() bool { return !l.down.Load() && !l.turnedAway.Load() }
+
 // GetStale returns an entry of the past.
 func (l *link) GetStale(ctx context.Context, key string) (storer.Entry, storer.Outcome) {
 	past := l.past.Load()
-	if past == nil || l.down.Load() {
+	if past == nil || !l.reachesStore() {
 		return l.Get(ctx, key)
 	}
 	if e, ok := (*past)[key]; ok {
@@ -218,14 +222,14 @@
 }
 
 func (l *link) Get(ctx context.Context, key string) (storer.Entry, storer.Outcome) {
-	if l.down.Load() {
+	if !l.reachesStore() {
 		return storer.Entry{}, storer.Unavailable
 	}
 	return l.Service.Get(ctx, key)
 }
 
 func (l *link) Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, storer.Outcome) {
-	if l.down.Load() {
+	if !l.reachesStore() {
 		return nil, 0, storer.Unavailable
 	}
 	return l.Service.Snapshot(ctx, prefix)
@@ -238,14 +242,14 @@
 
 func (l *link) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, storer.Outcome) {
 	changes, revision, out := l.Service.Changes(ctx, prefix, after, wait)
-	if l.down.Load() {
+	if !l.reachesStore() {
 		return nil, 0, storer.Unavailable
 	}
 	return changes, revision, out
 }
 
 func (l *link) Commit(ctx context.Context, t storer.Transaction) storer.Outcome {
-	if l.down.Load() {
+	if !l.reachesStore() {
 		return storer.Unavailable
 	}
 	return l.Service.Commit(ctx, t)
@@ -359,7 +363,7 @@
 	p := &process{link: l, owner: me, node: node, Conductor: conductor.NewConductor(conductor.Dependencies{
 		Self: me, Recorder: recorder.NewRecorder(store.WithPurpose(storer.PurposeRun), codec.Jobs{}), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: l, Opener: cl.engine, Peers: peers{cluster: cl}, Clock: cl.clock, Zone: "z", Retention: 2 * time.Minute,
-		StoreReached: func() bool { return !l.down.Load() },
+		StoreReached: l.reachesStore,
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -15,35 +15,46 @@
 // caller can submit the job to another entry.
 const submitTimeout = 800 * time.Millisecond
 
+// maxLeadersTried is the number of processes to which a submission is passed on, one after the other.
+const maxLeadersTried = 2
+
 // Submit accepts a job. Once it returns Accepted, the job is stored durably. Jobs of one model and region are led by
-// the same process where possible, because it has open connections to the targets and the texts of earlier jobs.
+// the same process where possible, because it has open connections to the targets and the texts of earlier jobs. A process
+// that has no capacity or can't store the job is passed over.
 func (c *Conductor) Submit(ctx context.Context, s batcher.Spec) Acceptance {
-	owner, ok := c.modelOwner(s)
-	if !ok || owner.Owner == c.Self {
-		return c.Accept(ctx, s)
-	}
-	a, known := c.Peers.Submit(ctx, owner.Address, s)
-	if known && a != Declined {
-		return a
-	}
-	// The peer may have stored the job although the call failed, so the job can't be reported as refused.
-	if a = c.Accept(ctx, s); a == Refused && !known {
-		return AcceptanceUnknown
+	tried := make(map[identifier.Node]bool)
+	for len(tried) < maxLeadersTried {
+		leader, ok := c.selectLeader(s, tried)
+		if !ok || leader.Owner == c.Self {
+			break
+		}
+		a, known := c.Peers.Submit(ctx, leader.Address, s)
+		switch {
+		case !known:
+			// The peer may have stored the job although the call failed, so the job can't be reported as refused.
+			if a = c.Accept(ctx, s); a == Refused {
+				return AcceptanceUnknown
+			}
+			return a
+		case a != Declined && a != Refused:
+			return a
+		}
+		tried[leader.Owner.Node] = true
 	}
-	return a
+	return c.Accept(ctx, s)
 }
 
-// modelOwner returns the process that leads the jobs of a team's model submitted in this region. A process that does not
-// reach the store leaves them to another.
-func (c *Conductor) modelOwner(s batcher.Spec) (recorder.Registration, bool) {
+// selectLeader returns the process that leads the jobs of a team's model submitted in this region, without those that
+// were tried. A process that does not reach the store leaves them to another.
+func (c *Conductor) selectLeader(s batcher.Spec, tried map[identifier.Node]bool) (recorder.Registration, bool) {
 	reached := c.storeReached()
 	return c.selectProcess("model/"+string(s.Team)+"/"+string(s.Model), func(p recorder.Registration) bool {
-		return p.Region == c.Region && (reached || p.Owner != c.Self)
+		return p.Region == c.Region && !tried[p.Owner.Node] && (reached || p.Owner != c.Self)
 	})
 }
 
-// AcceptForwarded accepts a job that a peer forwarded. It declines if this process is closing or its unfinished items
-// of other models leave too few workers for the job.
+// AcceptForwarded accepts a job that a peer forwarded. It declines if this process is closing, does not reach the store or
+// its unfinished items of other models leave too few workers for the job.
 func (c *Conductor) AcceptForwarded(ctx context.Context, s batcher.Spec) Acceptance {
 	unfinished := 0
 	for _, l := range c.ledJobs() {
@@ -54,7 +65,7 @@
 	c.lock.Lock()
 	closing := c.closing
 	c.lock.Unlock()
-	if closing || unfinished+len(s.Items) > workerCount {
+	if closing || !c.storeReached() || unfinished+len(s.Items) > workerCount {
 		return Declined
 	}
 	return c.Accept(ctx, s)
--- a/internal/conductor/submit_test.go
+++ b/internal/conductor/submit_test.go
@@ -99,3 +99,19 @@
 		c.Assert(cl.cores[node], qt.Equals, 0.8, qt.Commentf("%s leads %d jobs", node, jobs))
 	}
 }
+
+// Guards against a step that is refused by every entry of a region because the store turns away the one that leads the jobs
+// of its model, while the others reach the store.
+func TestSubmissionPassesLeaderWithoutStore(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 24, 0)
+	startProcesses(cl, 4)
+	c.Assert(cl.processes[0].Submit(t.Context(), newSpec("first", 4)), qt.Equals, conductor.Accepted)
+	led := jobsByProcess(cl)
+	for _, p := range cl.processes {
+		p.link.turnedAway.Store(led[p.node] > 0)
+	}
+	for _, p := range cl.processes {
+		c.Assert(p.Submit(t.Context(), newSpec("next-"+string(p.node), 4)), qt.Equals, conductor.Accepted, qt.Commentf("%s", p.node))
+	}
+}
