--- a/internal/adapter/httpserver/caller.go
+++ b/internal/adapter/httpserver/caller.go
@@ -73,7 +73,7 @@
 	if key, given := bearerToken(c.Request()); given {
 		var verdict authenticator.Verdict
 		if identity, revoked, verdict = cs.auth.Authenticate(key); verdict != authenticator.Accepted {
-			return nil, keyProblem(verdict), false
+			return nil, keyProblem(verdict, "the key is unknown or withdrawn"), false
 		}
 	} else if !service.Open {
 		return nil, notRunProblem(http.StatusUnauthorized, "key-missing", "want an Authorization header with a bearer key"), false
@@ -100,12 +100,12 @@
 	}, Problem{}, true
 }
 
-// keyProblem returns the problem for a key that was not accepted.
-func keyProblem(v authenticator.Verdict) Problem {
+// keyProblem returns the problem for a key that was not accepted. Refusal says why one is refused.
+func keyProblem(v authenticator.Verdict, refusal string) Problem {
 	if v == authenticator.Undecided {
 		return notRunProblem(http.StatusServiceUnavailable, "keys-stale", "this entry has no current list of keys")
 	}
-	return notRunProblem(http.StatusUnauthorized, "key-refused", "the key is missing, unknown or withdrawn")
+	return notRunProblem(http.StatusUnauthorized, "key-refused", refusal)
 }
 
 // findService looks up a service of the given kind. If the entry has no configuration yet, the problem has status 503
--- a/internal/adapter/httpserver/trainer.go
+++ b/internal/adapter/httpserver/trainer.go
@@ -59,7 +59,7 @@
 	key, _ := bearerToken(c.Request())
 	identity, revoked, verdict := ts.auth.Authenticate(key)
 	if verdict != authenticator.Accepted {
-		p := keyProblem(verdict)
+		p := keyProblem(verdict, "the key is missing, unknown or withdrawn")
 		return nil, nil, "", &p
 	}
 	if body != nil {
