--- a/internal/batcher/checkpoint.go
+++ b/internal/batcher/checkpoint.go
@@ -15,8 +15,8 @@
 	minSavedGrowth = 16
 )
 
-// UnsavedTexts returns what the texts of unfinished items gained since they were last saved, the longest texts first, at
-// most limit bytes of it. Short texts and small gains are left out.
+// UnsavedTexts returns what the texts of unfinished items gained since they were last saved, the longest texts first, as
+// far as it fits into limit bytes. Short texts and small gains are left out.
 func (j *Job) UnsavedTexts(limit int) []PartialText {
 	j.lock.Lock()
 	defer j.lock.Unlock()
@@ -32,15 +32,22 @@
 	}
 	slices.SortFunc(unsaved, func(a, b PartialText) int { return cmp.Compare(b.events(), a.events()) })
 	size := 0
-	for n, part := range unsaved {
-		for _, event := range part.Text {
-			size += len(event)
-		}
-		if size > limit {
-			return unsaved[:n]
+	return slices.DeleteFunc(unsaved, func(p PartialText) bool {
+		if size+p.size() > limit {
+			return true
 		}
+		size += p.size()
+		return false
+	})
+}
+
+// size returns the size of Text in bytes.
+func (p PartialText) size() int {
+	size := 0
+	for _, event := range p.Text {
+		size += len(event)
 	}
-	return unsaved
+	return size
 }
 
 // MarkSaved records that texts returned by UnsavedTexts are durable.
--- a/internal/batcher/checkpoint_test.go
+++ b/internal/batcher/checkpoint_test.go
@@ -42,6 +42,7 @@
 	grow(job, 2, 40, 0)
 	show("long texts only, the longest first", limit)
 	show("what fits into one save", 700)
+	show("the longest does not fit", 500)
 	job.MarkSaved(job.UnsavedTexts(limit))
 	show("nothing was added", limit)
 	grow(job, 0, 1, 0)
