--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -340,6 +341,18 @@
 	c.Assert(f.Forward(t.Context(), q, &sink{}).Outcome, qt.Equals, forwarder.Answered)
 }
 
+// Guards against a stream that crashes one target after another: it was never held back, whether it may be resumed or not.
+func TestCrashingStreamIsHeldBack(t *testing.T) {
+	c := qt.New(t)
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		f := newFixture(plan(), 9, slices.Repeat([]reply{{fault: forwarder.Broken}}, 30)...)
+		for range 8 {
+			f.Forward(t.Context(), forwarder.Request{ID: "r", Path: path, Host: "h", Key: "key", Body: []byte("harmful")}, &sink{})
+		}
+		c.Check(f.caller.calls, qt.HasLen, 3, qt.Commentf(path))
+	}
+}
+
 // Guards against a harmless request that is held back forever after its targets broke off for another reason: only an
 // answer removes it from the table, and a request that is held back gets none.
 func TestHeldBackRequestIsRetried(t *testing.T) {
