forwarder, platform: equal requests can be found in the logs of all processes

Cause: the log could not tell whether targets broke off under one request in several processes or under several requests: the hash of the table of suspects is seeded in each process, and no line named it. Change: E1404, E1403 and E1402 carry the fingerprint of a request at which an attempt broke off (isolator's, the same in all processes); E1304 names the incarnation, so that a target that came back as a new start shows.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
 
@@ -29,6 +30,12 @@
 	Internal bool
 }
 
+// fingerprint returns the fingerprint of the request of a team. It is the same in every process, and for each attempt of a
+// caller that sends the request again.
+func (q Request) fingerprint(team identifier.Team) isolator.Fingerprint {
+	return isolator.NewFingerprint(team, "", q.Method, q.Host, q.URI, string(q.Body))
+}
+
 // Call is one attempt as it is sent to a target. It is immutable.
 type Call struct {
 	Request
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -179,6 +179,9 @@
 		a.Fault = Pending
 	}
 	x.result.Attempts = append(x.result.Attempts, a)
+	if a.Fault == Broken {
+		x.result.Fingerprint = x.request.fingerprint(x.team)
+	}
 	now := x.Clock.Monotonic()
 	switch {
 	case abandoned:
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 )
 
@@ -85,6 +86,8 @@
 	Status   int
 	Stamp    string
 	Attempts []Attempt
+	// Fingerprint identifies equal requests in all processes. It is zero if no attempt broke off.
+	Fingerprint isolator.Fingerprint
 	// RetryAfter is the time after which the caller of a request that has not run should retry.
 	RetryAfter time.Duration
 }
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -108,7 +108,7 @@
 	if !c.Removed {
 		if l, ok := v.decode(c.Entry); ok {
 			v.registrar.Put(l)
-			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "draining", l.Draining, "versions", l.Versions, "changed", c.Changed)
+			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "draining", l.Draining, "incarnation", l.Incarnation, "versions", l.Versions, "changed", c.Changed)
 			v.updateRouter()
 			return
 		}
--- a/internal/isolator/crash.go
+++ b/internal/isolator/crash.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"strconv"
 	"time"
@@ -25,6 +26,9 @@
 	return Fingerprint(h.Sum(nil)[:16])
 }
 
+// String returns f in hexadecimal. It shows nothing of the request, so it may stand in logs and keys.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
 // CrashID identifies one crash of a target by the first attempt that it ended.
 type CrashID identifier.Attempt
 
