isolator: entries without agents observe crashes; a crash names the start that it ended

No caller uses the new part yet.

Cause: the decision which request crashes targets stood twice, and the one on the platform's path counted breaks only: not what became of the target, who else was there, or silent ends. Change: Observer turns the ends of an entry's attempts into crashes, named by target and incarnation, so that reports of several entries join into one. A crash counts while the target has not answered a request that was sent after it, and always once the target is known to have ended. It does not count where other targets of the service ended at the same time without the request. Unanswered attempts count once their target is known to have ended. Observed returns what other entries have to be told. Three starts of one target count as three; lists of suspects that may be incomplete don't take part in the rule of the only common suspect. The product's own path decides as before (golden file held unchanged). Evidence: TestObservedCrashes (golden file with eleven cases), TestObservedEvidenceIsSentOnce, TestMergeIsAUnion with partial reports.

--- a/internal/isolator/crashtracker.go
+++ b/internal/isolator/crashtracker.go
@@ -41,7 +41,7 @@
 		return Crash{}
 	}
 	if now.Sub(t.last.At) > maxCrashSpread || !t.last.contains(f) {
-		t.last = Crash{ID: CrashID(a), At: now}
+		t.last = Crash{ID: CrashID{Request: a.Request, Number: a.Number}, At: now}
 		seen := make(map[Fingerprint]bool, len(t.running))
 		for _, r := range t.running {
 			if !seen[r] {
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -1,9 +1,10 @@
 package isolator
 
 import (
-	"bytes"
 	"cmp"
+	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
@@ -19,27 +20,16 @@
 	// conclusiveTargets is the number of targets whose crashes hold a request back whatever other requests were
 	// running.
 	conclusiveTargets = 3
+	// coincidencePeriod is the time within which targets end at the same time. It covers the time until connections to a
+	// target that ended break, and is short against the time between two attempts of a caller.
+	coincidencePeriod = 250 * time.Millisecond
 )
 
-// Evidence is what entries exchange: crashes and the clearances of their suspects. It is immutable.
-type Evidence struct {
-	Crashes []Crash
-	Cleared []Clearance
-}
-
-// Clearance records that a request completed after a crash, so that the crash no longer counts against it.
-type Clearance struct {
-	Crash       CrashID
-	Fingerprint Fingerprint
-}
-
 // Isolator compares crashes. The zero value has no crashes.
 //
-// A request is held back if it is the only suspect that crashes of two different targets have in common, or if it is a
-// suspect in crashes of three targets. A crash does not count against a request if another of its suspects is the only
-// suspect of some crash. Merging evidence is a union of the crashes, each with its earliest time, and of the
-// clearances; it is commutative, associative and idempotent, so entries may exchange evidence in any order and more
-// than once.
+// Merging evidence is a union of the crashes, each with what all its reports say, and of the clearances; it is
+// commutative, associative and idempotent, so entries may exchange evidence in any order and more than once. HeldBack
+// states the decision.
 //
 // Invariants: a request that completed is not suspected for an earlier crash; a request that is a suspect in only one
 // crash is never held back. Lock rank: container.RankIsolator.
@@ -48,43 +38,83 @@
 	crashes map[CrashID]Crash
 	cleared map[Clearance]struct{}
 	// crashesOf is an index of the crashes by suspect, because each request looks up its own crashes twice.
-	// soleSuspects holds the requests that are the only suspect of a crash.
+	// soleSuspects holds the requests that are the only suspect of a crash whose suspects are all known.
 	crashesOf    map[Fingerprint][]CrashID
 	soleSuspects map[Fingerprint]bool
 	revision     int
-	reserved     map[identifier.Target]struct{}
-	released     chan struct{}
+	// observed and observedClearances hold what this entry observed itself, with the value of observedRevision at the last
+	// change. shared holds the crashes that other entries know too.
+	observed           map[CrashID]int
+	observedClearances map[Clearance]int
+	observedRevision   int
+	shared             map[CrashID]bool
+	// occupied is set while there are crashes. It is read without the lock, since nearly always there are none.
+	occupied atomic.Bool
+
+	reserved map[identifier.Target]struct{}
+	released chan struct{}
 }
 
-// Record adds a crash to the evidence.
-func (i *Isolator) Record(c Crash, now time.Time) { i.Merge(Evidence{Crashes: []Crash{c}}, now) }
+// IsEmpty reports whether there are no crashes. It takes no lock.
+func (i *Isolator) IsEmpty() bool { return !i.occupied.Load() }
+
+// Record adds a crash that this entry observed to the evidence.
+func (i *Isolator) Record(c Crash, now time.Time) {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	if i.add(c) {
+		i.markObserved(c.ID)
+	}
+	i.prune(now)
+}
 
 // Clear records that a request completed, so that the crashes recorded so far no longer count against it.
 func (i *Isolator) Clear(f Fingerprint) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
 	for _, c := range i.unclearedCrashes(f) {
+		i.observedRevision++
+		i.observedClearances[Clearance{Crash: c.ID, Fingerprint: f}] = i.observedRevision
 		i.cleared[Clearance{Crash: c.ID, Fingerprint: f}] = struct{}{}
 		i.revision++
 	}
 	i.rebuildIndexes()
 }
 
+// RecordEnd records that a target is known to have ended. It has no effect on a target without a crash.
+func (i *Isolator) RecordEnd(id CrashID) { i.change(id, Crash.WithEnd) }
+
+// RecordAnswer records that a target answered a request that was sent at the given time. It has no effect on a target
+// without a crash.
+func (i *Isolator) RecordAnswer(id CrashID, sent time.Time) {
+	i.change(id, func(c Crash) Crash {
+		if !c.counts() {
+			return c
+		}
+		return c.WithAnswer(sent)
+	})
+}
+
+// change replaces a known crash by the result of f.
+func (i *Isolator) change(id CrashID, f func(Crash) Crash) {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	if c, known := i.crashes[id]; known && i.add(f(c)) {
+		i.markObserved(id)
+		i.rebuildIndexes()
+	}
+}
+
 // Merge adds the evidence of another entry.
 func (i *Isolator) Merge(e Evidence, now time.Time) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
-	if i.crashes == nil {
-		i.crashes, i.cleared = make(map[CrashID]Crash), make(map[Clearance]struct{})
-	}
 	for _, c := range e.Crashes {
-		old, known := i.crashes[c.ID]
-		if c.ID != (CrashID{}) && (!known || c.At.Before(old.At)) {
-			i.crashes[c.ID] = c
-			i.revision++
-		}
+		i.add(c)
+		i.shared[c.ID] = true
 	}
 	for _, c := range e.Cleared {
+		i.init()
 		if _, known := i.cleared[c]; !known {
 			i.cleared[c] = struct{}{}
 			i.revision++
@@ -93,98 +123,47 @@
 	i.prune(now)
 }
 
-// Revision returns a number that increases whenever evidence is added.
-func (i *Isolator) Revision() int {
-	i.lock.Lock()
-	defer i.lock.Unlock()
-	return i.revision
-}
-
-// Evidence returns all crashes and clearances of this entry in a fixed order.
-func (i *Isolator) Evidence() Evidence {
-	i.lock.Lock()
-	defer i.lock.Unlock()
-	var e Evidence
-	for _, c := range i.crashes {
-		e.Crashes = append(e.Crashes, c)
+// add adds a crash or what a report adds to a known one, and reports whether it changed anything. The caller holds the
+// lock and rebuilds the indexes.
+func (i *Isolator) add(c Crash) bool {
+	i.init()
+	if c.ID == (CrashID{}) {
+		return false
 	}
-	for c := range i.cleared {
-		e.Cleared = append(e.Cleared, c)
+	old, known := i.crashes[c.ID]
+	merged := c.WithReport(c)
+	if known {
+		merged = old.WithReport(c)
 	}
-	slices.SortFunc(e.Crashes, func(a, b Crash) int { return a.ID.compare(b.ID) })
-	slices.SortFunc(e.Cleared, func(a, b Clearance) int {
-		return cmp.Or(a.Crash.compare(b.Crash), bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]))
-	})
-	return e
-}
-
-// IsSuspected reports whether the request is a suspect in a crash and has not completed since.
-func (i *Isolator) IsSuspected(f Fingerprint) bool {
-	i.lock.Lock()
-	defer i.lock.Unlock()
-	return len(i.unclearedCrashes(f)) > 0
+	if known && merged.equal(old) {
+		return false
+	}
+	i.crashes[c.ID] = merged
+	i.revision++
+	return true
 }
 
-// HeldBack reports whether the request is held back, and returns the remaining time.
-func (i *Isolator) HeldBack(f Fingerprint, now time.Time) (time.Duration, bool) {
-	i.lock.Lock()
-	defer i.lock.Unlock()
-	crashes := slices.DeleteFunc(i.unclearedCrashes(f), func(c Crash) bool { return i.hasOtherSoleSuspect(c, f) })
-	targets := make(map[identifier.Target]bool)
-	var last time.Time
-	hasOnlyCommonSuspect := false
-	for n, c := range crashes {
-		targets[c.Target] = true
-		if c.At.After(last) {
-			last = c.At
-		}
-		for _, other := range crashes[:n] {
-			hasOnlyCommonSuspect = hasOnlyCommonSuspect || other.Target != c.Target && i.commonSuspects(c, other) == 1
-		}
-	}
-	left := last.Add(DefaultRetention).Sub(now)
-	return left, left > 0 && (hasOnlyCommonSuspect || len(targets) >= conclusiveTargets)
+func (i *Isolator) markObserved(id CrashID) {
+	i.observedRevision++
+	i.observed[id] = i.observedRevision
 }
 
-// ReservedTargets returns the targets on which this entry is retrying a suspected request, and a channel that is closed when
-// one of them is released. Suspected requests run on separate targets, so that the next crash has only one of them as a
-// suspect.
-func (i *Isolator) ReservedTargets() ([]identifier.Target, <-chan struct{}) {
-	i.lock.Lock()
-	defer i.lock.Unlock()
-	if i.released == nil {
-		i.released = make(chan struct{})
+func (i *Isolator) init() {
+	if i.crashes != nil {
+		return
 	}
-	targets := make([]identifier.Target, 0, len(i.reserved))
-	for t := range i.reserved {
-		targets = append(targets, t)
-	}
-	return targets, i.released
+	i.crashes, i.cleared = make(map[CrashID]Crash), make(map[Clearance]struct{})
+	i.observed, i.observedClearances, i.shared = make(map[CrashID]int), make(map[Clearance]int), make(map[CrashID]bool)
 }
 
-// Reserve reserves t for the retry of one suspected request. It reports false if t is already reserved.
-func (i *Isolator) Reserve(t identifier.Target) bool {
-	i.lock.Lock()
-	defer i.lock.Unlock()
-	if i.reserved == nil {
-		i.reserved = make(map[identifier.Target]struct{})
-	}
-	if _, taken := i.reserved[t]; taken {
+// IsSuspected reports whether the request is a suspect in a crash and has not completed since.
+func (i *Isolator) IsSuspected(f Fingerprint) bool {
+	if i.IsEmpty() {
 		return false
 	}
-	i.reserved[t] = struct{}{}
-	return true
-}
-
-// Unreserve ends the reservation of t.
-func (i *Isolator) Unreserve(t identifier.Target) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
-	delete(i.reserved, t)
-	if i.released != nil {
-		close(i.released)
-		i.released = nil
-	}
+	return slices.ContainsFunc(i.unclearedCrashes(f), Crash.counts)
 }
 
 // unclearedCrashes returns the crashes in which f is a suspect.
@@ -204,19 +183,13 @@
 	return !cleared && c.contains(f)
 }
 
-// commonSuspects returns the number of requests that are suspects in both crashes.
-func (i *Isolator) commonSuspects(a, b Crash) int {
-	n := 0
-	for _, f := range a.Suspects {
-		if i.isSuspect(a, f) && i.isSuspect(b, f) {
-			n++
-		}
-	}
-	return n
+// hasSuspect reports whether a crash counts against any request.
+func (i *Isolator) hasSuspect(c Crash) bool {
+	return c.counts() && slices.ContainsFunc(c.Suspects, func(f Fingerprint) bool { return i.isSuspect(c, f) })
 }
 
-// prune removes crashes older than DefaultRetention, the oldest ones beyond DefaultCapacity, and the clearances of
-// removed crashes.
+// prune removes crashes older than DefaultRetention, the oldest ones beyond DefaultCapacity, and what is kept about
+// removed crashes. Crashes that no longer count are removed before those that do.
 func (i *Isolator) prune(now time.Time) {
 	var ids []CrashID
 	for id, c := range i.crashes {
@@ -226,20 +199,36 @@
 		}
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, func(a, b CrashID) int { return cmp.Or(i.crashes[a].At.Compare(i.crashes[b].At), a.compare(b)) })
-	for _, id := range ids[:max(0, len(ids)-DefaultCapacity)] {
-		delete(i.crashes, id)
-	}
-	for c := range i.cleared {
-		if _, ok := i.crashes[c.Crash]; !ok {
-			delete(i.cleared, c)
+	if len(ids) > DefaultCapacity {
+		slices.SortFunc(ids, func(a, b CrashID) int {
+			return cmp.Or(i.keepRank(a)-i.keepRank(b), i.crashes[a].At.Compare(i.crashes[b].At), a.compare(b))
+		})
+		for _, id := range ids[:len(ids)-DefaultCapacity] {
+			delete(i.crashes, id)
 		}
 	}
+	gone := func(id CrashID) bool {
+		_, kept := i.crashes[id]
+		return !kept
+	}
+	maps.DeleteFunc(i.cleared, func(c Clearance, _ struct{}) bool { return gone(c.Crash) })
+	maps.DeleteFunc(i.observedClearances, func(c Clearance, _ int) bool { return gone(c.Crash) })
+	maps.DeleteFunc(i.observed, func(id CrashID, _ int) bool { return gone(id) })
+	maps.DeleteFunc(i.shared, func(id CrashID, _ bool) bool { return gone(id) })
 	i.rebuildIndexes()
 }
 
-// rebuildIndexes recomputes crashesOf and soleSuspects from the crashes and clearances.
+// keepRank orders crashes for removal: those with the lowest rank go first.
+func (i *Isolator) keepRank(id CrashID) int {
+	if i.hasSuspect(i.crashes[id]) {
+		return 1
+	}
+	return 0
+}
+
+// rebuildIndexes recomputes what is derived from the crashes and clearances.
 func (i *Isolator) rebuildIndexes() {
+	i.occupied.Store(len(i.crashes) > 0)
 	i.crashesOf, i.soleSuspects = make(map[Fingerprint][]CrashID), make(map[Fingerprint]bool)
 	for id, c := range i.crashes {
 		var left []Fingerprint
@@ -249,15 +238,8 @@
 				left = append(left, f)
 			}
 		}
-		if len(left) == 1 {
+		if len(left) == 1 && !c.Partial {
 			i.soleSuspects[left[0]] = true
 		}
 	}
 }
-
-// hasOtherSoleSuspect reports whether c has a suspect other than f that is the only suspect of some crash.
-func (i *Isolator) hasOtherSoleSuspect(c Crash, f Fingerprint) bool {
-	return slices.ContainsFunc(c.Suspects, func(other Fingerprint) bool {
-		return other != f && i.soleSuspects[other] && i.isSuspect(c, other)
-	})
-}
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -76,6 +76,14 @@
 			id := rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "id")
 			// The agent that recorded a crash determines its suspects, so that they depend on the crash alone.
 			c := crash(id, identifier.Target("t"+id), time.Duration(rapid.IntRange(0, 3).Draw(t, "at")), "a", names[len(id)])
+			if rapid.Bool().Draw(t, "partial") {
+				// Each entry knows only the suspects of its own attempts, and its own view of the target.
+				suspect := fingerprint(rapid.SampledFrom(names).Draw(t, "suspect"))
+				c.Partial, c.Suspects = true, []isolator.Fingerprint{suspect}
+				c.Service = rapid.SampledFrom([]identifier.Service{"", "s"}).Draw(t, "service")
+				c.Ended = rapid.Bool().Draw(t, "ended")
+				c = c.WithAnswer(start.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "answered"))))
+			}
 			e := isolator.Evidence{Crashes: []isolator.Crash{c}}
 			if rapid.Bool().Draw(t, "cleared") {
 				e.Cleared = []isolator.Clearance{{Crash: c.ID, Fingerprint: fingerprint(rapid.SampledFrom(names).Draw(t, "name"))}}
