forwarder: a request that crashes targets is held back on every path, whatever time passes

Cause: the forwarder decided by a table of its own. It was asked before the first attempt of unary requests only: streams never used it, further attempts of a held back request went out. It counted breaks only, so targets that ended silently, under attempts whose time was up or whose caller left, were not counted. And it forgot after 15 s, since it could not tell a crash from a broken connection in any other way. What callers saw: a stream was sent to targets for as long as its caller sent it; any other request was sent again each 15 s. Change: unary requests and streams ask isolator before each attempt and report each end to it; the registrar says which incarnations ended, items of batch jobs report what their ends say about targets. A suspected request gets no second attempt beside the first. A request that is held back before any attempt is refused as not run, with the time that is left.

--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -8,6 +8,7 @@
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -128,11 +129,12 @@
 		return
 	}
 	for {
-		began := c.Clock.Monotonic()
+		began, sent := c.Clock.Monotonic(), c.Clock.Now()
 		var timings eventTimings
 		outcome, next := c.runAttempt(ctx, a, &timings)
 		c.Router.Release(a.target.ID)
 		c.applyOutcome(a, outcome)
+		c.observeAttempt(a, outcome, sent)
 		c.reportAttempt(a, outcome, &timings, began)
 		if outcome != attemptOutpaced {
 			if outcome == attemptComplete && a.ledJob.job.CompleteText(a.task.Index) {
@@ -225,6 +227,20 @@
 	}
 }
 
+// observeAttempt keeps what the end of an attempt of an item says about its target. The item itself is never suspected of
+// crashing targets: it is owed whatever became of them.
+func (c *Conductor) observeAttempt(a assignment, outcome attemptOutcome, sent time.Time) {
+	attempt := isolator.Attempt{Target: a.target.ID, Incarnation: a.target.Incarnation, Service: a.target.Service, Sent: sent}
+	switch outcome {
+	case attemptBroken:
+		c.Forwarder.Observer.Broken(attempt, c.Clock.Now())
+	case attemptComplete, attemptFailed, attemptUnprocessable:
+		c.Forwarder.Observer.Answered(attempt)
+	default:
+		// The other outcomes show neither that the target lives nor that it ended.
+	}
+}
+
 // itemCall returns the call that runs an item, from the event after the last one if it has a partial text.
 func (c *Conductor) itemCall(a assignment) forwarder.Call {
 	spec, item := a.ledJob.job.Spec(), a.task.Item
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -51,19 +52,25 @@
 	TargetClient TargetClient
 	Opener       Opener
 	Counter      RequestCounter
-	Clock        timer.Service
-	Zone         identifier.Zone
-	Region       identifier.Region
+	// Observer holds the evidence of which requests crash targets; if it is nil, the forwarder keeps its own.
+	Observer *isolator.Observer
+	Clock    timer.Service
+	Zone     identifier.Zone
+	Region   identifier.Region
 }
 
-// Forwarder forwards requests from callers to targets. Its only own state is the table of suspected requests.
+// Forwarder forwards requests from callers to targets. It has no state of its own.
 type Forwarder struct {
 	Dependencies
-	suspects suspects
 }
 
 // NewForwarder returns a Forwarder with the given dependencies.
-func NewForwarder(d Dependencies) *Forwarder { return &Forwarder{Dependencies: d} }
+func NewForwarder(d Dependencies) *Forwarder {
+	if d.Observer == nil {
+		d.Observer = isolator.NewObserver()
+	}
+	return &Forwarder{Dependencies: d}
+}
 
 // exchange is the state of one request that is being forwarded. Only one goroutine uses it.
 type exchange struct {
@@ -77,6 +84,8 @@
 	result       Result
 	triedTargets []identifier.Target
 	counted      bool
+
+	computedFingerprint isolator.Fingerprint
 }
 
 // Forward sends a request to targets and writes a target's answer to sink. If no target answered, nothing is written,
@@ -109,14 +118,15 @@
 	if !ok {
 		return result.notRun(NoTarget)
 	}
-	if f.suspects.blocked(q, f.Clock.Monotonic()) {
-		result.Outcome, result.Reason = Unknown, Suspect
-		return result
-	}
 	x := &exchange{
 		Forwarder: f, request: q, route: route, service: service, team: result.Team, priority: priority,
 		deadline: f.Clock.Monotonic() + requestTimeout(q, route), result: result,
 	}
+	if left, held := x.heldBack(); held {
+		x.result = result.notRun(Suspect)
+		x.result.RetryAfter, x.result.Fingerprint = left, x.fingerprint()
+		return x.result
+	}
 	if route.Kind == navigator.Stream {
 		return x.forwardStream(ctx, sink)
 	}
@@ -140,11 +150,16 @@
 	return limit
 }
 
-// chooseTarget chooses the target of the next attempt. Suspended targets are used only if there is no other.
+// chooseTarget chooses the target of the next attempt. Suspended targets are used only if there is no other. It chooses
+// none for a request that is held back by now.
 func (x *exchange) chooseTarget() (router.Target, bool) {
 	if len(x.triedTargets) >= max(x.route.MaxAttempts, 1) {
 		return router.Target{}, false
 	}
+	if _, held := x.heldBack(); held {
+		x.result.Reason = Suspect
+		return router.Target{}, false
+	}
 	requirements := router.Requirements{Service: x.service, Zone: x.Zone, Region: x.Region}
 	requirements.Avoid = append(x.Registrar.TargetsToAvoid(x.service, "", 0, x.Clock.Monotonic()), x.triedTargets...)
 	target, ok := x.Router.Choose(requirements)
@@ -171,16 +186,17 @@
 	x.Counter.Count(x.team, at)
 }
 
-// recordAttempt adds an ended attempt to the result and updates the state of its target in the registrar. An attempt that
-// ended because its caller left says nothing about its target.
-func (x *exchange) recordAttempt(ctx context.Context, a Attempt) {
+// recordAttempt adds an ended attempt to the result, updates the state of its target in the registrar and keeps what it
+// says about crashes. An attempt that ended because its caller left says nothing about its target.
+func (x *exchange) recordAttempt(ctx context.Context, s sentAttempt, a Attempt) {
+	x.observe(ctx, s, a)
 	abandoned := a.Fault != NoFault && callerLeft(ctx)
 	if abandoned {
 		a.Fault = Pending
 	}
 	x.result.Attempts = append(x.result.Attempts, a)
 	if a.Fault == Broken {
-		x.result.Fingerprint = x.request.fingerprint(x.team)
+		x.result.Fingerprint = x.fingerprint()
 	}
 	now := x.Clock.Monotonic()
 	switch {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -80,14 +80,14 @@
 	if p.hasEvent {
 		call = call.WithResume(p.lastEvent)
 	}
-	began, sentAt := x.Clock.Monotonic(), x.Clock.Now()
+	began, sent := x.Clock.Monotonic(), sentAttempt{target: target, at: x.Clock.Now()}
 	a, fault := x.TargetClient.Call(ctx, call)
 	attempt := Attempt{Target: target.ID, Status: a.Status, NotRun: a.NotRun, Fault: fault}
 	if fault != NoFault || a.NotRun || a.Status >= 300 {
-		return x.attemptWithoutEvents(ctx, attempt, a, began, sentAt, p)
+		return x.attemptWithoutEvents(ctx, attempt, a, began, sent, p)
 	}
 	defer a.Body.Close() //nolint:errcheck // the answer was read, so the error changes nothing
-	x.countRequest(sentAt)
+	x.countRequest(sent.at)
 	if !p.begun {
 		p.begun = true
 		x.result.Status, x.result.Stamp = a.Status, a.Stamp
@@ -98,12 +98,12 @@
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			attempt.Took = x.Clock.Monotonic() - began
-			x.recordAttempt(ctx, attempt)
+			x.recordAttempt(ctx, sent, attempt)
 			return true, false
 		}
 		if err != nil {
 			attempt.Fault, attempt.Took = Broken, x.Clock.Monotonic()-began
-			x.recordAttempt(ctx, attempt)
+			x.recordAttempt(ctx, sent, attempt)
 			return false, x.route.Resumable && ctx.Err() == nil
 		}
 		if p.hasEvent && e.Number <= p.lastEvent {
@@ -120,13 +120,13 @@
 // attemptWithoutEvents handles an attempt of a stream that has a fault, a refusal or an answer other than a stream.
 // Its results are those of attemptStream.
 func (x *exchange) attemptWithoutEvents(
-	ctx context.Context, attempt Attempt, a Answer, began time.Duration, sentAt time.Time, p *progress,
+	ctx context.Context, attempt Attempt, a Answer, began time.Duration, sent sentAttempt, p *progress,
 ) (complete, retry bool) {
 	attempt.Took = x.Clock.Monotonic() - began
-	x.recordAttempt(ctx, attempt)
+	x.recordAttempt(ctx, sent, attempt)
 	mayHaveRun := attempt.Fault == Broken || attempt.Fault == NoFault && !attempt.NotRun
 	if mayHaveRun {
-		x.countRequest(sentAt)
+		x.countRequest(sent.at)
 	}
 	if attempt.Fault != NoFault {
 		return false, !mayHaveRun || x.route.Resumable
--- a/internal/forwarder/unary.go
+++ b/internal/forwarder/unary.go
@@ -8,13 +8,12 @@
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/navigator"
-	"github.com/mimosalb/mimosalb/internal/router"
 )
 
 // endedAttempt is an attempt that has ended: its record, and the answer if there is one.
 type endedAttempt struct {
 	attempt Attempt
-	sentAt  time.Time
+	sent    sentAttempt
 	answer  Answer
 	// body is the first part of the body if hasMore is set, otherwise the complete body.
 	body    []byte
@@ -41,17 +40,23 @@
 	endedAttempts chan endedAttempt
 	running       int
 	// runningAttempts are the attempts that have not ended.
-	runningAttempts map[identifier.Target]Attempt
+	runningAttempts map[identifier.Target]runningAttempt
 	// failedAttempt is the last attempt whose answer has a failure status; its answer is sent if no attempt succeeds.
 	failedAttempt *endedAttempt
 }
 
+// runningAttempt is an attempt that has not ended, with the monotonic time at which it began.
+type runningAttempt struct {
+	sentAttempt
+	began time.Duration
+}
+
 // forwardUnary forwards a request that has one answer. A repeatable request that has no answer after the hedge delay
 // is also sent to a second target.
 func (x *exchange) forwardUnary(ctx context.Context, sink Sink) Result {
 	r := &unaryExchange{
 		exchange: x, ctx: ctx, sink: sink, endedAttempts: make(chan endedAttempt, max(x.route.MaxAttempts, 1)),
-		runningAttempts: make(map[identifier.Target]Attempt),
+		runningAttempts: make(map[identifier.Target]runningAttempt),
 	}
 	defer func() { go releaseRemaining(r.endedAttempts, r.running) }()
 	if !r.startNext() {
@@ -68,7 +73,7 @@
 				return result
 			}
 		case <-hedge.C():
-			if r.repeatable() {
+			if r.repeatable() && !r.suspected() {
 				r.startNext()
 			}
 		case <-timeout.C():
@@ -83,11 +88,11 @@
 // their targets have probably begun to run it.
 func (r *unaryExchange) interrupted(o Outcome) Result {
 	r.result.Outcome = o
-	now := r.Clock.Monotonic()
-	for _, a := range r.runningAttempts {
-		r.countRequest(r.Clock.Now().Add(a.Took - now))
-		a.Took = now - a.Took
-		r.result.Attempts = append(r.result.Attempts, a)
+	for id, a := range r.runningAttempts {
+		r.countRequest(a.at)
+		ended := Attempt{Target: id, Fault: Pending, Took: r.Clock.Monotonic() - a.began}
+		r.observe(r.ctx, a.sentAttempt, ended)
+		r.result.Attempts = append(r.result.Attempts, ended)
 	}
 	return r.result
 }
@@ -101,9 +106,9 @@
 		return false
 	}
 	r.running++
-	// Took holds the start time until the attempt ends.
-	r.runningAttempts[target.ID] = Attempt{Target: target.ID, Fault: Pending, Took: r.Clock.Monotonic()}
-	r.startAttempt(r.ctx, target, r.endedAttempts)
+	sent := sentAttempt{target: target, at: r.Clock.Now()}
+	r.runningAttempts[target.ID] = runningAttempt{sentAttempt: sent, began: r.Clock.Monotonic()}
+	r.startAttempt(r.ctx, sent, r.endedAttempts)
 	return true
 }
 
@@ -117,16 +122,12 @@
 		return true, r.interrupted(CallerLeft)
 	}
 	delete(r.runningAttempts, e.attempt.Target)
-	r.recordAttempt(r.ctx, e.attempt)
+	r.recordAttempt(r.ctx, e.sent, e.attempt)
 	if e.mayHaveRun() {
-		r.countRequest(e.sentAt)
+		r.countRequest(e.sent.at)
 	}
 	if e.deliverable() {
-		r.suspects.remove(r.request)
-		return true, r.deliver(e, r.sink)
-	}
-	if e.attempt.Fault == Broken {
-		r.suspects.add(r.request, r.Clock.Monotonic())
+		return true, r.deliver(r.ctx, e, r.sink)
 	}
 	if e.mayHaveRun() && e.attempt.Fault == NoFault {
 		r.failedAttempt = &e
@@ -136,7 +137,7 @@
 		return false, Result{}
 	}
 	if r.failedAttempt != nil {
-		return true, r.deliver(*r.failedAttempt, r.sink)
+		return true, r.deliver(r.ctx, *r.failedAttempt, r.sink)
 	}
 	return true, r.failureResult()
 }
@@ -150,14 +151,14 @@
 }
 
 // startAttempt sends the request to a target in a new goroutine, which sends the ended attempt to endedAttempts.
-func (x *exchange) startAttempt(ctx context.Context, t router.Target, endedAttempts chan<- endedAttempt) {
+func (x *exchange) startAttempt(ctx context.Context, sent sentAttempt, endedAttempts chan<- endedAttempt) {
 	ctx, cancel := context.WithCancel(ctx)
-	call := x.newCall(t)
+	id := sent.target.ID
+	call := x.newCall(sent.target)
 	began := x.Clock.Monotonic()
-	sentAt := x.Clock.Now()
 	go func() {
 		a, fault := x.TargetClient.Call(ctx, call)
-		e := endedAttempt{answer: a, sentAt: sentAt, attempt: Attempt{Target: t.ID, Status: a.Status, NotRun: a.NotRun, Fault: fault}}
+		e := endedAttempt{answer: a, sent: sent, attempt: Attempt{Target: id, Status: a.Status, NotRun: a.NotRun, Fault: fault}}
 		e.release = func() {
 			if e.answer.Body != nil {
 				_ = e.answer.Body.Close() // the answer was read or is discarded with its connection, so the error changes nothing
@@ -168,7 +169,7 @@
 			e = e.read()
 		}
 		e.attempt.Took = x.Clock.Monotonic() - began
-		x.Router.Release(t.ID)
+		x.Router.Release(id)
 		endedAttempts <- e
 	}()
 }
@@ -187,7 +188,7 @@
 }
 
 // deliver sends an answer to the caller.
-func (x *exchange) deliver(e endedAttempt, sink Sink) Result {
+func (x *exchange) deliver(ctx context.Context, e endedAttempt, sink Sink) Result {
 	defer e.release()
 	x.result.Outcome, x.result.Status, x.result.Stamp = Answered, e.answer.Status, e.answer.Stamp
 	length := int64(len(e.body))
@@ -202,12 +203,12 @@
 	if !e.hasMore {
 		return x.result
 	}
-	return x.copyRest(e, sink)
+	return x.copyRest(ctx, e, sink)
 }
 
 // copyRest sends the rest of an answer's body to the caller. A body that has not ended when the time of the request is up
 // is broken off, since it may never end.
-func (x *exchange) copyRest(e endedAttempt, sink Sink) Result {
+func (x *exchange) copyRest(ctx context.Context, e endedAttempt, sink Sink) Result {
 	timeout := x.Clock.After(x.deadline - x.Clock.Monotonic())
 	defer timeout.Stop()
 	done := make(chan struct{})
@@ -230,6 +231,7 @@
 			return x.result
 		}
 		if err != nil {
+			x.observe(ctx, e.sent, Attempt{Fault: Broken})
 			break
 		}
 	}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -14,6 +14,7 @@
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
@@ -85,9 +86,10 @@
 	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions), router.NewRouter(router.WithPolicy(router.NewCombined()))
 	tally := tallier.NewTallier(
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
+	observer := isolator.NewObserver()
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
-		Navigator: nav, Registrar: reg, Router: route, TargetClient: p.Targets, Opener: p.Targets, Counter: tally, Clock: e.clock,
-		Zone: s.Zone, Region: s.Region,
+		Navigator: nav, Registrar: reg, Router: route, TargetClient: p.Targets, Opener: p.Targets, Counter: tally, Observer: observer,
+		Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
@@ -101,7 +103,10 @@
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
 		StoreReached: e.presence.reachedJustNow,
 	})
-	targets := &targetView{decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: e.conductor.TriggerAssignment}
+	targets := &targetView{
+		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: e.conductor.TriggerAssignment,
+		onEnd: func(l registrar.Listing) { observer.TargetEnded(l.ID, l.Incarnation, e.clock.Now()) },
+	}
 	e.front = newFront(FrontDependencies{
 		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log,
 		Synced: func() bool { return e.presence.storeReached() && targets.synced.Load() },
@@ -213,9 +218,7 @@
 	for {
 		select {
 		case <-ticks.C():
-			if v.registrar.Expire(e.clock.Monotonic()) {
-				v.updateRouter()
-			}
+			v.expire()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -80,8 +80,10 @@
 	log       *logger.Logger
 	// interruptedAt is the monotonic time of the last interruption; zero before the first.
 	interruptedAt time.Duration
-	// onChange is called after the targets of the router have changed; it may be nil.
+	// onChange is called after the targets of the router have changed, and onEnd for each incarnation of a target that has
+	// ended without having announced it. Both may be nil.
 	onChange func()
+	onEnd    func(registrar.Listing)
 	// synced is set once all listings have been read.
 	synced atomic.Bool
 }
@@ -94,8 +96,7 @@
 			all = append(all, l)
 		}
 	}
-	v.registrar.Replace(all, v.clock.Monotonic())
-	v.updateRouter()
+	v.update(v.registrar.Replace(all, v.clock.Monotonic()))
 	v.synced.Store(true)
 }
 
@@ -107,21 +108,30 @@
 	id := v.decoder.Target(c.Key)
 	if !c.Removed {
 		if l, ok := v.decode(c.Entry); ok {
-			v.registrar.Put(l)
-			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "draining", l.Draining, "incarnation", l.Incarnation, "versions", l.Versions, "changed", c.Changed)
-			v.updateRouter()
+			replaced := v.registrar.Put(l)
+			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "draining", l.Draining,
+				"incarnation", l.Incarnation, "versions", l.Versions, "changed", c.Changed)
+			v.update(replaced)
 			return
 		}
 	}
 	now := v.clock.Monotonic()
 	lapsed := v.interruptedAt > 0 && now-v.interruptedAt < lapseWindow
 	v.log.Emit(logger.TargetUnlisted, "target", id, "lapsed", lapsed, "changed", c.Changed)
+	var removed []registrar.Listing
 	if lapsed {
 		v.registrar.MarkLapsed(id, now)
 	} else {
-		v.registrar.Remove(id)
+		removed = v.registrar.Remove(id)
+	}
+	v.update(removed)
+}
+
+// expire drops the targets whose listings were lost and did not return in time.
+func (v *targetView) expire() {
+	if dropped := v.registrar.Expire(v.clock.Monotonic()); len(dropped) > 0 {
+		v.update(dropped)
 	}
-	v.updateRouter()
 }
 
 func (v *targetView) decode(e storer.Entry) (registrar.Listing, bool) {
@@ -132,11 +142,17 @@
 	return l, err == nil
 }
 
-// updateRouter passes the targets that accept work to the router.
-func (v *targetView) updateRouter() {
+// update passes the targets that accept work to the router, and the incarnations that ended to onEnd. A draining target
+// ends as announced.
+func (v *targetView) update(ended []registrar.Listing) {
 	view, _ := v.registrar.Watch()
 	v.router.Adopt(view)
 	if v.onChange != nil {
 		v.onChange()
 	}
+	for _, l := range ended {
+		if v.onEnd != nil && !l.Draining {
+			v.onEnd(l)
+		}
+	}
 }
--- a/internal/isolator/crash.go
+++ b/internal/isolator/crash.go
@@ -6,7 +6,7 @@
 	"bytes"
 	"cmp"
 	"crypto/sha256"
-	"encoding/hex"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -28,7 +28,7 @@
 }
 
 // String returns f in hexadecimal. It shows nothing of the request, so it may stand in logs and keys.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+func (f Fingerprint) String() string { return fmt.Sprintf("%x", f[:]) }
 
 func (f Fingerprint) compare(o Fingerprint) int { return bytes.Compare(f[:], o[:]) }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -49,20 +49,25 @@
 	return &Registrar{regions: maps.Clone(regions)}
 }
 
-// Put adds or replaces a listing.
-func (r *Registrar) Put(l Listing) {
+// Put adds or replaces a listing. It returns the listing of the incarnation that the target had before, if that is another.
+func (r *Registrar) Put(l Listing) []Listing {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.put(l)
-	r.notify()
+	defer r.notify()
+	return r.put(l)
 }
 
-// Remove removes a target whose listing was removed.
-func (r *Registrar) Remove(id identifier.Target) {
+// Remove removes a target whose listing was removed. It returns its last listing, if there was one.
+func (r *Registrar) Remove(id identifier.Target) []Listing {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	defer r.notify()
+	rec, listed := r.records[id]
+	if !listed {
+		return nil
+	}
 	delete(r.records, id)
-	r.notify()
+	return []Listing{rec.listing}
 }
 
 // MarkLapsed handles the removal of a listing whose lease may have expired only because the store was unavailable. The
@@ -77,14 +82,16 @@
 }
 
 // Replace puts all listings into the table after the watch of them was interrupted. Targets without a listing are
-// kept for lapseGrace, because the leases of listings expire while the store is unavailable.
-func (r *Registrar) Replace(all []Listing, now time.Duration) {
+// kept for lapseGrace, because the leases of listings expire while the store is unavailable. It returns the listings of
+// incarnations that were replaced by others.
+func (r *Registrar) Replace(all []Listing, now time.Duration) []Listing {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	listed := make(map[identifier.Target]bool, len(all))
+	replaced := make([]Listing, 0, len(all))
 	for _, l := range all {
 		listed[l.ID] = true
-		r.put(l)
+		replaced = append(replaced, r.put(l)...)
 	}
 	for id, rec := range r.records {
 		if !listed[id] && rec.expiresAt == 0 {
@@ -93,20 +100,21 @@
 		}
 	}
 	r.notify()
+	return replaced
 }
 
-// Expire drops the targets whose grace period is over, and reports whether there were any.
-func (r *Registrar) Expire(now time.Duration) bool {
+// Expire drops the targets whose grace period is over, and returns their last listings.
+func (r *Registrar) Expire(now time.Duration) []Listing {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	dropped := false
+	var dropped []Listing
 	for id, rec := range r.records {
 		if rec.expiresAt > 0 && rec.expiresAt <= now {
 			delete(r.records, id)
-			dropped = true
+			dropped = append(dropped, rec.listing)
 		}
 	}
-	if dropped {
+	if len(dropped) > 0 {
 		r.notify()
 	}
 	return dropped
@@ -191,17 +199,23 @@
 	return router.NewView(targets), r.changed
 }
 
-// put adds or replaces a listing. A new incarnation starts without the failures of the previous one.
-func (r *Registrar) put(l Listing) {
+// put adds or replaces a listing. A new incarnation starts without the failures of the previous one, whose listing is
+// returned.
+func (r *Registrar) put(l Listing) []Listing {
 	if r.records == nil {
 		r.records = make(map[identifier.Target]record)
 	}
-	rec := r.records[l.ID]
+	rec, listed := r.records[l.ID]
+	var replaced []Listing
 	if rec.listing.Incarnation != l.Incarnation {
+		if listed {
+			replaced = []Listing{rec.listing}
+		}
 		rec = record{}
 	}
 	rec.listing, rec.expiresAt = l, 0
 	r.records[l.ID] = rec
+	return replaced
 }
 
 func (r *Registrar) update(id identifier.Target, f func(record) record) {
