forwarder: scoring calls of items are never held back

Evidence: TestCallsOfItemsAreNeverHeldBack fails before. Change: a call of mimosalb itself is never suspected and never held back. What its ends say about targets is kept, since it shows that targets end without the requests that are suspected.

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -14,11 +14,14 @@
 	at     time.Time
 }
 
-// evidence describes an attempt of the request.
+// evidence describes an attempt of the request. A request of mimosalb itself is never suspected: it belongs to an item,
+// which is owed whatever became of the targets.
 func (x *exchange) evidence(s sentAttempt) isolator.Attempt {
-	return isolator.Attempt{
-		Target: s.target.ID, Incarnation: s.target.Incarnation, Service: s.target.Service, Sent: s.at, Suspect: x.fingerprint(),
+	a := isolator.Attempt{Target: s.target.ID, Incarnation: s.target.Incarnation, Service: s.target.Service, Sent: s.at}
+	if !x.request.Internal {
+		a.Suspect = x.fingerprint()
 	}
+	return a
 }
 
 // fingerprint returns the fingerprint of the request, computed at its first use.
@@ -45,7 +48,7 @@
 
 // heldBack reports whether the request is held back because it crashes targets, and for how long.
 func (x *exchange) heldBack() (time.Duration, bool) {
-	if x.Observer.IsEmpty() {
+	if x.request.Internal || x.Observer.IsEmpty() {
 		return 0, false
 	}
 	return x.Observer.HeldBack(x.fingerprint(), x.Clock.Now())
@@ -54,5 +57,5 @@
 // suspected reports whether a target crashed under the request that was not answered since. It is then sent to one target
 // at a time.
 func (x *exchange) suspected() bool {
-	return !x.Observer.IsEmpty() && x.Observer.IsSuspected(x.fingerprint())
+	return !x.request.Internal && !x.Observer.IsEmpty() && x.Observer.IsSuspected(x.fingerprint())
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -407,3 +407,14 @@
 		c.Check(f.Forward(t.Context(), q, &sink{}).Reason, qt.Equals, forwarder.Suspect, qt.Commentf(path))
 	}
 }
+
+// Guards against scoring calls that are held back: they belong to items, which are owed although targets ended under them.
+func TestCallsOfItemsAreNeverHeldBack(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(plan(), 9, slices.Repeat([]reply{{fault: forwarder.Broken}}, 6)...)
+	q := forwarder.Request{ID: "r", Path: "/again/x", Host: "h", Internal: true}
+	for range 2 {
+		c.Assert(f.Forward(t.Context(), q, &sink{}).Outcome, qt.Equals, forwarder.Unknown)
+	}
+	c.Assert(f.Forward(t.Context(), q, &sink{}).Outcome, qt.Equals, forwarder.Answered)
+}
