broadcaster, hoster: all entries know which request crashes targets

Cause: each entry counted the crashes that it saw itself. The caller of a request that crashes targets sends it to any entry, so each lost targets of its own before it held the request back. What callers saw: with three entries 12 targets ended under a request that may be repeated and 9 under one that may not. Change: broadcaster sends what an entry observed to all others within 0.1 s over net/rpc, again until each has acknowledged it, and everything to a process that started again. Evidence is a union, so lost, late and doubled messages do no harm. mimosalb_isolator_held_requests counts what an entry holds back.

--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -135,6 +135,10 @@
 		"mimosalb_logger_dropped_lines", Gauge, "",
 		"Log lines that were dropped because their reader was too slow.",
 	}
+	heldRequests = Definition{
+		"mimosalb_isolator_held_requests", Gauge, "",
+		"Requests that this process holds back because they crash targets.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -148,7 +152,7 @@
 		listedTargets, servingTargets, clientConnections, responses,
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
-		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines,
+		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -14,6 +14,7 @@
 	Leading  func() int
 	Dropped  func() int64
 	Omitted  func() int64
+	Held     func() int
 }
 
 // Hosted holds the metrics of a process that runs on the users' own platform.
@@ -42,6 +43,7 @@
 	newGauge(h.registry, planRevision, func() float64 { return float64(s.Revision()) })
 	newGauge(h.registry, ledJobs, func() float64 { return float64(s.Leading()) })
 	newGauge(h.registry, droppedLogLines, func() float64 { return float64(s.Dropped()) })
+	newGauge(h.registry, heldRequests, func() float64 { return float64(s.Held()) })
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
 }
 
--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -13,6 +13,7 @@
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/storer"
@@ -116,11 +117,45 @@
 	return nil
 }
 
-// Serve answers calls on l until l is closed. buffers holds, by key prefix, the changes that other processes may read
-// here.
-func Serve(l net.Listener, h Handler, buffers map[string]*storer.ChangeBuffer) error {
+// Crashes is the net/rpc receiver that takes in what other processes observed of requests that crash targets.
+type Crashes struct {
+	isolator *isolator.Isolator
+	clock    timer.Service
+}
+
+// Inform adds evidence of another process.
+func (c *Crashes) Inform(e isolator.Evidence, received *bool) error {
+	c.isolator.Merge(e, c.clock.Now())
+	*received = true
+	return nil
+}
+
+// Services are what a process does for others. The zero value does nothing.
+type Services struct {
+	Jobs Handler
+	// Buffers holds, by key prefix, the changes that other processes may read here.
+	Buffers map[string]*storer.ChangeBuffer
+	// Isolator takes in evidence of crashes. It needs Clock.
+	Isolator *isolator.Isolator
+	Clock    timer.Service
+}
+
+// receivers returns the net/rpc receivers of the services that there are.
+func (s Services) receivers() []any {
+	all := []any{&Feeds{buffers: s.Buffers}}
+	if s.Jobs != nil {
+		all = append(all, &Jobs{handler: s.Jobs})
+	}
+	if s.Isolator != nil {
+		all = append(all, &Crashes{isolator: s.Isolator, clock: s.Clock})
+	}
+	return all
+}
+
+// Serve answers calls on l until l is closed.
+func Serve(l net.Listener, s Services) error {
 	server := rpc.NewServer()
-	for _, receiver := range []any{&Jobs{handler: h}, &Feeds{buffers: buffers}} {
+	for _, receiver := range s.receivers() {
 		if err := server.Register(receiver); err != nil {
 			return fmt.Errorf("register receiver: %w", err)
 		}
@@ -201,6 +236,15 @@
 // notifyTimeout limits a notification. The process that receives it reads the store before it replies.
 const notifyTimeout = time.Second
 
+// Inform sends evidence of crashes to the process at address, and reports whether that process received it.
+func (c *Client) Inform(ctx context.Context, address string, e isolator.Evidence) bool {
+	var received bool
+	return c.call(ctx, address, "Crashes.Inform", e, &received, informTimeout) && received
+}
+
+// informTimeout limits the delivery of evidence, which the receiver only adds to its own.
+const informTimeout = 500 * time.Millisecond
+
 // call makes one call within timeout. A kept connection may belong to a process that has since been restarted, so a
 // call that fails on it is repeated once on a new connection. Calls are idempotent, so the repeat does no harm.
 func (c *Client) call(ctx context.Context, address, method string, args, reply any, timeout time.Duration) bool {
--- a/internal/adapter/jobpeer/jobpeer_test.go
+++ b/internal/adapter/jobpeer/jobpeer_test.go
@@ -55,7 +55,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = jobpeer.Serve(tracked, h, nil)
+		_ = jobpeer.Serve(tracked, jobpeer.Services{Jobs: h})
 	}()
 	return l.Addr().String(), func() {
 		_ = l.Close()
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -168,6 +168,19 @@
 	return c.selectProcess("read", func(p recorder.Registration) bool { return p.Region == c.Region })
 }
 
+// OtherMembers returns the other registered processes.
+func (c *Conductor) OtherMembers() []recorder.Registration {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	peers := make([]recorder.Registration, 0, len(c.members))
+	for _, p := range c.members {
+		if p.Owner != c.Self {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
 // RegionPeerCount returns the number of other processes in the region.
 func (c *Conductor) RegionPeerCount() int {
 	c.lock.Lock()
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
+	"github.com/mimosalb/mimosalb/internal/broadcaster"
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -63,6 +64,7 @@
 	base
 	front     Front
 	conductor *conductor.Conductor
+	observer  *isolator.Observer
 	presence  *presence
 	servers   []*http.Server
 	peers     net.Listener
@@ -86,9 +88,9 @@
 	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions), router.NewRouter(router.WithPolicy(router.NewCombined()))
 	tally := tallier.NewTallier(
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
-	observer := isolator.NewObserver()
+	e.observer = isolator.NewObserver()
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
-		Navigator: nav, Registrar: reg, Router: route, TargetClient: p.Targets, Opener: p.Targets, Counter: tally, Observer: observer,
+		Navigator: nav, Registrar: reg, Router: route, TargetClient: p.Targets, Opener: p.Targets, Counter: tally, Observer: e.observer,
 		Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
@@ -105,7 +107,7 @@
 	})
 	targets := &targetView{
 		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: e.conductor.TriggerAssignment,
-		onEnd: func(l registrar.Listing) { observer.TargetEnded(l.ID, l.Incarnation, e.clock.Now()) },
+		onEnd: func(l registrar.Listing) { e.observer.TargetEnded(l.ID, l.Incarnation, e.clock.Now()) },
 	}
 	e.front = newFront(FrontDependencies{
 		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log,
@@ -117,6 +119,7 @@
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
+		Held: func() int { return e.observer.HeldCount(e.clock.Now()) },
 	})
 	if err != nil {
 		return nil, err
@@ -139,6 +142,8 @@
 	e.registering.Go(func() { e.presence.keepRegistered(registerCtx) })
 	e.running.Go(func() { tally.Run(ctx) })
 	e.running.Go(func() { e.expireListings(ctx, targets) })
+	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
+	e.running.Go(func() { crashes.Run(ctx) })
 	e.conductor.Start()
 	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
 	return e, nil
@@ -170,7 +175,8 @@
 	}
 	e.peers = l
 	e.running.Go(func() {
-		if err := jobpeer.Serve(l, e.conductor, e.changeBuffers); err != nil {
+		services := jobpeer.Services{Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Clock: e.clock}
+		if err := jobpeer.Serve(l, services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
 		}
 	})
--- a/internal/isolator/crash.go
+++ b/internal/isolator/crash.go
@@ -32,6 +32,12 @@
 
 func (f Fingerprint) compare(o Fingerprint) int { return bytes.Compare(f[:], o[:]) }
 
+// sorted sorts fingerprints in place and drops those that stand twice.
+func sorted(all []Fingerprint) []Fingerprint {
+	slices.SortFunc(all, Fingerprint.compare)
+	return slices.Compact(all)
+}
+
 // CrashID identifies one crash of a target. Agents name the first attempt that it ended; an entry that observes its own
 // attempts names the target and its incarnation, which a crash ends.
 type CrashID struct {
@@ -91,9 +97,7 @@
 	if o.At.Before(c.At) {
 		c.At, c.Target = o.At, o.Target
 	}
-	c.Suspects = append(slices.Clone(c.Suspects), o.Suspects...)
-	slices.SortFunc(c.Suspects, Fingerprint.compare)
-	c.Suspects = slices.Compact(c.Suspects)
+	c.Suspects = sorted(append(slices.Clone(c.Suspects), o.Suspects...))
 	c.Partial = c.Partial && o.Partial
 	c.Service = max(c.Service, o.Service)
 	c.Ended = c.Ended || o.Ended
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"cmp"
 	"slices"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
 // Evidence is what entries exchange: crashes and the clearances of their suspects. It is immutable.
@@ -25,6 +28,33 @@
 // IsEmpty reports whether there is no evidence.
 func (e Evidence) IsEmpty() bool { return len(e.Crashes) == 0 && len(e.Cleared) == 0 }
 
+// ExpiresAt returns when the evidence no longer holds a request back.
+func (e Evidence) ExpiresAt() time.Time {
+	var last time.Time
+	for _, c := range e.Crashes {
+		last = latest(last, c.At)
+	}
+	return last.Add(DefaultRetention)
+}
+
+// Suspects returns the suspects of the crashes, in a fixed order.
+func (e Evidence) Suspects() []Fingerprint {
+	var all []Fingerprint
+	for _, c := range e.Crashes {
+		all = append(all, c.Suspects...)
+	}
+	return sorted(all)
+}
+
+// Targets returns the targets that crashed.
+func (e Evidence) Targets() []identifier.Target {
+	all := make([]identifier.Target, 0, len(e.Crashes))
+	for _, c := range e.Crashes {
+		all = append(all, c.Target)
+	}
+	return all
+}
+
 // Revision returns a number that increases whenever evidence is added.
 func (i *Isolator) Revision() int {
 	i.lock.Lock()
@@ -39,11 +69,16 @@
 	return i.evidence(func(CrashID) bool { return true }, func(Clearance) bool { return true })
 }
 
-// EvidenceOn returns the crashes that count against a request.
+// EvidenceOn returns the crashes that count against a request, with that request as the only suspect.
 func (i *Isolator) EvidenceOn(f Fingerprint) Evidence {
 	i.lock.Lock()
 	defer i.lock.Unlock()
-	return Evidence{Crashes: i.countingCrashes(f)}
+	var e Evidence
+	for _, c := range i.countingCrashes(f) {
+		c.Suspects, c.Partial = []Fingerprint{f}, true
+		e.Crashes = append(e.Crashes, c)
+	}
+	return e
 }
 
 // Observed returns the evidence that this entry observed itself after the given revision of it, and the present revision.
@@ -63,6 +98,27 @@
 	return e, i.observedRevision
 }
 
+// Changed returns a channel that is closed when evidence is added, whoever observed it.
+func (i *Isolator) Changed() <-chan struct{} {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	if i.changed == nil {
+		i.changed = make(chan struct{})
+	}
+	return i.changed
+}
+
+// ObservedSuspects returns the suspects of the crashes that this entry observed, in a fixed order.
+func (i *Isolator) ObservedSuspects() []Fingerprint {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	var all []Fingerprint
+	for id := range i.observed {
+		all = append(all, i.crashes[id].Suspects...)
+	}
+	return sorted(all)
+}
+
 // evidence returns the selected crashes and clearances in a fixed order. The caller holds the lock.
 func (i *Isolator) evidence(crash func(CrashID) bool, clearance func(Clearance) bool) Evidence {
 	var e Evidence
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -48,6 +48,8 @@
 	observedClearances map[Clearance]int
 	observedRevision   int
 	shared             map[CrashID]bool
+	// changed is closed at the next change of revision, if anybody waits for it.
+	changed chan struct{}
 	// occupied is set while there are crashes. It is read without the lock, since nearly always there are none.
 	occupied atomic.Bool
 
@@ -73,10 +75,9 @@
 	i.lock.Lock()
 	defer i.lock.Unlock()
 	for _, c := range i.unclearedCrashes(f) {
-		i.observedRevision++
-		i.observedClearances[Clearance{Crash: c.ID, Fingerprint: f}] = i.observedRevision
+		i.observedClearances[Clearance{Crash: c.ID, Fingerprint: f}] = i.nextObservation()
 		i.cleared[Clearance{Crash: c.ID, Fingerprint: f}] = struct{}{}
-		i.revision++
+		i.nextRevision()
 	}
 	i.rebuildIndexes()
 }
@@ -95,14 +96,19 @@
 	})
 }
 
-// change replaces a known crash by the result of f.
+// change replaces a known crash by the result of f. Other entries observe the same of a crash that this entry was told of,
+// so it is not passed on.
 func (i *Isolator) change(id CrashID, f func(Crash) Crash) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
-	if c, known := i.crashes[id]; known && i.add(f(c)) {
+	c, known := i.crashes[id]
+	if !known || !i.add(f(c)) {
+		return
+	}
+	if _, own := i.observed[id]; own {
 		i.markObserved(id)
-		i.rebuildIndexes()
 	}
+	i.rebuildIndexes()
 }
 
 // Merge adds the evidence of another entry.
@@ -117,7 +123,7 @@
 		i.init()
 		if _, known := i.cleared[c]; !known {
 			i.cleared[c] = struct{}{}
-			i.revision++
+			i.nextRevision()
 		}
 	}
 	i.prune(now)
@@ -139,13 +145,25 @@
 		return false
 	}
 	i.crashes[c.ID] = merged
-	i.revision++
+	i.nextRevision()
 	return true
 }
 
-func (i *Isolator) markObserved(id CrashID) {
+func (i *Isolator) markObserved(id CrashID) { i.observed[id] = i.nextObservation() }
+
+// nextObservation returns the next value of observedRevision. The caller holds the lock.
+func (i *Isolator) nextObservation() int {
 	i.observedRevision++
-	i.observed[id] = i.observedRevision
+	return i.observedRevision
+}
+
+// nextRevision counts a change and wakes who waits for one. The caller holds the lock.
+func (i *Isolator) nextRevision() {
+	i.revision++
+	if i.changed != nil {
+		close(i.changed)
+		i.changed = nil
+	}
 }
 
 func (i *Isolator) init() {
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -24,6 +24,24 @@
 	}
 	i.lock.Lock()
 	defer i.lock.Unlock()
+	return i.heldBack(f, now)
+}
+
+// HeldCount returns the number of requests that are held back.
+func (i *Isolator) HeldCount(now time.Time) int {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	n := 0
+	for f := range i.crashesOf {
+		if _, held := i.heldBack(f, now); held {
+			n++
+		}
+	}
+	return n
+}
+
+// heldBack is HeldBack for callers that hold the lock.
+func (i *Isolator) heldBack(f Fingerprint, now time.Time) (time.Duration, bool) {
 	crashes := i.countingCrashes(f)
 	ended := make(map[incarnation]bool)
 	var last time.Time
