persister, hoster: what was held back outlives every process

Cause: the evidence against a request lived in memory. Processes that are all stopped or killed begin to lose targets to it again. What callers saw: with two entries that were stopped and started once, 16 targets ended under one request. Evidence: TestCrashingRequestStaysHeldBackAfterRestart, in KNOWN-RED.txt since the reproduction (16 crashes, 6 allowed). Change: an entry that saw one of the crashes writes the evidence against a held back request to the key-value service, under its fingerprint and guarded by its absence; every process reads all of it at its start, and it is deleted once the hour is over or the targets turn out to live. E1401 and E1406 say so.

--- a/internal/adapter/codec/job.go
+++ b/internal/adapter/codec/job.go
@@ -4,12 +4,13 @@
 	"encoding/json"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/tallier"
 )
 
-// Jobs encodes and decodes the stored form of batch jobs, of the processes that lead them and of request counts. The
-// zero value is ready to use.
+// Jobs encodes and decodes the stored form of batch jobs, of the processes that lead them, of request counts and of
+// evidence of crashes. The zero value is ready to use.
 type Jobs struct{}
 
 // resultChunk is the stored form of consecutive results of a job, the first at position From.
@@ -79,3 +80,13 @@
 	err := json.Unmarshal(data, &c)
 	return c, err
 }
+
+// EncodeEvidence encodes evidence of crashes.
+func (Jobs) EncodeEvidence(e isolator.Evidence) ([]byte, error) { return json.Marshal(e) }
+
+// DecodeEvidence decodes evidence of crashes.
+func (Jobs) DecodeEvidence(data []byte) (isolator.Evidence, error) {
+	var e isolator.Evidence
+	err := json.Unmarshal(data, &e)
+	return e, err
+}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -19,6 +19,7 @@
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/persister"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -144,6 +145,8 @@
 	e.running.Go(func() { e.expireListings(ctx, targets) })
 	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
 	e.running.Go(func() { crashes.Run(ctx) })
+	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log)
+	e.running.Go(func() { stored.Run(ctx) })
 	e.conductor.Start()
 	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
 	return e, nil
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -90,6 +90,10 @@
 		Number: 1401, Level: hclog.Warn, Text: "request held back after crashes", Action: "ask the team for the request; check the engine's log",
 	}
 
+	RequestReleased = Event{
+		Number: 1406, Level: hclog.Info, Text: "request no longer held back: its targets live or ended with others", Action: "none",
+	}
+
 	LinesDropped = Event{
 		Number: 1011, Level: hclog.Warn, Text: "log lines dropped", Action: "make the log reader faster; a metric counts the dropped lines",
 	}
@@ -176,7 +180,7 @@
 		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
-		RequestFailed, AnswerUnusable, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
+		RequestFailed, AnswerUnusable, RequestReleased, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
