--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -26,6 +26,8 @@
 	Key string
 	// CallerTimeout is the timeout that the caller sent; zero if it sent none.
 	CallerTimeout time.Duration
+	// Elapsed is the part of the timeouts that has passed while the request arrived.
+	Elapsed time.Duration
 	// Internal marks a request of mimosalb itself: it needs no key and is counted for no team.
 	Internal bool
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -122,6 +122,9 @@
 		Forwarder: f, request: q, route: route, service: service, team: result.Team, priority: priority,
 		deadline: f.Clock.Monotonic() + requestTimeout(q, route), result: result,
 	}
+	if x.deadline <= f.Clock.Monotonic() {
+		return result.notRun(Expired)
+	}
 	if left, held := x.heldBack(); held {
 		x.result = result.notRun(Suspect)
 		x.result.RetryAfter, x.result.Fingerprint = left, x.fingerprint()
@@ -138,7 +141,7 @@
 	return r
 }
 
-// requestTimeout returns the shorter of the timeouts of the caller and the route.
+// requestTimeout returns what is left of the shorter of the timeouts of the caller and the route.
 func requestTimeout(q Request, r navigator.Route) time.Duration {
 	limit := defaultTimeout
 	if r.Timeout > 0 {
@@ -147,7 +150,7 @@
 	if q.CallerTimeout > 0 {
 		limit = min(limit, q.CallerTimeout)
 	}
-	return limit
+	return limit - q.Elapsed
 }
 
 // chooseTarget chooses the target of the next attempt. Suspended targets are used only if there is no other. It chooses
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -354,6 +354,17 @@
 	}
 }
 
+// Guards against a request that is sent to a target although the caller's time was up before it had arrived.
+func TestExpiredRequestIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(plan(), 3)
+	q := forwarder.Request{ID: "r", Path: "/again/x", Host: "h", Key: "key", CallerTimeout: time.Second, Elapsed: time.Second}
+	r := f.Forward(t.Context(), q, &sink{})
+	c.Assert(r.Outcome, qt.Equals, forwarder.NotRun)
+	c.Assert(r.Reason, qt.Equals, forwarder.Expired)
+	c.Assert(f.caller.calls, qt.HasLen, 0)
+}
+
 // Guards against a harmless request that is held back although only connections broke: its targets answer other requests,
 // and from then on it is sent again.
 func TestHeldBackRequestIsRetried(t *testing.T) {
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -44,12 +44,13 @@
 // Reason is why a request was not sent or not run.
 type Reason string
 
-// The reasons. Suspect comes with the outcome Unknown, the others with NotRun.
+// The reasons of the outcome NotRun. Suspect also comes with Unknown, if targets broke off under this attempt of the caller.
 const (
 	NoPlan             Reason = "no configuration yet"
 	NoTarget           Reason = "no target takes work"
 	TargetsRefused     Reason = "targets refused"
 	TargetsUnreachable Reason = "targets not reached"
+	Expired            Reason = "time was up before the request had arrived"
 	Suspect            Reason = "targets broke off under this request"
 )
 
