conductor, forwarder: repeated scoring calls end at the same time

BUDGET: targets that are given more time than is left, on the path of scoring calls.

Cause: a scoring call is repeated with the same identity until it succeeds, and each repeat gave its target four seconds anew. What callers saw: nothing directly; targets may work on a call whose repeat runs elsewhere, for longer than the first was given. Change: targets are given the time until the item may be abandoned, which every repeat shares, also one by the next owner of the job. The process still gives an attempt up after the route's timeout or four seconds, by closing its connection.

--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -45,6 +45,10 @@
 	textEvents int
 	// pauseAfter is the number of the event after which each text stops growing, or zero.
 	pauseAfter atomic.Int64
+	// scoreFaults is the number of scoring calls that still break off. scoreEnds are the times at which the targets of scoring
+	// calls were to stop.
+	scoreFaults atomic.Int64
+	scoreEnds   []time.Time
 	// resumedAfter is the lowest event after which a text was continued, or zero.
 	resumedAfter atomic.Int64
 }
@@ -108,6 +112,9 @@
 		<-callCtx.Done()
 	}
 	id := string(c.ID)
+	if strings.HasPrefix(id, "score-") && e.breakScore(c.Timeout) {
+		return forwarder.Answer{}, forwarder.Broken
+	}
 	if job, _, ok := strings.Cut(id, ":"); ok {
 		if _, ended := e.endedJobs.Load(job); ended {
 			e.lateCalls.Add(1)
@@ -134,6 +141,14 @@
 	return e.answerText(ctx, c), forwarder.NoFault
 }
 
+// breakScore records a scoring call with the time that its target may spend, and reports whether it breaks off.
+func (e *engine) breakScore(timeout time.Duration) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.scoreEnds = append(e.scoreEnds, time.Now().Add(timeout))
+	return e.scoreFaults.Add(-1) >= 0
+}
+
 // answerText answers an item with its events, starting after the last event that the caller has.
 func (e *engine) answerText(ctx context.Context, c forwarder.Call) forwarder.Answer {
 	var body bytes.Buffer
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -280,3 +281,26 @@
 	_, found := b.ItemBody(t.Context(), "team", "another", "x")
 	c.Assert(found, qt.Equals, conductor.ReadFailed)
 }
+
+// Guards against a scoring call that is sent again and again with the same identity and each time gives its target more time
+// than the one before: targets then work on calls whose time was up.
+func TestRepeatedScoringCallsEndAtTheSameTime(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 1, 0)
+	cl.engine.callTime = engineCallTime
+	cl.engine.scoreFaults.Store(20)
+	p := cl.start("n0")
+	r := &reader{cluster: cl, spec: newSpec("job", 1)}
+	c.Assert(p.Submit(t.Context(), r.spec), qt.Equals, conductor.Accepted)
+	for len(r.seen) < 1 {
+		r.readPage(c, p)
+	}
+	cl.engine.mutex.Lock()
+	defer cl.engine.mutex.Unlock()
+	first, last := slices.MinFunc(cl.engine.scoreEnds, time.Time.Compare), slices.MaxFunc(cl.engine.scoreEnds, time.Time.Compare)
+	c.Assert(len(cl.engine.scoreEnds) > 20, qt.IsTrue)
+	c.Assert(last.Sub(first) < maxEndSpread, qt.IsTrue, qt.Commentf("the calls end within %v", last.Sub(first)))
+}
+
+// maxEndSpread is how much the ends of repeated calls may differ. The test itself adds the time from the call to its record.
+const maxEndSpread = 500 * time.Millisecond
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -24,6 +24,8 @@
 	itemTimeout = 30 * time.Second
 	// scoreTimeout limits one scoring call.
 	scoreTimeout = 4 * time.Second
+	// maxScoreTime is the time for all scoring calls of an item where the route of its job has no queue TTL.
+	maxScoreTime = 30 * time.Second
 	// queueTTLMargin is the time after the queue TTL of a job's route at which unfinished items may be abandoned.
 	queueTTLMargin = time.Second
 	// minWorkWait is the shortest wait for an item that becomes due.
@@ -267,12 +269,13 @@
 	job, i, call := a.ledJob.job, a.task.Index, a.task.Item.Score
 	path, _, _ := strings.Cut(call.Path, "?")
 	failures := 0
+	end := c.scoreEnd(a)
 	for ctx.Err() == nil && !job.Finished() && !c.expired(a.ledJob, a.route) {
 		began := c.Clock.Monotonic()
 		var sink scoreSink
 		r := c.Forwarder.Forward(ctx, forwarder.Request{
 			ID: call.ID, Method: "POST", URI: call.Path, Path: path, Host: call.Host, Body: call.Body,
-			CallerTimeout: scoreTimeout, Internal: true, Header: map[string][]string{},
+			CallerTimeout: scoreTimeout, TargetTimeout: max(end-began, minTargetTimeout), Internal: true, Header: map[string][]string{},
 		}, &sink)
 		c.reportScore(a, r, c.Clock.Monotonic()-began)
 		switch {
@@ -289,6 +292,19 @@
 	}
 }
 
+// minTargetTimeout is the shortest time that a target is given.
+const minTargetTimeout = time.Millisecond
+
+// scoreEnd returns the monotonic time until which targets may work on the scoring calls of an item. It is the same for each
+// repeat of the call, at this process and at one that takes the job over.
+func (c *Conductor) scoreEnd(a assignment) time.Duration {
+	now := c.Clock.Monotonic()
+	if a.route.QueueTTL <= 0 {
+		return now + maxScoreTime
+	}
+	return now + a.route.QueueTTL + queueTTLMargin - a.ledJob.age(now)
+}
+
 // reportScore logs a scoring call.
 func (c *Conductor) reportScore(a assignment, r forwarder.Result, took time.Duration) {
 	if r.Outcome == forwarder.Answered && r.Status < 300 && len(r.Attempts) == 1 && !c.Sampler.Keep(string(a.task.Item.ID)) {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -26,6 +26,9 @@
 	Key string
 	// CallerTimeout is the timeout that the caller sent; zero if it sent none.
 	CallerTimeout time.Duration
+	// TargetTimeout is the time that targets may spend, if it is not what is left of the timeouts. Attempts are then given up
+	// here when these are over.
+	TargetTimeout time.Duration
 	// Elapsed is the part of the timeouts that has passed while the request arrived.
 	Elapsed time.Duration
 	// Internal marks a request of mimosalb itself: it needs no key and is counted for no team.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -75,15 +75,17 @@
 // exchange is the state of one request that is being forwarded. Only one goroutine uses it.
 type exchange struct {
 	*Forwarder
-	request      Request
-	route        navigator.Route
-	service      identifier.Service
-	team         identifier.Team
-	priority     int
-	deadline     time.Duration
-	result       Result
-	triedTargets []identifier.Target
-	counted      bool
+	request  Request
+	route    navigator.Route
+	service  identifier.Service
+	team     identifier.Team
+	priority int
+	deadline time.Duration
+	// targetDeadline is the time at which targets stop working on the request.
+	targetDeadline time.Duration
+	result         Result
+	triedTargets   []identifier.Target
+	counted        bool
 
 	computedFingerprint isolator.Fingerprint
 }
@@ -118,11 +120,16 @@
 	if !ok {
 		return result.notRun(NoTarget)
 	}
+	now := f.Clock.Monotonic()
 	x := &exchange{
 		Forwarder: f, request: q, route: route, service: service, team: result.Team, priority: priority,
-		deadline: f.Clock.Monotonic() + requestTimeout(q, route), result: result,
+		deadline: now + requestTimeout(q, route), result: result,
 	}
-	if x.deadline <= f.Clock.Monotonic() {
+	x.targetDeadline = x.deadline
+	if q.TargetTimeout > 0 {
+		x.targetDeadline = now + q.TargetTimeout
+	}
+	if x.deadline <= now {
 		return result.notRun(Expired)
 	}
 	if left, held := x.heldBack(); held {
@@ -177,7 +184,7 @@
 }
 
 func (x *exchange) newCall(t router.Target) Call {
-	return Call{Request: x.request, Target: t, Team: x.team, Timeout: x.deadline - x.Clock.Monotonic(), Priority: x.priority}
+	return Call{Request: x.request, Target: t, Team: x.team, Timeout: x.targetDeadline - x.Clock.Monotonic(), Priority: x.priority}
 }
 
 // countRequest counts the request for its team; repeated calls have no effect.
