dispatcher, isolator: rollouts are never suspected of crashing targets

Cause: a rollout of a training run had a fingerprint of its prompt, which all rollouts of its group share. After crashes of three targets, or of two that had only this prompt in common, every submission of the group was refused for an hour. What trainers saw: a group that never came, long after the targets had room, and with it a step that never ended. Change: rollouts carry no fingerprint: they are neither held back nor do they explain the crashes of a request that is suspected. An agent tells the attempts that one crash ended by the attempts themselves (TestCrashTrackerWithUnsuspectedWork).

--- a/internal/demonstrator/crash_test.go
+++ b/internal/demonstrator/crash_test.go
@@ -1,6 +1,7 @@
 package demonstrator_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/mimosalb/mimosalb/internal/standin/switcher"
+	"github.com/mimosalb/mimosalb/pkg/client"
 )
 
 // Guards against a request that crashes its targets and reaches a third one, or further ones when it is sent again to
@@ -79,3 +81,38 @@
 	}
 	b.Assert(crashed, qt.Equals, 2)
 }
+
+// Guards against a group of a trainer's step that is never placed again: targets crashed under its rollouts for another
+// reason, and each submission was refused for an hour, long after the targets had room.
+func TestRolloutsAreOwedAfterCrashes(t *testing.T) {
+	b := newTestbed(t, linkedPlan())
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	setCrash := func(text string) {
+		for _, e := range b.Standin.Engines {
+			e.Switches.Set(switcher.Switches{Crash: text})
+		}
+	}
+	setCrash("tube")
+	spec := client.Spec{Run: "unlucky", Service: "sortmind", Bound: 1, Group: 2, Step: 2}
+	trainer, err := client.Open(ctx, []string{"http://" + b.Entries[0].Callers}, b.keys["driver"], spec)
+	b.Assert(err, qt.IsNil)
+	prompts := []client.Prompt{{Text: "tube-0", MaxTokens: 5}, {Text: "tube-1", MaxTokens: 5}}
+	_, err = trainer.Submit(ctx, prompts)
+	b.Assert(err, qt.IsNil)
+	b.await(20*time.Second, func() bool {
+		crashed := 0
+		for _, e := range b.Standin.Engines {
+			if e.RunsOfPrompt("tube-0") > 0 {
+				crashed++
+			}
+		}
+		return crashed >= 3
+	})
+	setCrash("")
+	for taken := 0; taken < len(prompts); {
+		batch, err := trainer.Pull(ctx, len(prompts)-taken, 0)
+		b.Assert(err, qt.IsNil)
+		taken += len(batch.Groups)
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -161,6 +161,10 @@
 // did not run and will not.
 func (d *Dispatcher) Submit(ctx context.Context, r Request) (*Answer, Refusal) {
 	r.Call = r.Call.WithFingerprint(r.Service.Once)
+	if r.Rollout {
+		// A rollout is owed whatever became of the targets that ran it.
+		r.Call = r.Call.WithoutFingerprint()
+	}
 	if r.claimKey() != "" {
 		// A call that is held back may have run under this key before, so its claim is checked first.
 		return d.submitClaimed(ctx, r)
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -9,7 +9,8 @@
 type Call struct {
 	Service identifier.Service
 	Team    identifier.Team
-	// Fingerprint identifies the request across attempts and resubmissions, to find the requests that crash targets.
+	// Fingerprint identifies the request across attempts and resubmissions, to find the requests that crash targets. It is zero
+	// for work that is never suspected.
 	Fingerprint isolator.Fingerprint
 	// Once marks a call that may not be repeated.
 	Once bool
@@ -57,3 +58,9 @@
 	c.Fingerprint = isolator.NewFingerprint(c.Team, c.Service, c.Prompt, c.Method, c.Path, string(c.Body))
 	return c
 }
+
+// WithoutFingerprint returns a copy of c that is never suspected of crashing targets.
+func (c Call) WithoutFingerprint() Call {
+	c.Fingerprint = isolator.Fingerprint{}
+	return c
+}
--- a/internal/isolator/crashtracker.go
+++ b/internal/isolator/crashtracker.go
@@ -19,9 +19,11 @@
 	lock    container.Lock[container.Isolator]
 	running map[identifier.Attempt]Fingerprint
 	last    Crash
+	// lastAttempts are the attempts that were running at the last crash.
+	lastAttempts map[identifier.Attempt]bool
 }
 
-// Begin records that the target received an attempt.
+// Begin records that the target received an attempt. The fingerprint is zero if its request is never suspected.
 func (t *CrashTracker) Begin(a identifier.Attempt, f Fingerprint) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
@@ -35,21 +37,24 @@
 func (t *CrashTracker) End(a identifier.Attempt, crashed bool, now time.Time) Crash {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	f := t.running[a]
+	defer delete(t.running, a)
 	if !crashed {
-		delete(t.running, a)
 		return Crash{}
 	}
-	if now.Sub(t.last.At) > maxCrashSpread || !t.last.contains(f) {
-		t.last = Crash{ID: CrashID{Request: a.Request, Number: a.Number}, At: now}
-		seen := make(map[Fingerprint]bool, len(t.running))
-		for _, r := range t.running {
-			if !seen[r] {
-				seen[r] = true
-				t.last.Suspects = append(t.last.Suspects, r)
-			}
-		}
+	if now.Sub(t.last.At) > maxCrashSpread || !t.lastAttempts[a] {
+		t.recordCrash(a, now)
 	}
-	delete(t.running, a)
 	return t.last
 }
+
+// recordCrash records a crash that ended attempt a first, and all that are running. The caller holds the lock.
+func (t *CrashTracker) recordCrash(a identifier.Attempt, now time.Time) {
+	t.last = Crash{ID: CrashID{Request: a.Request, Number: a.Number}, At: now}
+	t.lastAttempts = make(map[identifier.Attempt]bool, len(t.running))
+	for attempt, f := range t.running {
+		t.lastAttempts[attempt] = true
+		if f != (Fingerprint{}) && !t.last.contains(f) {
+			t.last.Suspects = append(t.last.Suspects, f)
+		}
+	}
+}
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -123,6 +123,25 @@
 	c.Assert(next.Suspects, qt.HasLen, 1)
 }
 
+// Guards against work that is never suspected, such as rollouts, and that counts as the suspect of a crash or hides its other
+// suspects.
+func TestCrashTrackerWithUnsuspectedWork(t *testing.T) {
+	c := qt.New(t)
+	var tracker isolator.CrashTracker
+	attempt := func(n int) identifier.Attempt { return identifier.Attempt{Request: "r", Number: n} }
+	for n := range 3 {
+		tracker.Begin(attempt(n), isolator.Fingerprint{})
+	}
+	tracker.Begin(attempt(3), fingerprint("a"))
+	first := tracker.End(attempt(0), true, start)
+	c.Assert(first.Suspects, qt.DeepEquals, []isolator.Fingerprint{fingerprint("a")})
+	for n := 1; n <= 3; n++ {
+		c.Assert(tracker.End(attempt(n), true, start.Add(time.Duration(n)*time.Millisecond)), qt.DeepEquals, first)
+	}
+	tracker.Begin(attempt(4), isolator.Fingerprint{})
+	c.Assert(tracker.End(attempt(4), true, start.Add(5*time.Millisecond)).Suspects, qt.HasLen, 0)
+}
+
 // Guards against equal fingerprints of requests of different teams or services, or of bodies split into different
 // parts.
 func TestFingerprintsDiffer(t *testing.T) {
