runner: what was held back outlives every entry, on the product's own path too

Cause: entries exchange crash evidence with each other and lose it when all of them stop. What callers saw: after such a stop a request that crashes engines ended two more of them. Evidence: TestHeldBackAfterAllEntriesStop fails before (nothing is stored). Change: an entry runs the persister of the evidence; the demonstration can add an entry later, by the code that starts the first ones.

--- a/internal/demonstrator/crash_test.go
+++ b/internal/demonstrator/crash_test.go
@@ -10,6 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
+	"github.com/mimosalb/mimosalb/internal/persister"
 	"github.com/mimosalb/mimosalb/internal/standin/switcher"
 	"github.com/mimosalb/mimosalb/pkg/client"
 )
@@ -58,6 +60,28 @@
 	}
 }
 
+// Guards against a request that crashes targets again once all entries that knew of it have stopped.
+func TestHeldBackAfterAllEntriesStop(t *testing.T) {
+	b := newTestbed(t, linkedPlan())
+	for _, e := range b.Standin.Engines {
+		e.Switches.Set(switcher.Switches{Crash: "poison"})
+	}
+	_, reason := b.complete(0, "poison pill", 5).problem()
+	b.Assert(reason, qt.Equals, "crashes-targets")
+	kv := kvclient.NewDriver("http://" + b.Standin.Addresses["store"])
+	b.await(5*time.Second, func() bool {
+		entries, _ := kv.List(t.Context(), persister.Prefix)
+		return len(entries) == 1
+	})
+	for len(b.Entries) > 0 {
+		_ = b.StopEntry(cancelledContext(), 0) // as in a crash; the error says so
+	}
+	b.Assert(b.AddEntry(linkedPlan().Entries[0]), qt.IsNil)
+	b.await(10*time.Second, func() bool { return b.complete(0, "ready", 1).status == http.StatusOK })
+	kind, reason := b.complete(0, "poison pill", 5).problem()
+	b.Assert(kind+" "+reason, qt.Equals, "not-run crashes-targets")
+}
+
 // Guards against a false "not run" for a call that ran under its idempotency key before the same call, under other keys,
 // was held back.
 func TestHeldCallThatRanIsUnknown(t *testing.T) {
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -24,8 +24,11 @@
 // loopback is a listen address for which the system chooses a free port.
 const loopback = "127.0.0.1:0"
 
-// operatorFile is the name of the file with the operators' token in the deployment's folder.
-const operatorFile = "operator"
+// operatorFile and pepperFile are the names of the files with the operators' token and the pepper in the deployment's folder.
+const (
+	operatorFile = "operator"
+	pepperFile   = "pepper"
+)
 
 // BackEnd is one back end of a deployment.
 type BackEnd struct {
@@ -93,6 +96,8 @@
 	plan   Plan
 	log    *logger.Logger
 	folder string
+	// startedEntries is the number of entries that were started; it names the next one.
+	startedEntries int
 }
 
 // NewDeployment starts the stand-ins, agents and entries of a plan. Close stops them.
@@ -114,8 +119,7 @@
 		return fmt.Errorf("create folder: %w", err)
 	}
 	d.folder = folder
-	pepper := filepath.Join(folder, "pepper")
-	if err := os.WriteFile(pepper, []byte(rand.Text()), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(folder, pepperFile), []byte(rand.Text()), 0o600); err != nil {
 		return fmt.Errorf("write pepper: %w", err)
 	}
 	d.OperatorToken = rand.Text()
@@ -131,27 +135,37 @@
 			return err
 		}
 	}
-	for i, location := range p.Entries {
-		name := "entry-" + strconv.Itoa(i+1)
-		entry, err := runner.StartEntry(loader.Settings{
-			Name: name, Zone: location.Zone, Region: location.Region,
-			Callers: loopback, Operators: loopback, Peers: loopback,
-			Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
-			Pepper: pepper, Operator: operator, Workers: p.Workers, Period: loader.Duration(p.Period),
-			Linger: loader.Duration(p.Linger), Usage: p.Usage, Orders: p.Orders, KeyGrace: loader.Duration(p.KeyGrace),
-			TLS: p.tls(),
-		}, log)
-		if err != nil {
-			return fmt.Errorf("start entry %s: %w", name, err)
+	for _, location := range p.Entries {
+		if err := d.AddEntry(location); err != nil {
+			return err
 		}
-		d.Entries = append(d.Entries, entry)
-		d.Standin.Platform.AddVM(platform.VM{
-			Name: name, Role: "entry", Zone: location.Zone, Region: location.Region, State: "live", Address: entry.Peers,
-		})
 	}
 	return nil
 }
 
+// AddEntry starts another entry and lists it on the platform.
+func (d *Deployment) AddEntry(location Location) error {
+	p := d.plan
+	d.startedEntries++
+	name := "entry-" + strconv.Itoa(d.startedEntries)
+	entry, err := runner.StartEntry(loader.Settings{
+		Name: name, Zone: location.Zone, Region: location.Region,
+		Callers: loopback, Operators: loopback, Peers: loopback,
+		Store: "http://" + d.Standin.Addresses["store"], Platform: "http://" + d.Standin.Addresses["platform"],
+		Pepper: filepath.Join(d.folder, pepperFile), Operator: filepath.Join(d.folder, operatorFile), Workers: p.Workers,
+		Period: loader.Duration(p.Period), Linger: loader.Duration(p.Linger), Usage: p.Usage, Orders: p.Orders,
+		KeyGrace: loader.Duration(p.KeyGrace), TLS: p.tls(),
+	}, d.log)
+	if err != nil {
+		return fmt.Errorf("start entry %s: %w", name, err)
+	}
+	d.Entries = append(d.Entries, entry)
+	d.Standin.Platform.AddVM(platform.VM{
+		Name: name, Role: "entry", Zone: location.Zone, Region: location.Region, State: "live", Address: entry.Peers,
+	})
+	return nil
+}
+
 func (d *Deployment) startStandin(p Plan, log *logger.Logger) error {
 	s := loader.Standin{Store: loopback, Platform: loopback, Weights: loopback}
 	for _, b := range p.BackEnds {
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -75,7 +75,7 @@
 	defer i.lock.Unlock()
 	var e Evidence
 	for _, c := range i.countingCrashes(f) {
-		c.Suspects, c.Partial = []Fingerprint{f}, true
+		c.Suspects = []Fingerprint{f}
 		e.Crashes = append(e.Crashes, c)
 	}
 	return e
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -18,6 +18,7 @@
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/leaser"
 	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/persister"
 	"github.com/mimosalb/mimosalb/internal/publisher"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/storer"
@@ -132,6 +133,8 @@
 	e.startTask(func() { e.followConfig(b.ctx, b.config, b.auth) })
 	e.startTask(func() { b.members.run(b.ctx) })
 	e.startTask(func() { e.shareEvidence(b.ctx, b.platform) })
+	stored := persister.NewPersister(e.isolator, b.store.WithPurpose(storer.PurposeRun), codec.Jobs{}, e.clock, b.log)
+	e.startTask(func() { stored.Run(b.ctx) })
 	e.startTask(func() { e.watchFreshness(b.ctx, b.auth, period(b.settings)) })
 	e.startTask(func() { b.usage.runFlusher(b.ctx) })
 	e.startTask(func() { b.usage.runReporter(b.ctx) })
