limiter, interpreter, platform: entries know which target names a rate, and can share it

Cause: no line of the code read the rate that a target names, so neither log nor metrics could show it. Change: platform reads the header, interpreter takes in what each answer says before its caller sees it or throws it away: E1605 when a target names a rate, E1606 when it names none any more, E1607 when the rate makes no sense (the last sound one stays); gauge mimosalb_limiter_limited_targets. Entries tell each other (broadcaster, 0.1 s). limiter decides: one entry is responsible for each target, by rendezvous hashing, and allots permits at the named rate; who does not reach it shares half of the rate by the number of entries. Zero is kept to as one request in two seconds, since only answers show that it was lifted; from 10,000 a second on nothing is limited. Tests in stepped time: TestAllottedPermits, TestRateIsSharedWhileEntriesAreCutOff, TestRateIsSharedWhileEntriesDisagree, TestRateIsUsed (0.9 of the rate at least), TestStatements, TestNotices, TestAwaitPermit, TestRatesInAnswers. An answer that names nothing costs no allocation and no lock (TestUnlimitedAnswersAllocateNothing).

--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -139,6 +139,10 @@
 		"mimosalb_isolator_held_requests", Gauge, "",
 		"Requests that this process holds back because they crash targets.",
 	}
+	limitedTargets = Definition{
+		"mimosalb_limiter_limited_targets", Gauge, "",
+		"Targets that name a rate of requests to this process.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -152,7 +156,7 @@
 		listedTargets, servingTargets, clientConnections, responses,
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
-		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests,
+		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -15,6 +15,7 @@
 	Dropped  func() int64
 	Omitted  func() int64
 	Held     func() int
+	Limited  func() int
 }
 
 // Hosted holds the metrics of a process that runs on the users' own platform.
@@ -44,6 +45,7 @@
 	newGauge(h.registry, ledJobs, func() float64 { return float64(s.Leading()) })
 	newGauge(h.registry, droppedLogLines, func() float64 { return float64(s.Dropped()) })
 	newGauge(h.registry, heldRequests, func() float64 { return float64(s.Held()) })
+	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
 }
 
--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -14,6 +14,7 @@
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/storer"
@@ -130,6 +131,37 @@
 	return nil
 }
 
+// Allotter allots permits for the limited targets that a process is responsible for.
+type Allotter interface {
+	// AllotToPeer answers an ask of another process. The second result is false if this one is not responsible.
+	AllotToPeer(q limiter.Ask) (limiter.Grant, bool)
+}
+
+// AllotReply holds the answer to an ask. Responsible is false if the process does not allot permits for that target.
+type AllotReply struct {
+	Responsible bool
+	Grant       limiter.Grant
+}
+
+// Limits is the net/rpc receiver that allots permits for limited targets, and takes in which targets are limited.
+type Limits struct {
+	allotter Allotter
+	limiter  *limiter.Limiter
+}
+
+// Notify takes in what answers to another process showed.
+func (l *Limits) Notify(n limiter.Notices, received *bool) error {
+	l.limiter.Apply(n)
+	*received = true
+	return nil
+}
+
+// Allot answers an ask.
+func (l *Limits) Allot(q limiter.Ask, reply *AllotReply) error {
+	reply.Grant, reply.Responsible = l.allotter.AllotToPeer(q)
+	return nil
+}
+
 // Services are what a process does for others. The zero value does nothing.
 type Services struct {
 	Jobs Handler
@@ -138,6 +170,9 @@
 	// Isolator takes in evidence of crashes. It needs Clock.
 	Isolator *isolator.Isolator
 	Clock    timer.Service
+	// Allotter allots permits for limited targets, and Limiter takes in which these are.
+	Allotter Allotter
+	Limiter  *limiter.Limiter
 }
 
 // receivers returns the net/rpc receivers of the services that there are.
@@ -149,6 +184,9 @@
 	if s.Isolator != nil {
 		all = append(all, &Crashes{isolator: s.Isolator, clock: s.Clock})
 	}
+	if s.Allotter != nil {
+		all = append(all, &Limits{allotter: s.Allotter, limiter: s.Limiter})
+	}
 	return all
 }
 
@@ -245,6 +283,23 @@
 // informTimeout limits the delivery of evidence, which the receiver only adds to its own.
 const informTimeout = 500 * time.Millisecond
 
+// Allot asks the process at address for a permit. The second result is false if the call failed or the process is not
+// responsible for the target.
+func (c *Client) Allot(ctx context.Context, address string, q limiter.Ask) (limiter.Grant, bool) {
+	var reply AllotReply
+	replied := c.call(ctx, address, "Limits.Allot", q, &reply, allotTimeout)
+	return reply.Grant, replied && reply.Responsible
+}
+
+// NotifyLimits tells the process at address which targets are limited, and reports whether that process received it.
+func (c *Client) NotifyLimits(ctx context.Context, address string, n limiter.Notices) bool {
+	var received bool
+	return c.call(ctx, address, "Limits.Notify", n, &received, informTimeout) && received
+}
+
+// allotTimeout limits an ask for a permit, which the receiver answers at once.
+const allotTimeout = 300 * time.Millisecond
+
 // call makes one call within timeout. A kept connection may belong to a process that has since been restarted, so a
 // call that fails on it is repeated once on a new connection. Calls are idempotent, so the repeat does no harm.
 func (c *Client) call(ctx context.Context, address, method string, args, reply any, timeout time.Duration) bool {
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -162,6 +162,11 @@
 	return ok && sweeper.Owner == c.Self
 }
 
+// ResponsibleFor returns the process that is responsible for a key, of any region.
+func (c *Conductor) ResponsibleFor(key string) (recorder.Registration, bool) {
+	return c.selectProcess(key, anyProcess)
+}
+
 // RegionReader returns the process that reads the values written by operators and targets on behalf of all processes
 // of its region.
 func (c *Conductor) RegionReader() (recorder.Registration, bool) {
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -17,6 +17,7 @@
 	RankRetrier       Rank = 90
 	RankClaimer       Rank = 95
 	RankIsolator      Rank = 100
+	RankLimiter       Rank = 105
 	RankGatekeeper    Rank = 110
 	RankStreamer      Rank = 120
 	RankRegistrar     Rank = 115
@@ -72,6 +73,8 @@
 	Claimer struct{}
 	// Isolator ranks the locks of the crash records.
 	Isolator struct{}
+	// Limiter ranks the locks of the rates that targets name.
+	Limiter struct{}
 	// Gatekeeper ranks the lock of the attempts that an agent admitted.
 	Gatekeeper struct{}
 	// Streamer ranks the lock of one stream.
@@ -129,6 +132,9 @@
 // Rank returns RankIsolator.
 func (Isolator) Rank() Rank { return RankIsolator }
 
+// Rank returns RankLimiter.
+func (Limiter) Rank() Rank { return RankLimiter }
+
 // Rank returns RankGatekeeper.
 func (Gatekeeper) Rank() Rank { return RankGatekeeper }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
 
@@ -71,6 +72,10 @@
 	Stamp string
 	// Version is the weight version at the start of the answer; zero for a service without models.
 	Version identifier.Version
+	// Foreign is set if the answer is that of another target than the one that was called.
+	Foreign bool
+	// Rate is what the answer says of the rate of requests that the target takes.
+	Rate limiter.Statement
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
 	Body   io.ReadCloser
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -15,7 +15,9 @@
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/interpreter"
 	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
@@ -66,10 +68,13 @@
 	front     Front
 	conductor *conductor.Conductor
 	observer  *isolator.Observer
-	presence  *presence
-	servers   []*http.Server
-	peers     net.Listener
-	client    *jobpeer.Client
+	limiter   *limiter.Limiter
+	// allotter allots the permits for the limited targets that this process is responsible for.
+	allotter limiter.Allotter
+	presence *presence
+	servers  []*http.Server
+	peers    net.Listener
+	client   *jobpeer.Client
 	// changeBuffers buffer changes for other entries, by key prefix.
 	changeBuffers map[string]*storer.ChangeBuffer
 	// lastConnection is the monotonic time of the last new connection of a caller.
@@ -90,8 +95,10 @@
 	tally := tallier.NewTallier(
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
+	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
+	calls := interpreter.NewInterpreter(p.Targets, e.limiter, e.clock, log)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
-		Navigator: nav, Registrar: reg, Router: route, TargetClient: p.Targets, Opener: p.Targets, Counter: tally, Observer: e.observer,
+		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Counter: tally, Observer: e.observer,
 		Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
@@ -102,12 +109,15 @@
 	e.presence = newPresence(e.base)
 	e.conductor = conductor.NewConductor(conductor.Dependencies{
 		Self: e.owner(), Recorder: recorder.NewRecorder(e.store.WithPurpose(storer.PurposeRun), e.codec), Navigator: nav, Registrar: reg, Router: route,
-		Forwarder: fwd, Caller: p.Targets, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
+		Forwarder: fwd, Caller: calls, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
 		StoreReached: e.presence.reachedJustNow,
 	})
 	targets := &targetView{
-		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: e.conductor.TriggerAssignment,
+		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
+			e.limiter.Retain(route.View())
+			e.conductor.TriggerAssignment()
+		},
 		onEnd: func(l registrar.Listing) { e.observer.TargetEnded(l.ID, l.Incarnation, e.clock.Now()) },
 	}
 	e.front = newFront(FrontDependencies{
@@ -120,7 +130,7 @@
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) },
+		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count,
 	})
 	if err != nil {
 		return nil, err
@@ -143,8 +153,11 @@
 	e.registering.Go(func() { e.presence.keepRegistered(registerCtx) })
 	e.running.Go(func() { tally.Run(ctx) })
 	e.running.Go(func() { e.expireListings(ctx, targets) })
+	e.running.Go(func() { e.limiter.Run(ctx) })
 	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
 	e.running.Go(func() { crashes.Run(ctx) })
+	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
+	e.running.Go(func() { limits.Run(ctx) })
 	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.conductor.Start()
@@ -178,7 +191,10 @@
 	}
 	e.peers = l
 	e.running.Go(func() {
-		services := jobpeer.Services{Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Clock: e.clock}
+		services := jobpeer.Services{
+			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
+			Limiter: e.limiter, Clock: e.clock,
+		}
 		if err := jobpeer.Serve(l, services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
 		}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -94,6 +94,15 @@
 		Number: 1406, Level: hclog.Info, Text: "request no longer held back: its targets live or ended with others", Action: "none",
 	}
 
+	TargetLimited = Event{
+		Number: 1605, Level: hclog.Warn, Text: "target names a rate of requests",
+		Action: "find out what the target lacks; requests are limited until it names none",
+	}
+	TargetUnlimited = Event{Number: 1606, Level: hclog.Info, Text: "target no longer names a rate of requests", Action: "none"}
+	RateUnreadable  = Event{
+		Number: 1607, Level: hclog.Warn, Text: "rate that a target names makes no sense", Action: "check the target; what it named before stays in force",
+	}
+
 	LinesDropped = Event{
 		Number: 1011, Level: hclog.Warn, Text: "log lines dropped", Action: "make the log reader faster; a metric counts the dropped lines",
 	}
@@ -183,6 +192,6 @@
 		RequestFailed, AnswerUnusable, RequestReleased, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
-		OrdersHeld, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
+		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
 }
