forwarder, conductor: targets that name a rate get no more than it

Cause: nothing kept to the rate that a target names. A bound in each entry would not do either: the answers of one target go to several entries, and the rate is for all of them. Change: every choice of a target for a request, a stream, its continuation, an item, its continuation, a scoring call or a second attempt goes through limiter.Choose, which takes a permit where the target names a rate. A caller's request waits for one for a quarter of its latency goal at most and is refused as not run where none can be had by then, with the time until the next. Items wait in their job, and permits are asked for only while some do.

--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -119,6 +119,27 @@
 	return Task{}, false, next
 }
 
+// Due returns the number of items that are due, and the time at which the next one will be if none is, or zero if no item
+// waits.
+func (j *Job) Due(now time.Duration) (due int, next time.Duration) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	if j.finished {
+		return 0, 0
+	}
+	for _, i := range j.startOrder {
+		p := &j.items[i]
+		switch {
+		case p.stage != stageWaiting:
+		case p.notBefore <= now:
+			due++
+		case next == 0 || p.notBefore < next:
+			next = p.notBefore
+		}
+	}
+	return due, next
+}
+
 // CurrentTask returns a running item with the current state of its text.
 func (j *Job) CurrentTask(i int) Task {
 	j.lock.Lock()
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -166,7 +166,7 @@
 // chooseFasterTarget reserves a slot on a target that is not slow.
 func (c *Conductor) chooseFasterTarget(a assignment, now time.Duration) (router.Target, bool) {
 	spec := a.ledJob.job.Spec()
-	return c.Router.Choose(router.Requirements{
+	return c.Forwarder.Limiter.Choose(c.Router, router.Requirements{
 		Service: a.target.Service, Zone: c.Zone, Region: c.Region, Spread: true,
 		Avoid: append(c.Registrar.TargetsToAvoid(a.target.Service, spec.Model, spec.Least, now), c.Registrar.SlowTargets(a.target.Service, now)...),
 	})
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -76,6 +76,7 @@
 func (c *Conductor) nextAssignment() (a assignment, ok bool, next time.Duration) {
 	plan := c.Navigator.Current()
 	now := c.Clock.Monotonic()
+	waiting := make(map[identifier.Service]int)
 	for _, l := range c.ledJobs() {
 		if l.job.Finished() {
 			continue
@@ -93,28 +94,41 @@
 		if !ok {
 			continue
 		}
-		need := router.Requirements{Service: service, Zone: c.Zone, Region: c.Region, Spread: true}
-		avoid := c.Registrar.TargetsToAvoid(service, spec.Model, spec.Least, now)
-		need.Avoid = append(c.Registrar.SlowTargets(service, now), avoid...)
-		target, ok := c.Router.Choose(need)
-		if !ok {
-			need.Avoid = avoid
-			if target, ok = c.Router.Choose(need); !ok {
-				continue
+		items, due := l.job.Due(now)
+		if items == 0 {
+			if due > 0 && (next == 0 || due < next) {
+				next = due
 			}
+			continue
 		}
-		task, ok, due := l.job.Next(now)
-		if ok {
+		target, ok := c.chooseTarget(service, spec, now)
+		if !ok {
+			waiting[service] += items
+			continue
+		}
+		if task, ok, _ := l.job.Next(now); ok {
 			return assignment{ledJob: l, task: task, target: target, route: route}, true, 0
 		}
 		c.Router.Release(target.ID)
-		if due > 0 && (next == 0 || due < next) {
-			next = due
-		}
+	}
+	for service, items := range waiting {
+		c.Forwarder.Limiter.SetDemand(service, items)
 	}
 	return assignment{}, false, next
 }
 
+// chooseTarget reserves a slot on a target for an item of a job. Slow targets are used only if there is no other.
+func (c *Conductor) chooseTarget(service identifier.Service, spec batcher.Spec, now time.Duration) (router.Target, bool) {
+	need := router.Requirements{Service: service, Zone: c.Zone, Region: c.Region, Spread: true}
+	avoid := c.Registrar.TargetsToAvoid(service, spec.Model, spec.Least, now)
+	need.Avoid = append(c.Registrar.SlowTargets(service, now), avoid...)
+	if target, ok := c.Forwarder.Limiter.Choose(c.Router, need); ok {
+		return target, true
+	}
+	need.Avoid = avoid
+	return c.Forwarder.Limiter.Choose(c.Router, need)
+}
+
 // expired reports whether queueTTLMargin has passed since the queue TTL of a job's route, so that unfinished items may be
 // abandoned.
 func (c *Conductor) expired(l *ledJob, r navigator.Route) bool {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
+	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -54,9 +55,11 @@
 	Counter      RequestCounter
 	// Observer holds the evidence of which requests crash targets; if it is nil, the forwarder keeps its own.
 	Observer *isolator.Observer
-	Clock    timer.Service
-	Zone     identifier.Zone
-	Region   identifier.Region
+	// Limiter keeps to the rates that targets name; if it is nil, nothing is limited.
+	Limiter *limiter.Limiter
+	Clock   timer.Service
+	Zone    identifier.Zone
+	Region  identifier.Region
 }
 
 // Forwarder forwards requests from callers to targets. It has no state of its own.
@@ -160,6 +163,28 @@
 	return limit - q.Elapsed
 }
 
+// maxPermitWait bounds the wait of a request for a permit where its route has no latency goal.
+const maxPermitWait = 100 * time.Millisecond
+
+// permitWaitDivisor divides the latency goal of a route into the time that a request waits for a permit.
+const permitWaitDivisor = 4
+
+// awaitTarget chooses the target of the next attempt, and waits a short while for one that takes the request by its rate.
+func (x *exchange) awaitTarget(ctx context.Context) (router.Target, bool) {
+	target, ok := x.chooseTarget()
+	if ok || x.result.Reason == Suspect || len(x.triedTargets) >= max(x.route.MaxAttempts, 1) {
+		return target, ok
+	}
+	limit := maxPermitWait
+	if x.route.LatencyGoal > 0 {
+		limit = x.route.LatencyGoal / permitWaitDivisor
+	}
+	if !x.Limiter.Await(ctx, x.service, x.triedTargets, min(limit, x.deadline-x.Clock.Monotonic())) {
+		return target, false
+	}
+	return x.chooseTarget()
+}
+
 // chooseTarget chooses the target of the next attempt. Suspended targets are used only if there is no other. It chooses
 // none for a request that is held back by now.
 func (x *exchange) chooseTarget() (router.Target, bool) {
@@ -172,10 +197,10 @@
 	}
 	requirements := router.Requirements{Service: x.service, Zone: x.Zone, Region: x.Region}
 	requirements.Avoid = append(x.Registrar.TargetsToAvoid(x.service, "", 0, x.Clock.Monotonic()), x.triedTargets...)
-	target, ok := x.Router.Choose(requirements)
+	target, ok := x.Limiter.Choose(x.Router, requirements)
 	if !ok {
 		requirements.Avoid = x.triedTargets
-		target, ok = x.Router.Choose(requirements)
+		target, ok = x.Limiter.Choose(x.Router, requirements)
 	}
 	if ok {
 		x.triedTargets = append(x.triedTargets, target.ID)
@@ -239,5 +264,9 @@
 			return r.notRun(TargetsRefused)
 		}
 	}
-	return r.notRun(reason)
+	r = r.notRun(reason)
+	if wait := x.Limiter.RetryAfter(x.service); wait > r.RetryAfter {
+		r.Reason, r.RetryAfter = TargetsLimited, wait
+	}
+	return r
 }
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -50,6 +50,7 @@
 	NoTarget           Reason = "no target takes work"
 	TargetsRefused     Reason = "targets refused"
 	TargetsUnreachable Reason = "targets not reached"
+	TargetsLimited     Reason = "targets take no more requests now"
 	Expired            Reason = "time was up before the request had arrived"
 	Suspect            Reason = "targets broke off under this request"
 )
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -71,7 +71,7 @@
 // attemptStream makes one attempt of a stream. It reports whether the answer is complete and, if not, whether another
 // attempt may start or resume it.
 func (x *exchange) attemptStream(ctx context.Context, p *progress) (complete, retry bool) {
-	target, ok := x.chooseTarget()
+	target, ok := x.awaitTarget(ctx)
 	if !ok {
 		return false, false
 	}
--- a/internal/forwarder/unary.go
+++ b/internal/forwarder/unary.go
@@ -8,6 +8,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/router"
 )
 
 // endedAttempt is an attempt that has ended: its record, and the answer if there is one.
@@ -101,7 +102,12 @@
 
 // startNext starts another attempt. It reports false if no attempt or no target is left.
 func (r *unaryExchange) startNext() bool {
-	target, ok := r.chooseTarget()
+	choose := r.chooseTarget
+	if r.running == 0 {
+		// No attempt can end while this one waits for its target.
+		choose = func() (router.Target, bool) { return r.awaitTarget(r.ctx) }
+	}
+	target, ok := choose()
 	if !ok {
 		return false
 	}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -98,7 +98,7 @@
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
 	calls := interpreter.NewInterpreter(p.Targets, e.limiter, e.clock, log)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
-		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Counter: tally, Observer: e.observer,
+		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Counter: tally, Observer: e.observer, Limiter: e.limiter,
 		Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
