forwarder, conductor, platform: only a stream of events continues a stream

Cause: a stream that broke off was continued with whatever success came next, read as events. A 204 or another body without events ended it as if it were complete, a success of another type went into it, and so did a stream that left events out. The answer to an item was read in the same way. Other errors of the next target ended the stream, though another target could have gone on. What callers saw: a stream that looked complete and was not, or with foreign text; a text of a batch job cut short. Change: an answer says whether it is a stream of events. One that is not never becomes part of one; the attempt counts as failed and the stream goes on elsewhere while attempts are left, else it ends cut. A first answer that is no stream is passed on as it is. A continuation whose first event leaves some out, where the numbers followed one another before, counts as broken.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -105,7 +105,7 @@
 		return attemptUnprocessable
 	case answer.Status == statusFailed:
 		return attemptFailed
-	case answer.Status != statusOK:
+	case answer.Status != statusOK, !answer.Stream:
 		return attemptBroken
 	default:
 		return attemptComplete
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -45,6 +45,8 @@
 	textEvents int
 	// pauseAfter is the number of the event after which each text stops growing, or zero.
 	pauseAfter atomic.Int64
+	// plainAnswers is the number of items that are still answered with a success that is no stream of events.
+	plainAnswers atomic.Int64
 	// scoreFaults is the number of scoring calls that still break off. scoreEnds are the times at which the targets of scoring
 	// calls were to stop.
 	scoreFaults atomic.Int64
@@ -100,7 +102,7 @@
 }
 
 func newAnswer(status int, body io.Reader) forwarder.Answer {
-	return forwarder.Answer{Status: status, Stamp: "stamp", Length: -1, Body: io.NopCloser(body), Header: map[string][]string{}}
+	return forwarder.Answer{Status: status, Stream: status == 200, Stamp: "stamp", Length: -1, Body: io.NopCloser(body), Header: map[string][]string{}}
 }
 
 // Call answers one call.
@@ -138,6 +140,11 @@
 		a.Stamp = "stamp-of-" + id
 		return a, forwarder.NoFault
 	}
+	if e.plainAnswers.Add(-1) >= 0 {
+		a := newAnswer(200, strings.NewReader(""))
+		a.Stream = false
+		return a, forwarder.NoFault
+	}
 	return e.answerText(ctx, c), forwarder.NoFault
 }
 
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -282,6 +282,20 @@
 	c.Assert(found, qt.Equals, conductor.ReadFailed)
 }
 
+// Guards against a text that counts as whole because a target answered with a success that holds no events.
+func TestAnswerWithoutEventsCompletesNoText(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 1, 0)
+	cl.engine.plainAnswers.Store(3)
+	p := cl.start("n0")
+	r := &reader{cluster: cl, spec: newSpec("job", 2)}
+	c.Assert(p.Submit(t.Context(), r.spec), qt.Equals, conductor.Accepted)
+	for len(r.seen) < len(r.spec.Items) {
+		r.readPage(c, p)
+	}
+	r.checkComplete(c)
+}
+
 // Guards against a scoring call that is sent again and again with the same identity and each time gives its target more time
 // than the one before: targets then work on calls whose time was up.
 func TestRepeatedScoringCallsEndAtTheSameTime(t *testing.T) {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -72,6 +72,8 @@
 	Stamp string
 	// Version is the weight version at the start of the answer; zero for a service without models.
 	Version identifier.Version
+	// Stream is set if the body is a stream of events.
+	Stream bool
 	// Foreign is set if the answer is that of another target than the one that was called.
 	Foreign bool
 	// Rate is what the answer says of the rate of requests that the target takes.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -35,6 +35,8 @@
 	cut bool
 	// hang blocks the call until it is cancelled.
 	hang bool
+	// plain makes the answer no stream of events.
+	plain bool
 	// endless makes the body never end.
 	endless bool
 	// before is called before the reply is given.
@@ -80,7 +82,7 @@
 		body = endlessReader{}
 	}
 	return forwarder.Answer{
-		Status: r.status, NotRun: r.notRun, Stamp: "stamp", Length: -1, Body: io.NopCloser(body), Header: map[string][]string{},
+		Status: r.status, NotRun: r.notRun, Stream: !r.plain, Stamp: "stamp", Length: -1, Body: io.NopCloser(body), Header: map[string][]string{},
 	}, forwarder.NoFault
 }
 
@@ -240,6 +242,56 @@
 	goldie.New(t).Assert(t, "outcomes", []byte(out.String()))
 }
 
+// Guards against a stream that broke off and in which the caller finds the error of the next target, or that ends as if it were
+// complete because the next target's answer is no stream.
+func TestResumedAtAnAnswerThatIsNoStream(t *testing.T) {
+	var out strings.Builder
+	begun := reply{status: 200, body: "1:a\n2:b\n3:", cut: true}
+	rest := reply{status: 200, body: "3:c\n4:d\n"}
+	for _, status := range []int{200, 204, 206, 301, 400, 404, 422, 429, 500, 503} {
+		unusable := reply{status: status, body: "an error\n", plain: true}
+		for what, replies := range map[string][]reply{"once": {begun, unusable, rest}, "each time": {begun, unusable, unusable}} {
+			f := newFixture(plan(), 3, replies...)
+			var s sink
+			r := f.Forward(t.Context(), forwarder.Request{ID: "r", Path: "/resume/x", Host: "h", Key: "key"}, &s)
+			fmt.Fprintf(&out, "%d %-9s %-9s to the caller: %d %q attempts: %s\n", status, what, r.Outcome, s.status, s.body.String(),
+				attemptPattern.ReplaceAllString(r.FormatAttempts(), "$1"))
+		}
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	slices.Sort(lines)
+	goldie.New(t).Assert(t, "resumed", []byte(strings.Join(lines, "\n")+"\n"))
+}
+
+// Guards against a stream that is continued with events missing in between, and against one whose numbers never were
+// consecutive and that is cut for it.
+func TestContinuationLeavesNothingOut(t *testing.T) {
+	c := qt.New(t)
+	q := forwarder.Request{ID: "r", Path: "/resume/x", Host: "h", Key: "key"}
+	ask := func(replies ...reply) (forwarder.Outcome, string) {
+		var s sink
+		r := newFixture(plan(), 3, replies...).Forward(t.Context(), q, &s)
+		return r.Outcome, s.body.String()
+	}
+	begun := reply{status: 200, body: "1:a\n2:b\n", cut: true}
+	outcome, body := ask(begun, reply{status: 200, body: "4:d\n"}, reply{status: 200, body: "3:c\n4:d\n"})
+	c.Assert(outcome, qt.Equals, forwarder.Answered)
+	c.Assert(body, qt.Equals, "1:a\n2:b\n3:c\n4:d\n")
+	outcome, body = ask(reply{status: 200, body: "1:a\n5:b\n", cut: true}, reply{status: 200, body: "9:c\n"})
+	c.Assert(outcome, qt.Equals, forwarder.Answered)
+	c.Assert(body, qt.Equals, "1:a\n5:b\n9:c\n")
+}
+
+// Guards against a first answer that is no stream and reaches the caller in part, because it was read as events.
+func TestFirstAnswerThatIsNoStream(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(plan(), 3, reply{status: 200, body: "not: an event", plain: true})
+	var s sink
+	r := f.Forward(t.Context(), forwarder.Request{ID: "r", Path: "/resume/x", Host: "h", Key: "key"}, &s)
+	c.Assert(r.Outcome, qt.Equals, forwarder.Answered)
+	c.Assert(s.body.String(), qt.Equals, "not: an event")
+}
+
 // Guards against a resumed stream that repeats or skips events because its attempt names the wrong last event.
 func TestResumeRequestsEventsAfterLast(t *testing.T) {
 	c := qt.New(t)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 )
@@ -46,6 +47,9 @@
 	}
 }
 
+// errEventsMissing is the error of an answer that was to continue a stream and leaves events out.
+var errEventsMissing = errors.New("events are missing between the answers of two targets")
+
 // progress records how much of a streamed answer was sent to the caller.
 type progress struct {
 	sink       Sink
@@ -53,8 +57,13 @@
 	callerLeft bool
 	lastEvent  int
 	hasEvent   bool
+	// gaps is set once the number of an event did not follow that of the one before within one answer.
+	gaps bool
 }
 
+// skips reports whether an event that another answer than the last event's begins with leaves events out.
+func (p *progress) skips(e Event) bool { return p.hasEvent && !p.gaps && e.Number > p.lastEvent+1 }
+
 // interruptedStream returns the result of a stream whose context ended.
 func (x *exchange) interruptedStream(ctx context.Context, p progress) Result {
 	switch {
@@ -83,7 +92,7 @@
 	began, sent := x.Clock.Monotonic(), sentAttempt{target: target, at: x.Clock.Now()}
 	a, fault := x.TargetClient.Call(ctx, call)
 	attempt := Attempt{Target: target.ID, Status: a.Status, NotRun: a.NotRun, Fault: fault}
-	if fault != NoFault || a.NotRun || a.Status >= 300 {
+	if fault != NoFault || a.NotRun || a.Status >= 300 || !a.Stream {
 		return x.attemptWithoutEvents(ctx, attempt, a, began, sent, p)
 	}
 	defer a.Body.Close() //nolint:errcheck // the answer was read, so the error changes nothing
@@ -93,26 +102,37 @@
 		x.result.Status, x.result.Stamp = a.Status, a.Stamp
 		p.sink.Begin(a.Status, a.Header, -1)
 	}
-	events := x.Opener.Open(a.Body)
-	for {
+	err := p.forward(x.Opener.Open(a.Body))
+	if p.callerLeft {
+		return false, false
+	}
+	complete = errors.Is(err, io.EOF)
+	if !complete {
+		attempt.Fault = Broken
+	}
+	attempt.Took = x.Clock.Monotonic() - began
+	x.recordAttempt(ctx, sent, attempt)
+	return complete, !complete && x.route.Resumable && ctx.Err() == nil
+}
+
+// forward sends the events of one answer to the caller, without those that it has. It returns io.EOF at the end of a complete
+// answer, and another error if it broke off or the caller left.
+func (p *progress) forward(events Events) error {
+	for first := true; ; first = false {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			attempt.Took = x.Clock.Monotonic() - began
-			x.recordAttempt(ctx, sent, attempt)
-			return true, false
-		}
-		if err != nil {
-			attempt.Fault, attempt.Took = Broken, x.Clock.Monotonic()-began
-			x.recordAttempt(ctx, sent, attempt)
-			return false, x.route.Resumable && ctx.Err() == nil
-		}
-		if p.hasEvent && e.Number <= p.lastEvent {
+		switch {
+		case err != nil:
+			return err
+		case first && p.skips(e):
+			return errEventsMissing
+		case p.hasEvent && e.Number <= p.lastEvent:
 			continue
 		}
+		p.gaps = p.gaps || !first && e.Number > p.lastEvent+1
 		p.lastEvent, p.hasEvent = e.Number, true
-		if p.sink.Write(e.Raw) != nil {
+		if err := p.sink.Write(e.Raw); err != nil {
 			p.callerLeft = true
-			return false, false
+			return fmt.Errorf("write to the caller: %w", err)
 		}
 	}
 }
@@ -136,7 +156,8 @@
 		return false, true
 	}
 	if p.begun {
-		return false, false
+		// Nothing of this answer belongs into the stream, which only another stream completes.
+		return false, x.route.Resumable
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
 	if err != nil || len(body) > maxBufferedBytes {
