registrar, navigator, platform, hoster: entries that make no sense are refused by a rule for each field

Cause: the decoder of listings checked that fields are there and have their type, not their range. A port of 70000, an address without one, slots of -8 or 9,000,000,000,000,000,000 made sound targets. Such slots look free whatever runs there, so that items go there first. Numbers of routes were not bounded: max-attempts sized a buffer for each request, times too large for a duration turned into others. What callers saw: nothing yet; attempts at targets that are none, and a request for each route with such a number that ends its handler. An odd entry is logged once for each revision, not at each reading, and counted (mimosalb_registrar_unusable_listings).

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,8 @@
 	$(GO) test ./pkg/loader -run '^$$' -fuzz FuzzParse -fuzztime 10s
 	$(GO) test ./internal/adapter/codec -run '^$$' -fuzz FuzzDocument -fuzztime 10s
 	$(GO) test ./internal/adapter/httpserver -run '^$$' -fuzz FuzzCompletionBody -fuzztime 10s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzListing -fuzztime 10s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzOperatorEntry -fuzztime 10s
 	$(GO) test ./internal/adapter/engineclient -run '^$$' -fuzz FuzzStream -fuzztime 10s
 
 lint:
--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -143,6 +143,10 @@
 		"mimosalb_limiter_limited_targets", Gauge, "",
 		"Targets that name a rate of requests to this process.",
 	}
+	unusableListings = Definition{
+		"mimosalb_registrar_unusable_listings", Gauge, "",
+		"Entries among the listings of targets that name no target to use.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -156,7 +160,7 @@
 		listedTargets, servingTargets, clientConnections, responses,
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
-		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets,
+		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -130,7 +130,7 @@
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count,
+		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: targets.unusableCount.Load,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -86,16 +86,23 @@
 	onEnd    func(registrar.Listing)
 	// synced is set once all listings have been read.
 	synced atomic.Bool
+	// unusable holds the revisions of the entries that list no target, by key, so that each is logged once. unusableCount is
+	// their number, for other goroutines.
+	unusable      map[string]int64
+	unusableCount atomic.Int64
 }
 
 // Reset replaces all listings.
 func (v *targetView) Reset(entries []storer.Entry) {
 	all := make([]registrar.Listing, 0, len(entries))
+	before := v.unusable
+	v.unusable = make(map[string]int64)
 	for _, e := range entries {
-		if l, ok := v.decode(e); ok {
+		if l, ok := v.decode(e, before[e.Key]); ok {
 			all = append(all, l)
 		}
 	}
+	v.unusableCount.Store(int64(len(v.unusable)))
 	v.update(v.registrar.Replace(all, v.clock.Monotonic()))
 	v.synced.Store(true)
 }
@@ -106,8 +113,11 @@
 // Apply applies the change of one listing. A listing that can't be decoded counts as removed.
 func (v *targetView) Apply(c storer.Change) {
 	id := v.decoder.Target(c.Key)
+	logged := v.unusable[c.Key]
+	delete(v.unusable, c.Key)
+	defer func() { v.unusableCount.Store(int64(len(v.unusable))) }()
 	if !c.Removed {
-		if l, ok := v.decode(c.Entry); ok {
+		if l, ok := v.decode(c.Entry, logged); ok {
 			replaced := v.registrar.Put(l)
 			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "draining", l.Draining,
 				"incarnation", l.Incarnation, "versions", l.Versions, "changed", c.Changed)
@@ -134,12 +144,20 @@
 	}
 }
 
-func (v *targetView) decode(e storer.Entry) (registrar.Listing, bool) {
+// decode decodes a listing. An entry that lists no target is logged unless it was at the given revision.
+func (v *targetView) decode(e storer.Entry, logged int64) (registrar.Listing, bool) {
 	l, err := v.decoder.Listing(e)
-	if err != nil {
+	if err == nil {
+		return l, true
+	}
+	if e.Changed != logged {
 		v.log.Emit(logger.ListingUnreadable, "key", e.Key, "error", err)
 	}
-	return l, err == nil
+	if v.unusable == nil {
+		v.unusable = make(map[string]int64)
+	}
+	v.unusable[e.Key] = e.Changed
+	return registrar.Listing{}, false
 }
 
 // update passes the targets that accept work to the router, and the incarnations that ended to onEnd. A draining target
--- a/internal/navigator/plan.go
+++ b/internal/navigator/plan.go
@@ -107,15 +107,14 @@
 // NewPlan returns an empty plan with the given revision.
 func NewPlan(revision identifier.Revision) Plan { return Plan{revision: revision} }
 
-// WithRoutes returns a copy of p with the given routes.
+// WithRoutes returns a copy of p with the given routes, their numbers within bounds.
 func (p Plan) WithRoutes(routes ...Route) Plan {
 	p.routes = maps.Clone(p.routes)
 	if p.routes == nil {
 		p.routes = make(map[string]Route, len(routes))
 	}
 	for _, r := range routes {
-		r.Shares = slices.Clone(r.Shares)
-		p.routes[r.Host+r.Prefix] = r
+		p.routes[r.Host+r.Prefix] = r.withinBounds()
 	}
 	return p
 }
@@ -149,7 +148,7 @@
 
 // WithLimits returns a copy of p with the given limits.
 func (p Plan) WithLimits(l Limits) Plan {
-	p.limits = l
+	p.limits = l.withinBounds()
 	return p
 }
 
@@ -172,6 +171,9 @@
 	})
 }
 
+// Routes returns all routes, in no fixed order.
+func (p Plan) Routes() []Route { return slices.Collect(maps.Values(p.routes)) }
+
 // Route returns the route of a host with the longest matching prefix of path. Prefixes end with a slash, so one
 // lookup for each slash of the path is enough, whatever the number of routes.
 func (p Plan) Route(host, path string) (Route, bool) {
