registrar, interpreter, platform: a target that says in an answer that it leaves gets nothing more

Cause: no line of the code read that a target says so in its answers; only listings said it, late or, for some targets, not at all. What callers saw: requests went to a leaving target until its listing changed, and were cut when it ended. Change: interpreter takes the word in on every path; Departures keeps the incarnation out of every view against listings that are late, lost, restored or contradict (TestLeavingTargetsStayAway) and tells other entries (TestDeparturesAreTold). The making and the adoption of a view are one step now, so that no earlier view replaces a later one.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -17,6 +17,7 @@
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
+	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
@@ -162,6 +163,23 @@
 	return nil
 }
 
+// Departures takes in which targets leave.
+type Departures interface {
+	ApplyDepartures(n registrar.DepartureNotices)
+}
+
+// Targets is the net/rpc receiver that takes in what answers to other processes said of targets.
+type Targets struct {
+	departures Departures
+}
+
+// Left takes in which targets leave.
+func (t *Targets) Left(n registrar.DepartureNotices, received *bool) error {
+	t.departures.ApplyDepartures(n)
+	*received = true
+	return nil
+}
+
 // Services are what a process does for others. The zero value does nothing.
 type Services struct {
 	Jobs Handler
@@ -173,6 +191,8 @@
 	// Allotter allots permits for limited targets, and Limiter takes in which these are.
 	Allotter Allotter
 	Limiter  *limiter.Limiter
+	// Departures takes in which targets leave.
+	Departures Departures
 }
 
 // receivers returns the net/rpc receivers of the services that there are.
@@ -187,6 +207,9 @@
 	if s.Allotter != nil {
 		all = append(all, &Limits{allotter: s.Allotter, limiter: s.Limiter})
 	}
+	if s.Departures != nil {
+		all = append(all, &Targets{departures: s.Departures})
+	}
 	return all
 }
 
@@ -297,6 +320,12 @@
 	return c.call(ctx, address, "Limits.Notify", n, &received, informTimeout) && received
 }
 
+// NotifyDepartures tells the process at address which targets leave, and reports whether that process received it.
+func (c *Client) NotifyDepartures(ctx context.Context, address string, n registrar.DepartureNotices) bool {
+	var received bool
+	return c.call(ctx, address, "Targets.Left", n, &received, informTimeout) && received
+}
+
 // allotTimeout limits an ask for a permit, which the receiver answers at once.
 const allotTimeout = 300 * time.Millisecond
 
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -21,6 +21,7 @@
 	RankGatekeeper    Rank = 110
 	RankStreamer      Rank = 120
 	RankRegistrar     Rank = 115
+	RankDepartures    Rank = 117
 	RankConductor     Rank = 125
 	RankCollector     Rank = 130
 	RankBatcher       Rank = 135
@@ -53,6 +54,8 @@
 	Navigator struct{}
 	// Registrar ranks the lock of the registered targets.
 	Registrar struct{}
+	// Departures ranks the lock of the targets that leave.
+	Departures struct{}
 	// Conductor ranks the lock of the batch jobs that a process leads.
 	Conductor struct{}
 	// Batcher ranks the lock of one batch job.
@@ -174,6 +177,9 @@
 // Rank returns RankRegistrar.
 func (Registrar) Rank() Rank { return RankRegistrar }
 
+// Rank returns RankDepartures.
+func (Departures) Rank() Rank { return RankDepartures }
+
 // Rank returns RankConductor.
 func (Conductor) Rank() Rank { return RankConductor }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -72,6 +72,8 @@
 	Stamp string
 	// Version is the weight version at the start of the answer; zero for a service without models.
 	Version identifier.Version
+	// Leaving is set if the target says that it leaves.
+	Leaving bool
 	// Stream is set if the body is a stream of events.
 	Stream bool
 	// Foreign is set if the answer is that of another target than the one that was called.
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -71,10 +71,13 @@
 	limiter   *limiter.Limiter
 	// allotter allots the permits for the limited targets that this process is responsible for.
 	allotter limiter.Allotter
-	presence *presence
-	servers  []*http.Server
-	peers    net.Listener
-	client   *jobpeer.Client
+	// targets are the listed targets, departures those that said that they leave.
+	targets    *targetView
+	departures registrar.Departures
+	presence   *presence
+	servers    []*http.Server
+	peers      net.Listener
+	client     *jobpeer.Client
 	// changeBuffers buffer changes for other entries, by key prefix.
 	changeBuffers map[string]*storer.ChangeBuffer
 	// lastConnection is the monotonic time of the last new connection of a caller.
@@ -91,12 +94,14 @@
 func StartEntry(s Settings, p Platform, newFront func(FrontDependencies) Front, o Observers) (*Entry, error) {
 	e, log := &Entry{base: newBase(s, p, o)}, o.Log
 	sampler := logger.NewSampler(e.clock, logger.DefaultLinesPerSecond)
-	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions), router.NewRouter(router.WithPolicy(router.NewCombined()))
+	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions).WithDepartures(&e.departures)
+	route := router.NewRouter(router.WithPolicy(router.NewCombined()))
 	tally := tallier.NewTallier(
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
-	calls := interpreter.NewInterpreter(p.Targets, e.limiter, e.clock, log)
+	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
+		interpreter.WithDepartures(&e.departures, func() { e.targets.update(nil) }))
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Counter: tally, Observer: e.observer, Limiter: e.limiter,
 		Clock: e.clock, Zone: s.Zone, Region: s.Region,
@@ -113,8 +118,9 @@
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
 		StoreReached: e.presence.reachedJustNow,
 	})
-	targets := &targetView{
-		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
+	e.targets = &targetView{
+		departures: &e.departures,
+		decoder:    p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
 			e.limiter.Retain(route.View())
 			e.conductor.TriggerAssignment()
 		},
@@ -122,7 +128,7 @@
 	}
 	e.front = newFront(FrontDependencies{
 		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log,
-		Synced: func() bool { return e.presence.storeReached() && targets.synced.Load() },
+		Synced: func() bool { return e.presence.storeReached() && e.targets.synced.Load() },
 		Meter:  o.Metrics, Sampler: sampler,
 	})
 	if err := e.serve(); err != nil {
@@ -130,7 +136,7 @@
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: targets.unusableCount.Load,
+		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
 	})
 	if err != nil {
 		return nil, err
@@ -143,7 +149,7 @@
 		e.followShared(ctx, p.PlanPrefix, 0, e.Apply, operators, regionReader{e}, e.changeBuffers[p.PlanPrefix])
 	})
 	e.running.Go(func() {
-		e.followShared(ctx, p.TargetPrefix, e.Drain/batchDelayDivisor, e.Drain, targets, regionReader{e}, e.changeBuffers[p.TargetPrefix])
+		e.followShared(ctx, p.TargetPrefix, e.Drain/batchDelayDivisor, e.Drain, e.targets, regionReader{e}, e.changeBuffers[p.TargetPrefix])
 	})
 	e.running.Go(func() {
 		e.follow(ctx, recorder.NodePrefix, e.batchDelay, membershipDelay, conductor.NewMembershipView(e.conductor, e.codec))
@@ -152,10 +158,12 @@
 	e.stopRegistering = stopRegistering
 	e.registering.Go(func() { e.presence.keepRegistered(registerCtx) })
 	e.running.Go(func() { tally.Run(ctx) })
-	e.running.Go(func() { e.expireListings(ctx, targets) })
+	e.running.Go(func() { e.expireListings(ctx, e.targets) })
 	e.running.Go(func() { e.limiter.Run(ctx) })
 	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
 	e.running.Go(func() { crashes.Run(ctx) })
+	departures := broadcaster.NewBroadcaster(departureSource{e}, e.conductor.OtherMembers, e.client.NotifyDepartures, e.clock)
+	e.running.Go(func() { departures.Run(ctx) })
 	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
 	e.running.Go(func() { limits.Run(ctx) })
 	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log)
@@ -193,7 +201,7 @@
 	e.running.Go(func() {
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
-			Limiter: e.limiter, Clock: e.clock,
+			Limiter: e.limiter, Departures: departureSource{e}, Clock: e.clock,
 		}
 		if err := jobpeer.Serve(l, services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,10 @@
 	log       *logger.Logger
 	// interruptedAt is the monotonic time of the last interruption; zero before the first.
 	interruptedAt time.Duration
+	// departures holds the targets that said that they leave; it may be nil.
+	departures *registrar.Departures
+	// adopting is held from the making of a view to its adoption, so that no earlier view replaces a later one.
+	adopting sync.Mutex
 	// onChange is called after the targets of the router have changed, and onEnd for each incarnation of a target that has
 	// ended without having announced it. Both may be nil.
 	onChange func()
@@ -160,16 +165,18 @@
 	return registrar.Listing{}, false
 }
 
-// update passes the targets that accept work to the router, and the incarnations that ended to onEnd. A draining target
-// ends as announced.
+// update passes the targets that accept work to the router, and the incarnations that ended to onEnd. A draining or leaving
+// target ends as announced.
 func (v *targetView) update(ended []registrar.Listing) {
+	v.adopting.Lock()
 	view, _ := v.registrar.Watch()
 	v.router.Adopt(view)
+	v.adopting.Unlock()
 	if v.onChange != nil {
 		v.onChange()
 	}
 	for _, l := range ended {
-		if v.onEnd != nil && !l.Draining {
+		if v.onEnd != nil && !l.Draining && !v.departures.Left(l.ID, l.Incarnation) {
 			v.onEnd(l)
 		}
 	}
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -8,6 +8,7 @@
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
@@ -16,13 +17,31 @@
 type Interpreter struct {
 	client  forwarder.TargetClient
 	limiter *limiter.Limiter
-	clock   timer.Service
-	log     *logger.Logger
+	// departures holds the targets that leave; onLeaving is called when one is added.
+	departures *registrar.Departures
+	onLeaving  func()
+	clock      timer.Service
+	log        *logger.Logger
+}
+
+// Option sets a property of an Interpreter.
+type Option func(*Interpreter)
+
+// WithLimiter passes the rates that answers name to l.
+func WithLimiter(l *limiter.Limiter) Option { return func(i *Interpreter) { i.limiter = l } }
+
+// WithDepartures adds the targets whose answers say that they leave to d, and calls onLeaving for each.
+func WithDepartures(d *registrar.Departures, onLeaving func()) Option {
+	return func(i *Interpreter) { i.departures, i.onLeaving = d, onLeaving }
 }
 
 // NewInterpreter returns an Interpreter of the answers that client gets.
-func NewInterpreter(client forwarder.TargetClient, l *limiter.Limiter, clock timer.Service, log *logger.Logger) *Interpreter {
-	return &Interpreter{client: client, limiter: l, clock: clock, log: log}
+func NewInterpreter(client forwarder.TargetClient, clock timer.Service, log *logger.Logger, opts ...Option) *Interpreter {
+	i := &Interpreter{client: client, clock: clock, log: log}
+	for _, o := range opts {
+		o(i)
+	}
+	return i
 }
 
 // Call sends c and takes in what its answer says.
@@ -31,10 +50,19 @@
 	a, fault := i.client.Call(ctx, c)
 	if fault == forwarder.NoFault && !a.Foreign {
 		i.recordRate(c, a, sent)
+		i.recordDeparture(c, a)
 	}
 	return a, fault
 }
 
+// recordDeparture takes in that the target says that it leaves.
+func (i *Interpreter) recordDeparture(c forwarder.Call, a forwarder.Answer) {
+	if a.Leaving && i.departures != nil && i.departures.Record(c.Target.ID, c.Target.Incarnation, i.clock.Monotonic()) {
+		i.log.Emit(logger.TargetLeaving, "target", c.Target.ID, "incarnation", c.Target.Incarnation, "request", c.ID)
+		i.onLeaving()
+	}
+}
+
 // recordRate takes in the rate of requests that the target names.
 func (i *Interpreter) recordRate(c forwarder.Call, a forwarder.Answer, sent time.Duration) {
 	switch i.limiter.Record(c.Target, a.Rate, sent) {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -103,6 +103,8 @@
 		Number: 1607, Level: hclog.Warn, Text: "rate that a target names makes no sense", Action: "check the target; what it named before stays in force",
 	}
 
+	TargetLeaving = Event{Number: 1608, Level: hclog.Info, Text: "target says that it leaves", Action: "none; it gets no more requests"}
+
 	LinesDropped = Event{
 		Number: 1011, Level: hclog.Warn, Text: "log lines dropped", Action: "make the log reader faster; a metric counts the dropped lines",
 	}
@@ -192,6 +194,6 @@
 		RequestFailed, AnswerUnusable, RequestReleased, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
-		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
+		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -24,13 +24,14 @@
 
 // Registrar is the table of targets of one process. The zero value is empty and knows no regions.
 //
-// Invariants: no view contains a draining or removed target; each suspension ends. Lock rank: container.RankRegistrar.
+// Invariants: no view contains a draining, leaving or removed target; each suspension ends. Lock rank: container.RankRegistrar.
 type Registrar struct {
 	lock        container.Lock[container.Registrar]
 	records     map[identifier.Target]record
 	regions     map[identifier.Zone]identifier.Region
 	changed     chan struct{}
 	comparisons map[identifier.Service]comparison
+	departures  *Departures
 }
 
 // record is a target with the results of attempts at it.
@@ -49,6 +50,12 @@
 	return &Registrar{regions: maps.Clone(regions)}
 }
 
+// WithDepartures makes r leave the targets in d out of its views, and returns r.
+func (r *Registrar) WithDepartures(d *Departures) *Registrar {
+	r.departures = d
+	return r
+}
+
 // Put adds or replaces a listing. It returns the listing of the incarnation that the target had before, if that is another.
 func (r *Registrar) Put(l Listing) []Listing {
 	r.lock.Lock()
@@ -180,7 +187,7 @@
 	return all
 }
 
-// Watch returns a view of the targets that are not draining and a channel that is closed when a listing changes.
+// Watch returns a view of the targets that neither drain nor said that they leave, and a channel that is closed when a listing changes.
 func (r *Registrar) Watch() (router.View, <-chan struct{}) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -189,7 +196,7 @@
 	}
 	targets := make([]router.Target, 0, len(r.records))
 	for _, rec := range r.records {
-		if l := rec.listing; !l.Draining {
+		if l := rec.listing; !l.Draining && !r.departures.Left(l.ID, l.Incarnation) {
 			targets = append(targets, router.Target{
 				ID: l.ID, Service: l.Service, Zone: l.Zone, Region: r.regions[l.Zone], Incarnation: l.Incarnation,
 				Address: l.Address, Slots: l.Slots,
