isolator, limiter, registrar: nothing is collected for peers that know all, and answers after an end change nothing

Cause: each round of a broadcast went through all crashes for each peer, twice a second while any evidence was kept; and an answer from a target that is known to have ended, where its starts can't be told apart, changed the evidence at every request. Evidence: read in the code; TestObservedCrashes shows the revision for the second (golden file). Change: an up-to-date peer costs a comparison; an answer after the end of a target is not recorded.

--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -87,6 +87,9 @@
 func (i *Isolator) Observed(after int) (Evidence, int) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
+	if after == i.observedRevision {
+		return Evidence{}, after
+	}
 	e := i.evidence(func(id CrashID) bool {
 		c := i.crashes[id]
 		if i.observed[id] <= after || !i.shared[id] && !c.Ended && !i.hasSuspect(c) {
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -89,7 +89,7 @@
 // without a crash.
 func (i *Isolator) RecordAnswer(id CrashID, sent time.Time) {
 	i.change(id, func(c Crash) Crash {
-		if !c.counts() {
+		if c.Ended || !c.counts() {
 			return c
 		}
 		return c.WithAnswer(sent)
--- a/internal/isolator/observer_test.go
+++ b/internal/isolator/observer_test.go
@@ -83,6 +83,16 @@
 		o.TargetEnded("t0", 1, start.Add(4*time.Second))
 		show(4*time.Second, "x")
 	})
+	scenario("targets whose starts can't be told apart ended, and answer again", func(o *isolator.Observer, show showFunc) {
+		for target := range 3 {
+			broken(o, "x", target, 0, 0)
+			o.TargetEnded(identifier.Target(fmt.Sprint("t", target)), 1, start)
+			o.Answered(attempt("y", target, 1, time.Second))
+			o.Answered(attempt("y", target, 1, 2*time.Second))
+		}
+		show(2*time.Second, "x")
+		fmt.Fprintf(&out, "  revision %d\n", o.Revision())
+	})
 	scenario("a target that answered later breaks off again", func(o *isolator.Observer, show showFunc) {
 		for target := range 3 {
 			broken(o, "x", target, 0, 0)
--- a/internal/limiter/notice.go
+++ b/internal/limiter/notice.go
@@ -50,6 +50,9 @@
 func (l *Limiter) Observed(after int) (Notices, int) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	if after == l.revision {
+		return nil, after
+	}
 	now := l.clock.Monotonic()
 	var all Notices
 	for _, o := range l.observed {
--- a/internal/registrar/departures.go
+++ b/internal/registrar/departures.go
@@ -120,6 +120,9 @@
 func (d *Departures) ObservedAt(now time.Duration, after int) (DepartureNotices, int) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	if after == d.revision {
+		return nil, after
+	}
 	var all DepartureNotices
 	for t, p := range d.targets {
 		if p.revision > after {
