isolator, hoster: a target shows that it lives only while its listing would show that it ended

Cause: a target that answers a request sent after the break counted as alive. With the key-value service down, a sampler that had crashed and started again under the same ID answered others at once, and no listing could show the new start: the crash no longer counted. What callers saw: 19 samplers ended under one request within 5 s, while the service was down and its history was lost. Change: an answer shows that the target lives only if its request was sent 3 s or more after the break and the entry reaches the service. A harmless request whose connections broke is held for 3 s longer. TestHeldBackRequestIsRetried waits 3 s of its clock instead of one.

--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -48,12 +48,12 @@
 	f := newFixtureWithClock(clock, plan(), 3, broken, broken, broken)
 	q := forwarder.Request{ID: "r", Path: "/again/x", Host: "h", Key: "key"}
 	c.Assert(f.Forward(t.Context(), q, &sink{}).Outcome, qt.Equals, forwarder.Unknown)
-	clock.Advance(time.Second)
+	clock.Advance(3 * time.Second)
 	r := f.Forward(t.Context(), q, &sink{})
 	c.Assert(r.Reason, qt.Equals, forwarder.Suspect)
 	// No attempt was made, so the refusal says so and when to come back.
 	c.Assert(r.Outcome, qt.Equals, forwarder.NotRun)
-	c.Assert(r.RetryAfter, qt.Equals, isolator.DefaultRetention-time.Second)
+	c.Assert(r.RetryAfter, qt.Equals, isolator.DefaultRetention-3*time.Second)
 	other := q
 	other.Body = []byte("another")
 	c.Assert(f.Forward(t.Context(), other, &sink{}).Outcome, qt.Equals, forwarder.Answered)
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -112,6 +112,7 @@
 		p.TargetPrefix: storer.NewChangeBuffer(e.clock, watchWait(e.Drain)+bufferAgeMargin),
 	}
 	e.presence = newPresence(e.base)
+	e.observer.Listed = e.presence.storeReached
 	e.conductor = conductor.NewConductor(conductor.Dependencies{
 		Self: e.owner(), Recorder: recorder.NewRecorder(e.store.WithPurpose(storer.PurposeRun), e.codec), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: calls, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -23,6 +23,9 @@
 	// coincidencePeriod is the time within which targets end at the same time. It covers the time until connections to a
 	// target that ended break, and is short against the time between two attempts of a caller.
 	coincidencePeriod = 250 * time.Millisecond
+	// survivalDelay is the time from a break until an answer of the target shows that it lives. Within that time its listing
+	// would show that it ended and started again under its ID.
+	survivalDelay = 3 * time.Second
 )
 
 // Isolator compares crashes. The zero value has no crashes.
@@ -86,10 +89,10 @@
 func (i *Isolator) RecordEnd(id CrashID) { i.change(id, Crash.WithEnd) }
 
 // RecordAnswer records that a target answered a request that was sent at the given time. It has no effect on a target
-// without a crash.
+// without a crash, and within survivalDelay of the last break.
 func (i *Isolator) RecordAnswer(id CrashID, sent time.Time) {
 	i.change(id, func(c Crash) Crash {
-		if c.Ended || !c.counts() {
+		if c.Ended || !c.counts() || sent.Sub(c.lastBreak()) < survivalDelay {
 			return c
 		}
 		return c.WithAnswer(sent)
--- a/internal/isolator/observer.go
+++ b/internal/isolator/observer.go
@@ -46,6 +46,9 @@
 // needs an Isolator; otherwise its zero value works. Lock rank: container.RankIsolator, never held with that of the Isolator.
 type Observer struct {
 	*Isolator
+	// Listed reports whether the listings of targets are up to date, so that another start of a target shows. If it is nil,
+	// they are. It is set before the first use.
+	Listed     func() bool
 	lock       container.Lock[container.Isolator]
 	unanswered []unansweredAttempt
 }
@@ -75,7 +78,9 @@
 	if o.IsEmpty() {
 		return
 	}
-	o.RecordAnswer(a.crashID(), a.Sent)
+	if o.Listed == nil || o.Listed() {
+		o.RecordAnswer(a.crashID(), a.Sent)
+	}
 	if a.Suspect != (Fingerprint{}) {
 		o.Clear(a.Suspect)
 	}
--- a/internal/isolator/observer_test.go
+++ b/internal/isolator/observer_test.go
@@ -80,8 +80,21 @@
 		show(2*time.Second, "x")
 		o.Answered(attempt("y", 0, 1, 2*time.Second))
 		show(3*time.Second, "x")
-		o.TargetEnded("t0", 1, start.Add(4*time.Second))
+		o.Answered(attempt("y", 0, 1, 4*time.Second))
 		show(4*time.Second, "x")
+		o.TargetEnded("t0", 1, start.Add(5*time.Second))
+		show(5*time.Second, "x")
+	})
+	scenario("targets start again under their IDs and answer, while no listing shows it", func(o *isolator.Observer, show showFunc) {
+		o.Listed = func() bool { return false }
+		for target := range 3 {
+			broken(o, "x", target, 0, 0)
+			o.Answered(attempt("y", target, 1, 10*time.Second))
+		}
+		show(10*time.Second, "x")
+		o.Listed = nil
+		o.Answered(attempt("y", 0, 1, 11*time.Second))
+		show(11*time.Second, "x")
 	})
 	scenario("targets whose starts can't be told apart ended, and answer again", func(o *isolator.Observer, show showFunc) {
 		for target := range 3 {
@@ -97,10 +110,10 @@
 		for target := range 3 {
 			broken(o, "x", target, 0, 0)
 		}
-		o.Answered(attempt("y", 0, 1, time.Second))
-		show(time.Second, "x")
-		broken(o, "x", 0, 2*time.Second, 0)
-		show(2*time.Second, "x")
+		o.Answered(attempt("y", 0, 1, 3*time.Second))
+		show(3*time.Second, "x")
+		broken(o, "x", 0, 4*time.Second, 0)
+		show(4*time.Second, "x")
 	})
 	scenario("targets end silently under a request that gets no answer", func(o *isolator.Observer, show showFunc) {
 		for target := range 3 {
