--- a/internal/batcher/checkpoint.go
+++ b/internal/batcher/checkpoint.go
@@ -66,7 +66,8 @@
 func (j *Job) partialText(i int) PartialText {
 	p := &j.items[i]
 	return PartialText{
-		Item: j.spec.Items[i].ID, Text: slices.Clone(p.events), Last: p.lastEvent, Versions: slices.Clone(p.versions), Whole: p.complete,
+		Item: j.spec.Items[i].ID, Text: slices.Clone(p.events), Last: p.lastEvent, Versions: slices.Clone(p.versions), Release: p.release,
+		Whole: p.complete,
 	}
 }
 
--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -28,6 +28,9 @@
 	events    [][]byte
 	lastEvent int
 	versions  []identifier.Version
+	// release is the software version of the target that generated the text so far, and runner that of the target which runs
+	// the item now.
+	release, runner identifier.Release
 	// failures counts the answers that reported a failure of the item.
 	failures int
 	// complete is set when the text is complete.
@@ -45,6 +48,8 @@
 	// Events is the number of events of the text so far, and LastEvent the number of the last one.
 	Events    int
 	LastEvent int
+	// Release is the software version of the target that generated them.
+	Release identifier.Release
 }
 
 // Job is the state of one batch job in the process that leads it.
@@ -110,7 +115,7 @@
 		}
 		if p.notBefore <= now {
 			p.stage = stageRunning
-			return Task{Index: i, Item: j.spec.Items[i], TextComplete: p.complete, Events: len(p.events), LastEvent: p.lastEvent}, true, 0
+			return j.task(i), true, 0
 		}
 		if next == 0 || p.notBefore < next {
 			next = p.notBefore
@@ -144,7 +149,22 @@
 func (j *Job) CurrentTask(i int) Task {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	return Task{Index: i, Item: j.spec.Items[i], Events: len(j.items[i].events), LastEvent: j.items[i].lastEvent}
+	return j.task(i)
+}
+
+// task returns an item with the state of its text. The caller holds the lock.
+func (j *Job) task(i int) Task {
+	p := &j.items[i]
+	return Task{
+		Index: i, Item: j.spec.Items[i], TextComplete: p.complete, Events: len(p.events), LastEvent: p.lastEvent, Release: p.release,
+	}
+}
+
+// Begin records the software version of the target that runs an item from now on.
+func (j *Job) Begin(i int, r identifier.Release) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	j.items[i].runner = r
 }
 
 // Append adds an event to the text of a running item. It returns false, and the attempt must end, if the event does
@@ -163,7 +183,7 @@
 		}
 		p.versions = append(p.versions, v)
 	}
-	p.events, p.lastEvent = append(p.events, bytes.Clone(data)), number
+	p.events, p.lastEvent, p.release = append(p.events, bytes.Clone(data)), number, p.runner
 	return true
 }
 
@@ -172,7 +192,7 @@
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	p := &j.items[i]
-	p.events, p.lastEvent, p.versions, p.complete, p.saved = nil, 0, nil, false, 0
+	p.events, p.lastEvent, p.versions, p.complete, p.saved, p.release = nil, 0, nil, false, 0, ""
 }
 
 // Retry makes a running item wait again. Next does not return it before notBefore.
--- a/internal/batcher/text.go
+++ b/internal/batcher/text.go
@@ -16,6 +16,8 @@
 	// Last is the number of the last event in Text.
 	Last     int
 	Versions []identifier.Version
+	// Release is the software version of the target that generated the text.
+	Release identifier.Release
 	// Whole is set when the text is complete and only the score is missing.
 	Whole bool
 }
@@ -42,6 +44,7 @@
 		old := slices.ContainsFunc(part.Versions, func(v identifier.Version) bool { return v < j.spec.Least })
 		if p := &j.items[i]; ok && !old && p.stage == stageWaiting && len(p.events) == 0 {
 			p.events, p.lastEvent, p.versions, p.complete = part.Text, part.Last, slices.Clone(part.Versions), part.Whole
+			p.release = part.Release
 			if saved {
 				p.saved = len(p.events)
 			}
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -74,6 +74,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	t.last.Store(int64(c.Clock.Monotonic()))
+	a.ledJob.job.Begin(a.task.Index, a.target.Release)
 	done := make(chan struct{})
 	defer close(done)
 	go c.watchAttempt(a.ledJob.job, t, done, cancel)
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -173,8 +173,9 @@
 	if outcome == attemptComplete && a.task.Events == 0 && !c.Sampler.Keep(string(a.task.Item.ID)) {
 		return
 	}
-	c.Log.Emit(logger.ItemAttempted, "item", a.task.Item.ID, "job", a.ledJob.id, "target", a.target.ID, "had", a.task.Events,
-		"events", t.events.Load(), "end", outcome.String(), "first", t.timeToFirst(began), "took", took)
+	c.Log.Emit(logger.ItemAttempted, "item", a.task.Item.ID, "job", a.ledJob.id, "target", a.target.ID, "release", a.target.Release,
+		"had", a.task.Events, "wrote", a.task.Release, "events", t.events.Load(), "end", outcome.String(),
+		"first", t.timeToFirst(began), "took", took)
 }
 
 // attemptOutcome is how an attempt of an item ended.
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -124,7 +124,7 @@
 	if !c.Removed {
 		if l, ok := v.decode(c.Entry, logged); ok {
 			replaced := v.registrar.Put(l)
-			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "draining", l.Draining,
+			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "release", l.Release, "draining", l.Draining,
 				"incarnation", l.Incarnation, "versions", l.Versions, "changed", c.Changed)
 			v.update(replaced)
 			return
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -87,3 +87,7 @@
 
 // Model names a model whose weights have versions.
 type Model string
+
+// Release is the software version of a target, as it names it itself. It is opaque: releases are compared for equality only.
+// The version of a target's weights is a Version.
+type Release string
--- a/internal/registrar/listing.go
+++ b/internal/registrar/listing.go
@@ -19,6 +19,8 @@
 	Draining bool
 	// Incarnation identifies one start of the target; a target may restart under the same ID.
 	Incarnation identifier.Incarnation
+	// Release is the software version of the target.
+	Release identifier.Release
 	// Versions are the weight versions of the models that the target serves.
 	Versions map[identifier.Model]identifier.Version
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -199,7 +199,7 @@
 		if l := rec.listing; !l.Draining && !r.departures.Left(l.ID, l.Incarnation) {
 			targets = append(targets, router.Target{
 				ID: l.ID, Service: l.Service, Zone: l.Zone, Region: r.regions[l.Zone], Incarnation: l.Incarnation,
-				Address: l.Address, Slots: l.Slots,
+				Address: l.Address, Slots: l.Slots, Release: l.Release,
 			})
 		}
 	}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -13,6 +13,8 @@
 	Zone        identifier.Zone
 	Region      identifier.Region
 	Incarnation identifier.Incarnation
+	// Release is the software version of the target; it is empty where targets name none.
+	Release identifier.Release
 	// Address is the listen address of the target's agent.
 	Address string
 	// Slots is the number of attempts that the target runs at a time without queueing; zero counts as one.
