batcher, conductor, router: a text of an item goes on only at targets of the software version that began it

Cause: a text was continued at any target of its service. Nothing outside the listing named the software version, so neither the choice of a target, nor the text, nor what is stored of it for the next owner of a job knew it. Change: a text keeps its release, also when it is saved, handed over or reused; Job refuses an event of another one. Before a text goes on, the target is asked which start of it serves, since its listing may be older than a restart with other software. A target whose listings name two releases for one start is not used until its next start. Why this is enough: both the choice and the append compare releases, so that a wrong choice ends as a stale attempt.

--- a/internal/batcher/checkpoint_test.go
+++ b/internal/batcher/checkpoint_test.go
@@ -28,7 +28,7 @@
 	const limit = 1 << 20
 	job := batcher.NewJob(newSpec(1, 3))
 	for range 3 {
-		job.Next(0)
+		startNext(job, 0)
 	}
 	var out strings.Builder
 	show := func(title string, limit int) {
@@ -67,7 +67,7 @@
 		spec := newSpec(1, 2)
 		job := batcher.NewJob(spec)
 		for range 2 {
-			job.Next(0)
+			startNext(job, 0)
 		}
 		var stored []batcher.PartialText
 		want := make(map[identifier.Item]batcher.PartialText)
@@ -118,7 +118,7 @@
 	spec.Desired = 2
 	job := batcher.NewJob(spec)
 	for range spec.Items {
-		job.Next(0)
+		startNext(job, 0)
 	}
 	finish := func(i int) {
 		grow(job, i, 1, 0)
@@ -150,7 +150,7 @@
 	job.CarryOver(earlier)
 	order := make([]int, 0, len(spec.Items))
 	for range spec.Items {
-		task, _, _ := job.Next(0)
+		task, _, _ := startNext(job, 0)
 		order = append(order, task.Index)
 	}
 	c.Assert(order, qt.DeepEquals, []int{1, 0, 5, 4, 3, 2})
--- /dev/null
+++ b/internal/batcher/constraint.go
@@ -0,0 +1,55 @@
+package batcher
+
+import (
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
+
+// Constraint is what an item needs of its target. It is immutable.
+type Constraint struct {
+	// Continues is set if the item has a part of its text, which goes on only at targets of the software version that
+	// generated it.
+	Continues bool
+	Release   identifier.Release
+}
+
+// Demand is a number of items that need the same of their target.
+type Demand struct {
+	Constraint
+	Items int
+}
+
+// constraint returns what an item needs of its target. A complete text only has to be scored, which any target may do.
+func (p *itemState) constraint() Constraint {
+	if len(p.events) == 0 || p.complete {
+		return Constraint{}
+	}
+	return Constraint{Continues: true, Release: p.release}
+}
+
+// addDemand counts one more item in the demand with its constraint.
+func addDemand(all []Demand, c Constraint) []Demand {
+	for i := range all {
+		if all[i].Constraint == c {
+			all[i].Items++
+			return all
+		}
+	}
+	return append(all, Demand{Constraint: c, Items: 1})
+}
+
+// RestartTexts drops the texts of the waiting items with a constraint that have been due since a time or longer, so that they
+// are generated from the start at any target. It returns their number.
+func (j *Job) RestartTexts(c Constraint, since time.Duration) int {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	n := 0
+	for i := range j.items {
+		if p := &j.items[i]; c.Continues && p.stage == stageWaiting && p.notBefore <= since && p.constraint() == c {
+			p.dropText()
+			n++
+		}
+	}
+	return n
+}
--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -55,7 +55,8 @@
 // Job is the state of one batch job in the process that leads it.
 //
 // Invariants: an item has at most one result; a result is readable only once it is durable, and then keeps its
-// position; a text grows only by the event that follows its last one. Lock rank: container.RankBatcher.
+// position; a text grows only by the event that follows its last one, and holds events of one software version. Lock rank:
+// container.RankBatcher.
 type Job struct {
 	lock       container.Lock[container.Batcher]
 	spec       Spec
@@ -99,45 +100,36 @@
 // Spec returns the job as it was submitted.
 func (j *Job) Spec() Spec { return j.spec }
 
-// Next starts the next item that is due. If none is due, it returns the time at which the next one will be, or zero if
-// no item waits.
-func (j *Job) Next(now time.Duration) (Task, bool, time.Duration) {
+// Next starts the next due item that needs what c says.
+func (j *Job) Next(now time.Duration, c Constraint) (Task, bool) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	next := time.Duration(0)
 	if j.finished {
-		return Task{}, false, 0
+		return Task{}, false
 	}
 	for _, i := range j.startOrder {
-		p := &j.items[i]
-		if p.stage != stageWaiting {
-			continue
-		}
-		if p.notBefore <= now {
+		if p := &j.items[i]; p.stage == stageWaiting && p.notBefore <= now && p.constraint() == c {
 			p.stage = stageRunning
-			return j.task(i), true, 0
-		}
-		if next == 0 || p.notBefore < next {
-			next = p.notBefore
+			return j.task(i), true
 		}
 	}
-	return Task{}, false, next
+	return Task{}, false
 }
 
-// Due returns the number of items that are due, and the time at which the next one will be if none is, or zero if no item
-// waits.
-func (j *Job) Due(now time.Duration) (due int, next time.Duration) {
+// Due returns how many items are due, by what they need of their target and in the order in which they start, and the time at
+// which the next one will be if none is, or zero if no item waits.
+func (j *Job) Due(now time.Duration) (due []Demand, next time.Duration) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	if j.finished {
-		return 0, 0
+		return nil, 0
 	}
 	for _, i := range j.startOrder {
 		p := &j.items[i]
 		switch {
 		case p.stage != stageWaiting:
 		case p.notBefore <= now:
-			due++
+			due = addDemand(due, p.constraint())
 		case next == 0 || p.notBefore < next:
 			next = p.notBefore
 		}
@@ -168,13 +160,14 @@
 }
 
 // Append adds an event to the text of a running item. It returns false, and the attempt must end, if the event does
-// not follow the last one, if the job has finished, or if the weight version is older than Spec.Least or, if single is
-// set, differs from that of the text.
+// not follow the last one, if the target runs another software version than the one that generated the text, if the job has
+// finished, or if the weight version is older than Spec.Least or, if single is set, differs from that of the text.
 func (j *Job) Append(i, number int, data []byte, v identifier.Version, single bool) bool {
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	p := &j.items[i]
-	if j.finished || p.stage != stageRunning || v < j.spec.Least || len(p.events) > 0 && number != p.lastEvent+1 {
+	if j.finished || p.stage != stageRunning || v < j.spec.Least ||
+		len(p.events) > 0 && (number != p.lastEvent+1 || p.runner != p.release) {
 		return false
 	}
 	if !slices.Contains(p.versions, v) {
@@ -191,7 +184,10 @@
 func (j *Job) DropText(i int) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	p := &j.items[i]
+	j.items[i].dropText()
+}
+
+func (p *itemState) dropText() {
 	p.events, p.lastEvent, p.versions, p.complete, p.saved, p.release = nil, 0, nil, false, 0, ""
 }
 
--- a/internal/batcher/text.go
+++ b/internal/batcher/text.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
@@ -23,28 +24,29 @@
 }
 
 // RestoreTexts sets the partial texts of waiting items to those that an earlier job has. It ignores a text that contains
-// a weight version older than Spec.Least.
-func (j *Job) RestoreTexts(parts []PartialText) {
+// a weight version older than Spec.Least. The items wait from now on.
+func (j *Job) RestoreTexts(parts []PartialText, now time.Duration) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	j.restoreTexts(parts, false)
+	j.restoreTexts(parts, false, now)
 }
 
-// RestoreSavedTexts sets the partial texts of waiting items to those that an earlier owner of the job has saved.
-func (j *Job) RestoreSavedTexts(parts []PartialText) {
+// RestoreSavedTexts sets the partial texts of waiting items to those that an earlier owner of the job has saved. The items wait
+// from now on.
+func (j *Job) RestoreSavedTexts(parts []PartialText, now time.Duration) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	j.restoreTexts(parts, true)
+	j.restoreTexts(parts, true, now)
 }
 
 // restoreTexts sets the partial texts of waiting items. The caller holds the lock.
-func (j *Job) restoreTexts(parts []PartialText, saved bool) {
+func (j *Job) restoreTexts(parts []PartialText, saved bool, now time.Duration) {
 	for _, part := range parts {
 		i, ok := j.byID[part.Item]
 		old := slices.ContainsFunc(part.Versions, func(v identifier.Version) bool { return v < j.spec.Least })
 		if p := &j.items[i]; ok && !old && p.stage == stageWaiting && len(p.events) == 0 {
 			p.events, p.lastEvent, p.versions, p.complete = part.Text, part.Last, slices.Clone(part.Versions), part.Whole
-			p.release = part.Release
+			p.release, p.notBefore = part.Release, max(p.notBefore, now)
 			if saved {
 				p.saved = len(p.events)
 			}
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -79,6 +79,9 @@
 	defer close(done)
 	go c.watchAttempt(a.ledJob.job, t, done, cancel)
 
+	if a.task.Events > 0 && !forwarder.SameStart(ctx, c.Forwarder.Starts, a.target) {
+		return attemptUnsent, router.Target{}
+	}
 	answer, fault := c.Caller.Call(ctx, c.itemCall(a))
 	if fault == forwarder.NoFault {
 		defer answer.Body.Close() //nolint:errcheck // the body was read to its end or is discarded
@@ -164,11 +167,11 @@
 	}
 }
 
-// chooseFasterTarget reserves a slot on a target that is not slow.
+// chooseFasterTarget reserves a slot on a target that is not slow and can continue the text.
 func (c *Conductor) chooseFasterTarget(a assignment, now time.Duration) (router.Target, bool) {
 	spec := a.ledJob.job.Spec()
 	return c.Forwarder.Limiter.Choose(c.Router, router.Requirements{
-		Service: a.target.Service, Zone: c.Zone, Region: c.Region, Spread: true,
+		Service: a.target.Service, Zone: c.Zone, Region: c.Region, Release: a.target.Release, Spread: true,
 		Avoid: append(c.Registrar.TargetsToAvoid(a.target.Service, spec.Model, spec.Least, now), c.Registrar.SlowTargets(a.target.Service, now)...),
 	})
 }
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -73,7 +73,7 @@
 		l.job.Finish()
 	case l == nil && owned && !r.Ended && submittedHere:
 		job := batcher.NewJob(spec)
-		job.RestoreTexts(c.reusableTexts(job))
+		job.RestoreTexts(c.reusableTexts(job), c.Clock.Monotonic())
 		c.startLeading(r, job, 0)
 	case l == nil && owned && !r.Ended:
 		c.loadJob(ctx, r)
@@ -166,7 +166,7 @@
 		return
 	}
 	job := batcher.NewJob(spec, results...)
-	job.RestoreSavedTexts(texts)
+	job.RestoreSavedTexts(texts, c.Clock.Monotonic())
 	c.startLeading(r, job, max(0, c.Clock.Now().Sub(r.Submitted)))
 }
 
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -94,22 +94,16 @@
 		if !ok {
 			continue
 		}
-		items, due := l.job.Due(now)
-		if items == 0 {
-			if due > 0 && (next == 0 || due < next) {
-				next = due
-			}
-			continue
-		}
-		target, ok := c.chooseTarget(service, spec, now)
-		if !ok {
-			waiting[service] += items
-			continue
+		demands, due := l.job.Due(now)
+		if due > 0 && (next == 0 || due < next) {
+			next = due
 		}
-		if task, ok, _ := l.job.Next(now); ok {
-			return assignment{ledJob: l, task: task, target: target, route: route}, true, 0
+		for _, d := range demands {
+			if a, ok := c.assign(l, route, service, d, now); ok {
+				return a, true, 0
+			}
+			waiting[service] += d.Items
 		}
-		c.Router.Release(target.ID)
 	}
 	for service, items := range waiting {
 		c.Forwarder.Limiter.SetDemand(service, items)
@@ -117,9 +111,52 @@
 	return assignment{}, false, next
 }
 
-// chooseTarget reserves a slot on a target for an item of a job. Slow targets are used only if there is no other.
-func (c *Conductor) chooseTarget(service identifier.Service, spec batcher.Spec, now time.Duration) (router.Target, bool) {
-	need := router.Requirements{Service: service, Zone: c.Zone, Region: c.Region, Spread: true}
+// assign starts the next item of a demand on a target of a service. Texts that no target can continue any more begin anew.
+func (c *Conductor) assign(l *ledJob, route navigator.Route, service identifier.Service, d batcher.Demand, now time.Duration) (assignment, bool) {
+	target, ok := c.chooseTarget(service, l.job.Spec(), d.Release, now)
+	if !ok && d.Continues && c.restartTexts(l, service, d, now) {
+		d.Constraint = batcher.Constraint{}
+		target, ok = c.chooseTarget(service, l.job.Spec(), "", now)
+	}
+	if !ok {
+		return assignment{}, false
+	}
+	task, ok := l.job.Next(now, d.Constraint)
+	if !ok {
+		c.Router.Release(target.ID)
+		return assignment{}, false
+	}
+	return assignment{ledJob: l, task: task, target: target, route: route}, true
+}
+
+// maxContinuationWait is how long a text waits for a target of the software version that generated it, while one is listed.
+const maxContinuationWait = time.Second
+
+// restartTexts drops the texts of a demand if no target of their software version is listed, and else those that have waited
+// for one for maxContinuationWait. It reports whether there were any. While no target of the service is known at all, as
+// before the listings have been read, the texts are kept.
+func (c *Conductor) restartTexts(l *ledJob, service identifier.Service, d batcher.Demand, now time.Duration) bool {
+	view, since, served := c.Router.View(), now, true
+	if view.Len(service) == 0 {
+		return false
+	}
+	if served = view.Serves(service, d.Release); served {
+		since = now - maxContinuationWait
+	}
+	n := l.job.RestartTexts(d.Constraint, since)
+	if n == 0 {
+		return false
+	}
+	c.Log.Emit(logger.TextsRestarted, "job", l.id, "texts", n, "release", d.Release, "served", served)
+	return true
+}
+
+// chooseTarget reserves a slot on a target for an item of a job, on one of a release unless that is empty. Slow targets are
+// used only if there is no other.
+func (c *Conductor) chooseTarget(
+	service identifier.Service, spec batcher.Spec, release identifier.Release, now time.Duration,
+) (router.Target, bool) {
+	need := router.Requirements{Service: service, Zone: c.Zone, Region: c.Region, Release: release, Spread: true}
 	avoid := c.Registrar.TargetsToAvoid(service, spec.Model, spec.Least, now)
 	need.Avoid = append(c.Registrar.SlowTargets(service, now), avoid...)
 	if target, ok := c.Forwarder.Limiter.Choose(c.Router, need); ok {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -115,6 +115,23 @@
 	Call(ctx context.Context, c Call) (Answer, Fault)
 }
 
+// StartReader asks targets which start of theirs serves now.
+type StartReader interface {
+	// Start returns the incarnation of a target. It is false if the target did not tell it in time.
+	Start(ctx context.Context, t router.Target) (identifier.Incarnation, bool)
+}
+
+// SameStart reports whether the start of a target that its listing names still serves. A sampler that has started again under
+// its ID may run another software version before its new listing is read; its answers don't show that. Without a reader
+// nothing is asked.
+func SameStart(ctx context.Context, r StartReader, t router.Target) bool {
+	if r == nil {
+		return true
+	}
+	serving, ok := r.Start(ctx, t)
+	return ok && serving == t.Incarnation
+}
+
 // Event is one complete event of a streamed answer.
 type Event struct {
 	Number int
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -52,7 +52,9 @@
 	Router       *router.Router
 	TargetClient TargetClient
 	Opener       Opener
-	Counter      RequestCounter
+	// Starts confirms a target before it continues a stream; if it is nil, listings are taken as they are.
+	Starts  StartReader
+	Counter RequestCounter
 	// Observer holds the evidence of which requests crash targets; if it is nil, the forwarder keeps its own.
 	Observer *isolator.Observer
 	// Limiter keeps to the rates that targets name; if it is nil, nothing is limited.
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -103,7 +103,7 @@
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
 		interpreter.WithDepartures(&e.departures, func() { e.targets.update(nil) }))
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
-		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Counter: tally, Observer: e.observer, Limiter: e.limiter,
+		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Counter: tally, Observer: e.observer, Limiter: e.limiter,
 		Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -53,6 +53,7 @@
 type Targets interface {
 	forwarder.TargetClient
 	forwarder.Opener
+	forwarder.StartReader
 	upgrader.Engines
 }
 
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,9 @@
 	}
 }
 
+// errContradiction is the reason why a target is not used whose listings name several releases for one start.
+var errContradiction = errors.New("listings of one start name several software versions")
+
 // lapseWindow is the time after an interruption within which a listing may have been removed only because its lease
 // expired while the store was unavailable.
 const lapseWindow = 3 * time.Second
@@ -126,6 +130,9 @@
 			replaced := v.registrar.Put(l)
 			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "release", l.Release, "draining", l.Draining,
 				"incarnation", l.Incarnation, "versions", l.Versions, "changed", c.Changed)
+			if v.registrar.Contradictory(l.ID) {
+				v.log.Emit(logger.ListingUnreadable, "key", c.Key, "error", errContradiction)
+			}
 			v.update(replaced)
 			return
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -24,7 +24,7 @@
 
 // Registrar is the table of targets of one process. The zero value is empty and knows no regions.
 //
-// Invariants: no view contains a draining, leaving or removed target; each suspension ends. Lock rank: container.RankRegistrar.
+// Invariants: no view contains a draining, leaving, contradictory or removed target; each suspension ends. Lock rank: container.RankRegistrar.
 type Registrar struct {
 	lock        container.Lock[container.Registrar]
 	records     map[identifier.Target]record
@@ -43,6 +43,8 @@
 	// expiresAt is the monotonic time from which a target without a listing is dropped; zero while it has one.
 	expiresAt time.Duration
 	intervals eventIntervals
+	// contradictory is set once listings of one start have named several releases: which one generates texts is not known then.
+	contradictory bool
 }
 
 // NewRegistrar returns an empty Registrar with the region of each availability zone.
@@ -187,7 +189,8 @@
 	return all
 }
 
-// Watch returns a view of the targets that neither drain nor said that they leave, and a channel that is closed when a listing changes.
+// Watch returns a view of the targets that neither drain nor said that they leave, and whose listings agree on their release, and
+// a channel that is closed when a listing changes.
 func (r *Registrar) Watch() (router.View, <-chan struct{}) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -196,7 +199,7 @@
 	}
 	targets := make([]router.Target, 0, len(r.records))
 	for _, rec := range r.records {
-		if l := rec.listing; !l.Draining && !r.departures.Left(l.ID, l.Incarnation) {
+		if l := rec.listing; !l.Draining && !rec.contradictory && !r.departures.Left(l.ID, l.Incarnation) {
 			targets = append(targets, router.Target{
 				ID: l.ID, Service: l.Service, Zone: l.Zone, Region: r.regions[l.Zone], Incarnation: l.Incarnation,
 				Address: l.Address, Slots: l.Slots, Release: l.Release,
@@ -220,11 +223,19 @@
 		}
 		rec = record{}
 	}
+	rec.contradictory = rec.contradictory || listed && len(replaced) == 0 && rec.listing.Release != l.Release
 	rec.listing, rec.expiresAt = l, 0
 	r.records[l.ID] = rec
 	return replaced
 }
 
+// Contradictory reports whether listings of the present start of a target have named several releases.
+func (r *Registrar) Contradictory(id identifier.Target) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.records[id].contradictory
+}
+
 func (r *Registrar) update(id identifier.Target, f func(record) record) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -230,7 +230,9 @@
 // inGroup reports whether the target at an index of the view belongs to the choice's group.
 func (c *Choice) inGroup(i int) bool {
 	t := c.router.view.targets[i]
-	return t.Service == c.Requirements.Service && (c.Requirements.Version == 0 || t.Version == c.Requirements.Version)
+	required := c.Requirements
+	return t.Service == required.Service && (required.Version == 0 || t.Version == required.Version) &&
+		(required.Release == "" || t.Release == required.Release)
 }
 
 func (c *Choice) randomMember(members []int) int { return members[c.router.random.IntN(len(members))] }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -40,6 +40,8 @@
 	Region  identifier.Region
 	// Version pins the attempt to a weight version; zero accepts any.
 	Version identifier.Version
+	// Release pins the attempt to a software version; the empty one accepts any.
+	Release identifier.Release
 	// PromptBytes is the length of the prompt, and Prefix the hashes of its prefixes.
 	PromptBytes identifier.Bytes
 	Prefix      Prefix
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -7,18 +7,20 @@
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
-// View is an immutable set of targets that accept new work. It is indexed by service, weight version and availability
-// zone, so that choosing a target never scans all of them.
+// View is an immutable set of targets that accept new work. It is indexed by service, weight version, software version and
+// availability zone, so that choosing a target never scans all of them.
 type View struct {
 	targets []Target
 	index   map[identifier.Target]int
 	groups  map[groupKey]*group
 }
 
-// groupKey selects the targets of a service that serve a weight version; version zero selects those of any version.
+// groupKey selects the targets of a service that serve a weight version and run a software version; version zero and the empty
+// release select those of any.
 type groupKey struct {
 	service identifier.Service
 	version identifier.Version
+	release identifier.Release
 }
 
 // group holds the targets of one key by availability zone.
@@ -45,9 +47,9 @@
 	slices.SortFunc(v.targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	for i, t := range v.targets {
 		v.index[t.ID] = i
-		v.add(groupKey{service: t.Service}, i)
+		v.addAll(groupKey{service: t.Service}, t.Release, i)
 		if t.Version != 0 {
-			v.add(groupKey{service: t.Service, version: t.Version}, i)
+			v.addAll(groupKey{service: t.Service, version: t.Version}, t.Release, i)
 		}
 	}
 	return v
@@ -77,7 +79,21 @@
 }
 
 func (v View) group(r Requirements) *group {
-	return v.groups[groupKey{service: r.Service, version: r.Version}]
+	return v.groups[groupKey{service: r.Service, version: r.Version, release: r.Release}]
+}
+
+// Serves reports whether a target of a service runs a software version.
+func (v View) Serves(s identifier.Service, r identifier.Release) bool {
+	return r != "" && v.groups[groupKey{service: s, release: r}] != nil
+}
+
+// addAll adds the target at an index to the group of a key without release, and to that of the key with its own.
+func (v View) addAll(k groupKey, r identifier.Release, i int) {
+	v.add(k, i)
+	if r != "" {
+		k.release = r
+		v.add(k, i)
+	}
 }
 
 func (v View) add(k groupKey, i int) {
