attributor, forwarder, platform: a stream goes on only at targets of the software version that began it

What callers saw: a stream that broke off, within one answer or taken up by its client at another entry, ended as complete with events of two software versions of a service (ORDER). Nothing in the answer showed it. Cause: the target of a continuation was any target of the service. An entry that got a take-up knew only the body and the number of the last event; the header Resumes, which names the attempt that began the stream, was not read. On a route with several services even the service was drawn anew. Change: the new attributor keeps the service and the release of each resumable stream, by team and attempt. An origin is recorded when the answer has begun, handed to the entry that reads for the region, and stored there in batches under leases that end by themselves. A take-up finds it in the entry's memory, at that entry, or in the store. What is not certain is refused at once with 503 and Retry-After, since the take-up has not run: an origin that is not known, that has two values, or whose release no target serves. The further attempts within an answer keep the release of the first event. A stream whose first answer brought no event may begin at another release once that is stored. Why this works: a continuation needs a record of what began the stream, never a guess from what serves now.

--- a/internal/adapter/codec/job.go
+++ b/internal/adapter/codec/job.go
@@ -2,15 +2,17 @@
 
 import (
 	"encoding/json"
+	"slices"
 
+	"github.com/mimosalb/mimosalb/internal/attributor"
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/tallier"
 )
 
-// Jobs encodes and decodes the stored form of batch jobs, of the processes that lead them, of request counts and of
-// evidence of crashes. The zero value is ready to use.
+// Jobs encodes and decodes the stored form of batch jobs, of the processes that lead them, of request counts, of
+// evidence of crashes and of the origins of streams. The zero value is ready to use.
 type Jobs struct{}
 
 // resultChunk is the stored form of consecutive results of a job, the first at position From.
@@ -90,3 +92,38 @@
 	err := json.Unmarshal(data, &e)
 	return e, err
 }
+
+// originGroup is the stored form of the streams of one origin.
+type originGroup struct {
+	Origin attributor.Origin
+	Keys   []attributor.Key
+}
+
+// EncodeAttributions encodes origins of streams.
+func (Jobs) EncodeAttributions(all []attributor.Attribution) ([]byte, error) {
+	var groups []originGroup
+	for _, n := range all {
+		i := slices.IndexFunc(groups, func(g originGroup) bool { return g.Origin == n.Origin })
+		if i < 0 {
+			i = len(groups)
+			groups = append(groups, originGroup{Origin: n.Origin})
+		}
+		groups[i].Keys = append(groups[i].Keys, n.Key)
+	}
+	return json.Marshal(groups)
+}
+
+// DecodeAttributions decodes origins of streams.
+func (Jobs) DecodeAttributions(data []byte) ([]attributor.Attribution, error) {
+	var groups []originGroup
+	if err := json.Unmarshal(data, &groups); err != nil {
+		return nil, err
+	}
+	var all []attributor.Attribution
+	for _, g := range groups {
+		for _, k := range g.Keys {
+			all = append(all, attributor.Attribution{Key: k, Origin: g.Origin})
+		}
+	}
+	return all, nil
+}
--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -9,6 +9,7 @@
 	"net/rpc"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/attributor"
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/container"
@@ -193,6 +194,8 @@
 	Limiter  *limiter.Limiter
 	// Departures takes in which targets leave.
 	Departures Departures
+	// Attributor keeps the origins of streams.
+	Attributor *attributor.Attributor
 }
 
 // receivers returns the net/rpc receivers of the services that there are.
@@ -210,6 +213,9 @@
 	if s.Departures != nil {
 		all = append(all, &Targets{departures: s.Departures})
 	}
+	if s.Attributor != nil {
+		all = append(all, &Origins{attributor: s.Attributor})
+	}
 	return all
 }
 
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -22,6 +22,7 @@
 	RankStreamer      Rank = 120
 	RankRegistrar     Rank = 115
 	RankDepartures    Rank = 117
+	RankAttributor    Rank = 118
 	RankConductor     Rank = 125
 	RankCollector     Rank = 130
 	RankBatcher       Rank = 135
@@ -56,6 +57,8 @@
 	Registrar struct{}
 	// Departures ranks the lock of the targets that leave.
 	Departures struct{}
+	// Attributor ranks the lock of the origins of streams.
+	Attributor struct{}
 	// Conductor ranks the lock of the batch jobs that a process leads.
 	Conductor struct{}
 	// Batcher ranks the lock of one batch job.
@@ -179,6 +182,7 @@
 
 // Rank returns RankDepartures.
 func (Departures) Rank() Rank { return RankDepartures }
+func (Attributor) Rank() Rank { return RankAttributor }
 
 // Rank returns RankConductor.
 func (Conductor) Rank() Rank { return RankConductor }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -32,6 +32,8 @@
 	TargetTimeout time.Duration
 	// Elapsed is the part of the timeouts that has passed while the request arrived.
 	Elapsed time.Duration
+	// Continuation is set if the caller continues a stream.
+	Continuation Continuation
 	// Internal marks a request of mimosalb itself: it needs no key and is counted for no team.
 	Internal bool
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -53,7 +53,9 @@
 	TargetClient TargetClient
 	Opener       Opener
 	// Starts confirms a target before it continues a stream; if it is nil, listings are taken as they are.
-	Starts  StartReader
+	Starts StartReader
+	// Origins keeps what began each stream; if it is nil, no stream is continued by a new request.
+	Origins Origins
 	Counter RequestCounter
 	// Observer holds the evidence of which requests crash targets; if it is nil, the forwarder keeps its own.
 	Observer *isolator.Observer
@@ -74,6 +76,9 @@
 	if d.Observer == nil {
 		d.Observer = isolator.NewObserver()
 	}
+	if d.Origins == nil {
+		d.Origins = noOrigins{}
+	}
 	return &Forwarder{Dependencies: d}
 }
 
@@ -89,8 +94,13 @@
 	// targetDeadline is the time at which targets stop working on the request.
 	targetDeadline time.Duration
 	result         Result
-	triedTargets   []identifier.Target
-	counted        bool
+	// release is the software version of the targets that may answer; any may while it is empty.
+	release identifier.Release
+	// continues is set once the caller has an event of the stream, and recorded is the release that was recorded to begin it.
+	continues    bool
+	recorded     identifier.Release
+	triedTargets []identifier.Target
+	counted      bool
 
 	computedFingerprint isolator.Fingerprint
 }
@@ -197,7 +207,7 @@
 		x.result.Reason = Suspect
 		return router.Target{}, false
 	}
-	requirements := router.Requirements{Service: x.service, Zone: x.Zone, Region: x.Region}
+	requirements := router.Requirements{Service: x.service, Zone: x.Zone, Region: x.Region, Release: x.release}
 	requirements.Avoid = append(x.Registrar.TargetsToAvoid(x.service, "", 0, x.Clock.Monotonic()), x.triedTargets...)
 	target, ok := x.Limiter.Choose(x.Router, requirements)
 	if !ok {
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -52,6 +52,8 @@
 	TargetsUnreachable Reason = "targets not reached"
 	TargetsLimited     Reason = "targets take no more requests now"
 	Expired            Reason = "time was up before the request had arrived"
+	OriginUnknown      Reason = "what began the stream is not known"
+	OriginGone         Reason = "no target of the software version that began the stream"
 	Suspect            Reason = "targets broke off under this request"
 )
 
@@ -90,6 +92,8 @@
 	Attempts []Attempt
 	// Fingerprint identifies equal requests in all processes. It is zero if no attempt broke off.
 	Fingerprint isolator.Fingerprint
+	// Release is the software version that began the stream which the request continues; it is empty for other requests.
+	Release identifier.Release
 	// RetryAfter is the time after which the caller of a request that has not run should retry.
 	RetryAfter time.Duration
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -24,6 +24,9 @@
 		case <-done:
 		}
 	}()
+	if reason := x.bindStream(ctx); reason != "" {
+		return x.result.notRun(reason)
+	}
 	p := progress{sink: sink}
 	for {
 		complete, retry := x.attemptStream(ctx, &p)
@@ -80,7 +83,7 @@
 // attemptStream makes one attempt of a stream. It reports whether the answer is complete and, if not, whether another
 // attempt may start or resume it.
 func (x *exchange) attemptStream(ctx context.Context, p *progress) (complete, retry bool) {
-	target, ok := x.awaitTarget(ctx)
+	target, ok := x.awaitStreamTarget(ctx)
 	if !ok {
 		return false, false
 	}
@@ -97,12 +100,18 @@
 	}
 	defer a.Body.Close() //nolint:errcheck // the answer was read, so the error changes nothing
 	x.countRequest(sent.at)
+	if !x.recordOrigin(ctx, target) {
+		return false, false
+	}
 	if !p.begun {
 		p.begun = true
 		x.result.Status, x.result.Stamp = a.Status, a.Stamp
 		p.sink.Begin(a.Status, a.Header, -1)
 	}
 	err := p.forward(x.Opener.Open(a.Body))
+	if p.hasEvent {
+		x.continueWith(target)
+	}
 	if p.callerLeft {
 		return false, false
 	}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
+	"github.com/mimosalb/mimosalb/internal/attributor"
 	"github.com/mimosalb/mimosalb/internal/broadcaster"
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
@@ -74,6 +75,7 @@
 	// targets are the listed targets, departures those that said that they leave.
 	targets    *targetView
 	departures registrar.Departures
+	origins    *attributor.Attributor
 	presence   *presence
 	servers    []*http.Server
 	peers      net.Listener
@@ -102,11 +104,13 @@
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
 		interpreter.WithDepartures(&e.departures, func() { e.targets.update(nil) }))
+	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
+	origins := attributor.NewStoreArchive(e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log, s.Node, e.incarnation)
+	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Counter: tally, Observer: e.observer, Limiter: e.limiter,
-		Clock: e.clock, Zone: s.Zone, Region: s.Region,
+		Origins: e.origins, Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
-	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
 		p.TargetPrefix: storer.NewChangeBuffer(e.clock, watchWait(e.Drain)+bufferAgeMargin),
@@ -169,6 +173,7 @@
 	e.running.Go(func() { limits.Run(ctx) })
 	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log)
 	e.running.Go(func() { stored.Run(ctx) })
+	e.running.Go(func() { e.origins.Run(ctx) })
 	e.conductor.Start()
 	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
 	return e, nil
@@ -202,7 +207,7 @@
 	e.running.Go(func() {
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
-			Limiter: e.limiter, Departures: departureSource{e}, Clock: e.clock,
+			Limiter: e.limiter, Departures: departureSource{e}, Attributor: e.origins, Clock: e.clock,
 		}
 		if err := jobpeer.Serve(l, services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -152,6 +152,9 @@
 	AnswerUnusable = Event{
 		Number: 1405, Level: hclog.Warn, Text: "answer of a target not usable", Action: "check the target if this persists",
 	}
+	OriginsUnsaved = Event{
+		Number: 1410, Level: hclog.Warn, Text: "origins of streams not stored", Action: "check the key-value service if this persists",
+	}
 	JobSubmitted  = Event{Number: 1510, Level: hclog.Info, Text: "batch job submitted", Action: "none"}
 	JobLeadBegan  = Event{Number: 1511, Level: hclog.Info, Text: "batch job led by this process", Action: "none"}
 	JobLeadEnded  = Event{Number: 1512, Level: hclog.Info, Text: "batch job no longer led by this process", Action: "none"}
@@ -192,7 +195,7 @@
 		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
-		RequestFailed, AnswerUnusable, RequestReleased, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
+		RequestFailed, AnswerUnusable, RequestReleased, OriginsUnsaved, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextsRestarted,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -128,6 +128,12 @@
 	return s.commit(ctx, t, func(ctx context.Context) Outcome { return s.driver.Commit(ctx, t) })
 }
 
+// Overwrite applies writes without guards. A write whose answer was lost may take effect later, after newer ones of the same
+// keys, so the caller must not write keys again whose outcome is not Applied.
+func (s *Storer) Overwrite(ctx context.Context, t Transaction) Outcome {
+	return s.call(ctx, func(ctx context.Context) Outcome { return s.driver.Commit(ctx, t) })
+}
+
 // Delete applies a transaction that only deletes keys. Deletes can be repeated safely, so a lost answer is not
 // resolved: the outcome is Unknown.
 func (s *Storer) Delete(ctx context.Context, t Transaction) Outcome {
