platform, registrar: an entry without a software version lists no target

Cause: the version of a listing was not checked. Change: such an entry lists no target, as one with any other field missing; the line about it names the field.

--- a/internal/registrar/check.go
+++ b/internal/registrar/check.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// maxNameBytes is the longest identifier, service, availability zone or model of a listing.
+	// maxNameBytes is the longest identifier, service, availability zone, release or model of a listing.
 	maxNameBytes = 200
 	// maxSlots is the largest number of slots of a target. A larger one would draw all work to that target.
 	maxSlots = 4096
@@ -22,6 +22,7 @@
 func (l Listing) Check() error {
 	for name, value := range map[string]string{
 		"id": string(l.ID), "service": string(l.Service), "availability zone": string(l.Zone), "address": l.Address,
+		"release": string(l.Release),
 	} {
 		if value == "" || len(value) > maxNameBytes {
 			return fmt.Errorf("%w: %s has %d bytes, want 1 to %d", ErrUnusable, name, len(value), maxNameBytes)
