hoster: an entry refuses to start where two of its listeners have one address

Cause: the listeners for callers and for readiness checks were kept by address. With one address for both, the readiness check answered every request with 200. The fixture draws its addresses one after the other and gives each back, so that the same can come twice.

--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -92,8 +93,15 @@
 	stopMetrics     func()
 }
 
+// errSharedAddress is the error of an entry whose listeners have the same address.
+var errSharedAddress = errors.New("callers, readiness checks and peers need different addresses")
+
 // StartEntry starts an entry. newFront creates its Front.
 func StartEntry(s Settings, p Platform, newFront func(FrontDependencies) Front, o Observers) (*Entry, error) {
+	if s.Callers == s.Ready || s.Callers == s.Peer || s.Ready == s.Peer {
+		// One handler would answer for the other: a readiness check accepts every request.
+		return nil, fmt.Errorf("start entry at %s, %s and %s: %w", s.Callers, s.Ready, s.Peer, errSharedAddress)
+	}
 	e, log := &Entry{base: newBase(s, p, o)}, o.Log
 	sampler := logger.NewSampler(e.clock, logger.DefaultLinesPerSecond)
 	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions).WithDepartures(&e.departures)
