registrar: a target that left is remembered as long as it is listed

Cause: a departure was forgotten after ten minutes, whether the target served on or not (DRAIN). A target that leaves slowly and stays listed as ready got requests again then. What callers saw: requests sent to a target that is about to end; they may be cut off with it. Change: the ten minutes count from the end of the listing. Evidence: TestLeavingTargetStaysAwayWhileListed failed before with work for the target after 11 minutes. The last check of TestDeparturesAreTold forgets by Expire, which the entry calls each second, in place of the next record.

--- a/internal/registrar/departures.go
+++ b/internal/registrar/departures.go
@@ -1,14 +1,13 @@
 package registrar
 
 import (
-	"maps"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
-// departureTTL is how long a target that left is remembered. Its process ends well before.
+// departureTTL is how long a target that left is remembered after its listing has gone. Its process ends well before.
 const departureTTL = 10 * time.Minute
 
 // Departure says that an incarnation of a target leaves. It is immutable.
@@ -25,7 +24,7 @@
 // IsEmpty reports whether there is nothing to tell.
 func (n DepartureNotices) IsEmpty() bool { return len(n) == 0 }
 
-// departure is a Departure at a monotonic time. revision is that of Departures if an answer to this entry said so, else zero.
+// departure is a Departure at a monotonic time, which moves on while the target is listed. revision is that of Departures if an answer to this entry said so, else zero.
 type departure struct {
 	incarnation identifier.Incarnation
 	at          time.Duration
@@ -54,7 +53,7 @@
 	}
 	// Also where another entry has told this one: that entry may stop, and entries that start have to be told.
 	d.revision++
-	d.put(t, departure{incarnation: n, at: now, revision: d.revision}, now)
+	d.put(t, departure{incarnation: n, at: now, revision: d.revision})
 	if d.changed != nil {
 		close(d.changed)
 		d.changed = nil
@@ -69,16 +68,34 @@
 	fresh := false
 	for _, n := range notices {
 		if known, left := d.targets[n.Target]; !left || known.incarnation < n.Incarnation {
-			d.put(n.Target, departure{incarnation: n.Incarnation, at: now - n.Age}, now)
+			d.put(n.Target, departure{incarnation: n.Incarnation, at: now - n.Age})
 			fresh = true
 		}
 	}
 	return fresh
 }
 
-// put remembers a departure and forgets old ones. The caller holds the lock.
-func (d *Departures) put(t identifier.Target, p departure, now time.Duration) {
-	maps.DeleteFunc(d.targets, func(_ identifier.Target, old departure) bool { return now-old.at > departureTTL })
+// forget drops the departures whose targets have not been listed for departureTTL. A target that is still listed may go on
+// serving, however long ago it said that it leaves.
+func (d *Departures) forget(now time.Duration, listed func(identifier.Target) bool) {
+	if d == nil {
+		return
+	}
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	for t, p := range d.targets {
+		switch {
+		case listed(t):
+			p.at = max(p.at, now)
+			d.targets[t] = p
+		case now-p.at > departureTTL:
+			delete(d.targets, t)
+		}
+	}
+}
+
+// put remembers a departure. The caller holds the lock.
+func (d *Departures) put(t identifier.Target, p departure) {
 	if d.targets == nil {
 		d.targets = make(map[identifier.Target]departure)
 	}
--- a/internal/registrar/departures_test.go
+++ b/internal/registrar/departures_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 )
 
@@ -51,6 +52,24 @@
 	passedOn, _ = second.ObservedAt(5*time.Second, 0)
 	c.Assert(third.Apply(passedOn, 5*time.Second), qt.IsTrue)
 	// It is forgotten once its process has ended for long.
-	first.Record("b", 1, time.Hour)
+	registrar.NewRegistrar(nil).WithDepartures(&first).Expire(time.Hour)
 	c.Assert(first.Left("a", 5), qt.IsFalse)
 }
+
+// Guards against work for a target that leaves and serves on for longer than departures are remembered, while it is listed.
+func TestLeavingTargetStaysAwayWhileListed(t *testing.T) {
+	c := qt.New(t)
+	var d registrar.Departures
+	r := registrar.NewRegistrar(nil).WithDepartures(&d)
+	r.Put(listing("a", 5))
+	d.Record("a", 5, time.Second)
+	for at := time.Minute; at < time.Hour; at += time.Minute {
+		d.Record("b", identifier.Incarnation(at), at)
+		r.Expire(at)
+		r.Put(listing("a", 5))
+		c.Assert(serving(r), qt.Equals, "", qt.Commentf("after %s", at))
+	}
+	r.Remove("a")
+	r.Expire(2 * time.Hour)
+	c.Assert(d.Count(), qt.Equals, 0)
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -123,6 +123,7 @@
 			dropped = append(dropped, rec.listing)
 		}
 	}
+	r.departures.forget(now, func(id identifier.Target) bool { return r.records[id].listing.ID == id })
 	if len(dropped) > 0 {
 		r.notify()
 	}
