conductor: an assignment is checked again when a worker takes it

Cause: an item is assigned to a target before a worker is free. While all workers were busy, an assignment could wait for seconds, and was then sent to a target that had left, or had started again, in the meantime (DRAIN). What callers saw: items that were begun at a target about to end, and begun anew elsewhere. Change: the worker compares the target with the present view, and queues the item again if it is gone. Evidence: TestQueuedAssignmentsAreChecked failed before with a call in both cases.

--- a/internal/conductor/export_test.go
+++ b/internal/conductor/export_test.go
@@ -1,5 +1,12 @@
 package conductor
 
+import (
+	"context"
+
+	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/router"
+)
+
 // Processes returns the number of registered processes that this one knows.
 func (c *Conductor) Processes() int {
 	c.lock.Lock()
@@ -9,3 +16,9 @@
 
 // ResultDelay is resultDelay for tests.
 var ResultDelay = resultDelay
+
+// RunFirst runs the first item of a job on a target, as a worker does with an assignment that it takes from the queue.
+func (c *Conductor) RunFirst(ctx context.Context, j *batcher.Job, t router.Target) {
+	task, _ := j.Next(0, batcher.Constraint{})
+	c.runItem(ctx, assignment{ledJob: &ledJob{job: j}, task: task, target: t})
+}
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -181,6 +181,13 @@
 		}
 		return
 	}
+	if serving, ok := c.Router.View().Target(a.target.ID); !ok || serving.Incarnation != a.target.Incarnation {
+		// The target has left or started again while the assignment waited for a worker.
+		c.Router.Release(a.target.ID)
+		a.ledJob.job.Retry(a.task.Index, c.Clock.Monotonic())
+		c.TriggerAssignment()
+		return
+	}
 	for {
 		began, sent := c.Clock.Monotonic(), c.Clock.Now()
 		var timings eventTimings
