hoster, interpreter: a target that leaves is asked which start of it said so

Cause: a departure was kept under the start that the listing named. A sampler that had started again under its ID before its new listing was read, and left at once, was brought back by that listing, which still said ready (DRAIN). What callers saw: requests that were sent to a sampler after it had said that it leaves. The question goes from a goroutine of its own, so that no answer waits for it. Why this works: a departure holds for a start and all before it, so a later start than the listed one covers both.

--- a/internal/hoster/departures.go
+++ b/internal/hoster/departures.go
@@ -1,6 +1,14 @@
 package hoster
 
-import "github.com/mimosalb/mimosalb/internal/registrar"
+import (
+	"context"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/forwarder"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
 
 // departureSource tells other entries which targets said to this one that they leave, and takes in what they tell.
 type departureSource struct{ *Entry }
@@ -22,3 +30,63 @@
 		s.targets.update(nil)
 	}
 }
+
+const (
+	// maxStartQuestions is the number of targets that wait to be asked; more leave without being asked.
+	maxStartQuestions = 256
+	// startAttempts is how often a target is asked for its start, and startPause the time between.
+	startAttempts = 3
+	startPause    = 200 * time.Millisecond
+)
+
+// startQueue asks each target that says that it leaves which start of it said so. It may have started again under its ID
+// before its new listing was read; that listing would else bring it back.
+type startQueue struct {
+	starts     forwarder.StartReader
+	departures *registrar.Departures
+	clock      timer.Service
+	targets    chan router.Target
+	changed    func()
+}
+
+func newStartQueue(starts forwarder.StartReader, d *registrar.Departures, clock timer.Service, changed func()) startQueue {
+	return startQueue{starts: starts, departures: d, clock: clock, targets: make(chan router.Target, maxStartQuestions), changed: changed}
+}
+
+// add takes the target out of the views and has it asked.
+func (q startQueue) add(t router.Target) {
+	q.changed()
+	select {
+	case q.targets <- t:
+	default:
+	}
+}
+
+// run asks targets until ctx ends.
+func (q startQueue) run(ctx context.Context) {
+	for {
+		select {
+		case t := <-q.targets:
+			q.ask(ctx, t)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ask records the start that serves now as leaving too.
+func (q startQueue) ask(ctx context.Context, t router.Target) {
+	for range startAttempts {
+		start, ok := q.starts.Start(ctx, t)
+		switch {
+		case ok && start > t.Incarnation && q.departures.Record(t.ID, start, q.clock.Monotonic()):
+			q.changed()
+			return
+		case ok:
+			return
+		}
+		if timer.Wait(ctx, q.clock, startPause); ctx.Err() != nil {
+			return
+		}
+	}
+}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -76,11 +76,13 @@
 	// targets are the listed targets, departures those that said that they leave.
 	targets    *targetView
 	departures registrar.Departures
-	origins    *attributor.Attributor
-	presence   *presence
-	servers    []*http.Server
-	peers      net.Listener
-	client     *jobpeer.Client
+	// leaving asks the targets that said so for their start.
+	leaving  startQueue
+	origins  *attributor.Attributor
+	presence *presence
+	servers  []*http.Server
+	peers    net.Listener
+	client   *jobpeer.Client
 	// changeBuffers buffer changes for other entries, by key prefix.
 	changeBuffers map[string]*storer.ChangeBuffer
 	// lastConnection is the monotonic time of the last new connection of a caller.
@@ -110,8 +112,9 @@
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
+	e.leaving = newStartQueue(p.Targets, &e.departures, e.clock, func() { e.targets.update(nil) })
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
-		interpreter.WithDepartures(&e.departures, func() { e.targets.update(nil) }))
+		interpreter.WithDepartures(&e.departures, e.leaving.add))
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
 	origins := attributor.NewStoreArchive(e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log, s.Node, e.incarnation)
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
@@ -173,6 +176,7 @@
 	e.running.Go(func() { tally.Run(ctx) })
 	e.running.Go(func() { e.expireListings(ctx, e.targets) })
 	e.running.Go(func() { e.limiter.Run(ctx) })
+	e.running.Go(func() { e.leaving.run(ctx) })
 	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
 	e.running.Go(func() { crashes.Run(ctx) })
 	departures := broadcaster.NewBroadcaster(departureSource{e}, e.conductor.OtherMembers, e.client.NotifyDepartures, e.clock)
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -9,6 +9,7 @@
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
@@ -19,7 +20,7 @@
 	limiter *limiter.Limiter
 	// departures holds the targets that leave; onLeaving is called when one is added.
 	departures *registrar.Departures
-	onLeaving  func()
+	onLeaving  func(router.Target)
 	clock      timer.Service
 	log        *logger.Logger
 }
@@ -31,7 +32,7 @@
 func WithLimiter(l *limiter.Limiter) Option { return func(i *Interpreter) { i.limiter = l } }
 
 // WithDepartures adds the targets whose answers say that they leave to d, and calls onLeaving for each.
-func WithDepartures(d *registrar.Departures, onLeaving func()) Option {
+func WithDepartures(d *registrar.Departures, onLeaving func(router.Target)) Option {
 	return func(i *Interpreter) { i.departures, i.onLeaving = d, onLeaving }
 }
 
@@ -59,7 +60,7 @@
 func (i *Interpreter) recordDeparture(c forwarder.Call, a forwarder.Answer) {
 	if a.Leaving && i.departures != nil && i.departures.Record(c.Target.ID, c.Target.Incarnation, i.clock.Monotonic()) {
 		i.log.Emit(logger.TargetLeaving, "target", c.Target.ID, "incarnation", c.Target.Incarnation, "request", c.ID)
-		i.onLeaving()
+		i.onLeaving(c.Target)
 	}
 }
 
