dispatcher, tracker: an answer on the product's own path goes on only at targets of the software version that began it

Change: the settings of an agent name the software version of its target (target.release); reports and digests carry it, and a continued answer requires that of the target which began it. Where none is left the answer ends as before, with what it has. Targets without a release go on with each other's, so that settings need no change.

--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -115,6 +115,7 @@
 	Running     int
 	Draining    bool
 	Version     identifier.Version
+	Release     identifier.Release
 }
 
 // PingRequest probes a connection.
--- a/internal/adapter/rpcserver/agent.go
+++ b/internal/adapter/rpcserver/agent.go
@@ -21,12 +21,16 @@
 	executor *executor.Executor
 	clock    timer.Service
 	version  func() identifier.Version
+	release  identifier.Release
 	stop     chan struct{}
 }
 
-// NewAgent returns the receiver that serves the attempts of gate and e. version returns the target's weight version.
-func NewAgent(gate *gatekeeper.Gatekeeper, e *executor.Executor, clock timer.Service, version func() identifier.Version) *Agent {
-	return &Agent{gate: gate, executor: e, clock: clock, version: version, stop: make(chan struct{})}
+// NewAgent returns the receiver that serves the attempts of gate and e. version returns the target's weight version, and release
+// is its software version.
+func NewAgent(
+	gate *gatekeeper.Gatekeeper, e *executor.Executor, clock timer.Service, version func() identifier.Version, release identifier.Release,
+) *Agent {
+	return &Agent{gate: gate, executor: e, clock: clock, version: version, release: release, stop: make(chan struct{})}
 }
 
 // tracer creates the spans of the receivers.
@@ -94,11 +98,11 @@
 	return nil
 }
 
-// Report returns the agent's incarnation, load, drain state and weight version.
+// Report returns the agent's incarnation, load, drain state, weight version and software version.
 func (a *Agent) Report(args messenger.ReportRequest, reply *messenger.ReportReply) error {
 	reply.Envelope = args.Envelope
 	reply.Incarnation = a.gate.Incarnation()
 	reply.Running, reply.Draining = a.gate.Load()
-	reply.Version = a.version()
+	reply.Version, reply.Release = a.version(), a.release
 	return nil
 }
--- a/internal/dispatcher/choice.go
+++ b/internal/dispatcher/choice.go
@@ -23,6 +23,9 @@
 		Prefix:      j.prefix,
 		Avoid:       j.failedTargets,
 	}
+	if j.resumable() && j.progress.tokens > 0 {
+		requirements.Release = j.release
+	}
 	if d.isolator.IsSuspected(j.request.Call.Fingerprint) {
 		if target, ok := d.chooseIsolatedTarget(j, requirements); ok {
 			return target, true
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -46,6 +46,8 @@
 	reservedTargets []identifier.Target
 	claim           claimer.Claim
 	progress        progress
+	// release is the software version of the target that began the answer.
+	release identifier.Release
 	// hedges waits for the goroutines of hedged attempts.
 	hedges sync.WaitGroup
 }
@@ -180,6 +182,9 @@
 	started := d.startAttempt(ctx, j, target, id)
 	defer d.releaseTarget(j, started.follower.target.ID)
 	defer started.cancel()
+	if j.progress.tokens == 0 {
+		j.release = started.follower.target.Release
+	}
 	event, final := started.event, started.final
 	deliver := func(c streamer.Chunk) bool {
 		started.follower.read += len(c.Pieces)
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -72,7 +72,7 @@
 	a.executor = executor.NewExecutor(a.gatekeeper, backEnd, a.clock, concurrency, executor.WithRegion(identifier.Region(s.Region)),
 		executor.WithEndHandler(metrics.Ended), executor.WithEndHandler(newRecordHandler(a.records, a.clock)))
 	a.server = rpcserver.NewServer(peers.server...)
-	a.receiver = rpcserver.NewAgent(a.gatekeeper, a.executor, a.clock, backEnd.Version)
+	a.receiver = rpcserver.NewAgent(a.gatekeeper, a.executor, a.clock, backEnd.Version, identifier.Release(s.Target.Release))
 	if err := a.server.Register("Agent", a.receiver); err != nil {
 		a.close()
 		return nil, fmt.Errorf("serve agent: %w", err)
--- a/internal/runner/join.go
+++ b/internal/runner/join.go
@@ -26,7 +26,7 @@
 			running, draining := a.gatekeeper.Load()
 			return tracker.Row{
 				Target: identifier.Target(s.Target.Name), Incarnation: a.gatekeeper.Incarnation(), Running: running,
-				Draining: draining, Version: backEnd.Version(),
+				Draining: draining, Version: backEnd.Version(), Release: identifier.Release(s.Target.Release),
 			}
 		},
 	}, a.server, l)
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -131,7 +131,7 @@
 		return
 	}
 	report := tracker.Report{
-		Incarnation: reply.Incarnation, Running: reply.Running, Draining: reply.Draining, Version: reply.Version,
+		Incarnation: reply.Incarnation, Running: reply.Running, Draining: reply.Draining, Version: reply.Version, Release: reply.Release,
 	}
 	before, after := m.tracker.RecordReport(member.Target, report, m.clock.Monotonic())
 	if before != after {
--- a/internal/tracker/digest.go
+++ b/internal/tracker/digest.go
@@ -13,13 +13,14 @@
 	Running     int
 	Draining    bool
 	Version     identifier.Version
+	Release     identifier.Release
 	// Age is the age of the report in periods.
 	Age int
 }
 
 // report returns the agent's report that the row carries.
 func (r Row) report() Report {
-	return Report{Incarnation: r.Incarnation, Running: r.Running, Draining: r.Draining, Version: r.Version}
+	return Report{Incarnation: r.Incarnation, Running: r.Running, Draining: r.Draining, Version: r.Version, Release: r.Release}
 }
 
 // Brief is the short form of a row, for a receiver that already has the full row. Sum is the hash of the target's
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -39,6 +39,8 @@
 	Running     int
 	Draining    bool
 	Version     identifier.Version
+	// Release is the software version of the target's back end.
+	Release identifier.Release
 }
 
 // silentThreshold is the number of consecutive failed probes after which a target is silent.
@@ -206,6 +208,7 @@
 		Zone:    m.listed.Zone,
 		Region:  m.listed.Region,
 		Address: m.listed.Address,
+		Release: m.report.Release,
 	}
 	return t.WithReport(m.report.Incarnation, max(m.report.Running, mean), m.report.Version, m.lastReport)
 }
--- a/pkg/loader/check.go
+++ b/pkg/loader/check.go
@@ -73,6 +73,9 @@
 	c.checkRequired("tls.authority", s.TLS.Authority, "a file, or plain: true")
 }
 
+// maxReleaseBytes is the longest name of a software version.
+const maxReleaseBytes = 200
+
 func (c *checker) checkTarget(t Target) {
 	c.checkRequired("target.name", t.Name, "the name of the target")
 	c.checkRequired("target.service", t.Service, "the service of the target")
@@ -81,6 +84,9 @@
 	if t.Concurrency < 0 {
 		c.add("target.concurrency", "a number of zero or more")
 	}
+	if len(t.Release) > maxReleaseBytes {
+		c.add("target.release", "at most 200 bytes")
+	}
 }
 
 func (c *checker) checkStandin(s *Standin) {
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -113,6 +113,9 @@
 	Kind string `yaml:"kind"`
 	// Address is the base URL of the back end.
 	Address string `yaml:"address"`
+	// Release is the software version of the back end. An answer that breaks off goes on only at targets with the same one;
+	// targets without one go on with each other's.
+	Release string `yaml:"release"`
 	// Concurrency limits the number of attempts that run on the target concurrently.
 	Concurrency int `yaml:"concurrency"`
 	// Fenced states that the back end refuses orders with an old fencing number.
