registrar, forwarder: a target confirms its start before a text begins there after a failure

Cause: a sampler that started again with other software under its ID was taken for one of the software version of its old listing until the new one was read. Evidence: TestTextsBeginAtTheListedStart failed before with 4 joined texts. Change: a failed attempt makes the start of a target unconfirmed; a text begins there only once the target names the start of its listing. A restart breaks the attempts that run there, so an entry that uses the target notices it. What remains: an entry that had no attempt at the target while it was down does not ask.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -79,7 +79,7 @@
 	defer close(done)
 	go c.watchAttempt(a.ledJob.job, t, done, cancel)
 
-	if a.task.Events > 0 && !forwarder.SameStart(ctx, c.Forwarder.Starts, a.target) {
+	if !c.Forwarder.ConfirmStart(ctx, a.target, a.task.Events > 0) {
 		return attemptUnsent, router.Target{}
 	}
 	answer, fault := c.Caller.Call(ctx, c.itemCall(a))
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -123,15 +123,19 @@
 	Start(ctx context.Context, t router.Target) (identifier.Incarnation, bool)
 }
 
-// SameStart reports whether the start of a target that its listing names still serves. A sampler that has started again under
-// its ID may run another software version before its new listing is read; its answers don't show that. Without a reader
-// nothing is asked.
-func SameStart(ctx context.Context, r StartReader, t router.Target) bool {
-	if r == nil {
+// ConfirmStart reports whether a text may be generated at a target under the release of its listing. A target that has started
+// again under its ID may run another software version before its new listing is read, and its answers don't show that. It is
+// therefore asked for its start before it continues a text, and before it begins one after an attempt at it has failed.
+func (f *Forwarder) ConfirmStart(ctx context.Context, t router.Target, continues bool) bool {
+	if f.Starts == nil || !continues && !f.Registrar.Unconfirmed(t.ID) {
 		return true
 	}
-	serving, ok := r.Start(ctx, t)
-	return ok && serving == t.Incarnation
+	serving, ok := f.Starts.Start(ctx, t)
+	if !ok || serving != t.Incarnation {
+		return false
+	}
+	f.Registrar.Confirm(t.ID)
+	return true
 }
 
 // Event is one complete event of a streamed answer.
--- a/internal/forwarder/continuation.go
+++ b/internal/forwarder/continuation.go
@@ -45,11 +45,11 @@
 	return ""
 }
 
-// awaitStreamTarget chooses the target of the next attempt of a stream. One that continues it is first asked for its start.
+// awaitStreamTarget chooses the target of the next attempt of a stream. That of a resumable one has to confirm its start.
 func (x *exchange) awaitStreamTarget(ctx context.Context) (router.Target, bool) {
 	for {
 		target, ok := x.awaitTarget(ctx)
-		if !ok || !x.continues || SameStart(ctx, x.Starts, target) {
+		if !ok || !x.route.Resumable || x.ConfirmStart(ctx, target, x.continues) {
 			return target, ok
 		}
 		x.Registrar.RecordFailure(target.ID, x.Clock.Monotonic())
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -45,6 +45,8 @@
 	intervals eventIntervals
 	// contradictory is set once listings of one start have named several releases: which one generates texts is not known then.
 	contradictory bool
+	// unconfirmed is set after a failed attempt, until the target confirms the start that its listing names.
+	unconfirmed bool
 }
 
 // NewRegistrar returns an empty Registrar with the region of each availability zone.
@@ -135,6 +137,7 @@
 	r.update(id, func(rec record) record {
 		rec.suspendedUntil = now + min(minSuspension<<min(rec.failures, maxDoublings), maxSuspension)
 		rec.failures++
+		rec.unconfirmed = true
 		return rec
 	})
 }
@@ -155,6 +158,22 @@
 	})
 }
 
+// Unconfirmed reports whether attempts at a target have failed since it last confirmed its start. It may have started again under
+// its ID, with other software, and its new listing may not have been read yet.
+func (r *Registrar) Unconfirmed(id identifier.Target) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.records[id].unconfirmed
+}
+
+// Confirm records that the start of a target which its listing names serves.
+func (r *Registrar) Confirm(id identifier.Target) {
+	r.update(id, func(rec record) record {
+		rec.unconfirmed = false
+		return rec
+	})
+}
+
 // RecordVersion records the weight version with which a target answered. It ignores versions below the known one.
 func (r *Registrar) RecordVersion(id identifier.Target, m identifier.Model, v identifier.Version) {
 	r.update(id, func(rec record) record {
