conductor, batcher: a text begins anew only where a target has a free slot

Change: one text is dropped for each free slot at another release, the shortest first. Line 1524 is one line a text. Evidence: TestTextsHoldOneRelease, TestItemsStayWithTheirRelease.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -194,7 +194,7 @@
 	Limiter  *limiter.Limiter
 	// Departures takes in which targets leave.
 	Departures Departures
-	// Attributor keeps the origins of streams.
+	// Attributor keeps the origins of streams. It needs Clock.
 	Attributor *attributor.Attributor
 }
 
@@ -214,7 +214,7 @@
 		all = append(all, &Targets{departures: s.Departures})
 	}
 	if s.Attributor != nil {
-		all = append(all, &Origins{attributor: s.Attributor})
+		all = append(all, &Origins{attributor: s.Attributor, clock: s.Clock})
 	}
 	return all
 }
--- a/internal/adapter/jobpeer/origins.go
+++ b/internal/adapter/jobpeer/origins.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/attributor"
+	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
 // Origins is the net/rpc receiver that stores and finds the origins of streams on behalf of other processes.
 type Origins struct {
 	attributor *attributor.Attributor
+	clock      timer.Service
 }
 
 // FoundOrigin holds the origin of a stream, which is zero if there is none. Read is false if the store can't be read now.
@@ -26,7 +28,7 @@
 
 // Find returns the origin of a stream.
 func (o *Origins) Find(k attributor.Key, reply *FoundOrigin) error {
-	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+	ctx, cancel := timer.WithTimeout(context.Background(), o.clock, originTimeout)
 	defer cancel()
 	reply.Origin, reply.Read = o.attributor.Find(ctx, k)
 	return nil
--- a/internal/attributor/origin.go
+++ b/internal/attributor/origin.go
@@ -4,7 +4,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
@@ -13,10 +12,17 @@
 // streams, since the team is part of the hash.
 type Key uint64
 
+// keyBytes is the part of the hash that a key holds.
+const keyBytes = 8
+
 // NewKey returns the key of the stream that an attempt of a team's caller began.
 func NewKey(team identifier.Team, id identifier.Request) Key {
 	sum := sha256.Sum256([]byte(string(team) + "\x00" + string(id)))
-	return Key(binary.BigEndian.Uint64(sum[:]))
+	var k Key
+	for _, b := range sum[:keyBytes] {
+		k = k<<8 | Key(b)
+	}
+	return k
 }
 
 // shardCount is the number of parts into which the streams are divided, so that a search reads one part only. All parts fit
--- a/internal/attributor/queue.go
+++ b/internal/attributor/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -65,7 +66,7 @@
 		close(own.stored)
 		own = batch{}
 	}
-	rest := append(own.all[:len(own.all):len(own.all)], accepted.all...)
+	rest := slices.Concat(own.all, accepted.all)
 	if len(rest) == 0 {
 		return true
 	}
--- a/internal/batcher/checkpoint_test.go
+++ b/internal/batcher/checkpoint_test.go
@@ -150,7 +150,7 @@
 	job.CarryOver(earlier)
 	order := make([]int, 0, len(spec.Items))
 	for range spec.Items {
-		task, _, _ := startNext(job, 0)
+		task, _ := startNext(job, 0)
 		order = append(order, task.Index)
 	}
 	c.Assert(order, qt.DeepEquals, []int{1, 0, 5, 4, 3, 2})
--- a/internal/batcher/constraint.go
+++ b/internal/batcher/constraint.go
@@ -39,17 +39,22 @@
 	return append(all, Demand{Constraint: c, Items: 1})
 }
 
-// RestartTexts drops the texts of the waiting items with a constraint that have been due since a time or longer, so that they
-// are generated from the start at any target. It returns their number.
-func (j *Job) RestartTexts(c Constraint, since time.Duration) int {
+// RestartText drops the shortest text among the items with a constraint that have been due since a time or longer, so that it
+// is generated from the start at any target. It reports whether there was one.
+func (j *Job) RestartText(c Constraint, since time.Duration) bool {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	n := 0
+	var shortest *itemState
 	for i := range j.items {
-		if p := &j.items[i]; c.Continues && p.stage == stageWaiting && p.notBefore <= since && p.constraint() == c {
-			p.dropText()
-			n++
+		p := &j.items[i]
+		overdue := c.Continues && p.stage == stageWaiting && p.notBefore <= since && p.constraint() == c
+		if overdue && (shortest == nil || len(p.events) < len(shortest.events)) {
+			shortest = p
 		}
 	}
-	return n
+	if shortest == nil {
+		return false
+	}
+	shortest.dropText()
+	return true
 }
--- a/internal/batcher/job_test.go
+++ b/internal/batcher/job_test.go
@@ -74,7 +74,7 @@
 }
 
 func (m *jobModel) start(t *rapid.T) {
-	task, ok, _ := startNext(m.job, m.now)
+	task, ok := startNext(m.job, m.now)
 	if !ok {
 		t.Skip("no item is waiting")
 	}
@@ -198,7 +198,7 @@
 	job := batcher.NewJob(s)
 	var out strings.Builder
 	for {
-		task, ok, _ := startNext(job, 0)
+		task, ok := startNext(job, 0)
 		if !ok {
 			break
 		}
@@ -211,7 +211,7 @@
 func TestSingleVersion(t *testing.T) {
 	c := qt.New(t)
 	job := batcher.NewJob(newSpec(1, 1))
-	task, _, _ := startNext(job, 0)
+	task, _ := startNext(job, 0)
 	c.Assert(job.Append(task.Index, 1, []byte("a"), 2, true), qt.IsTrue)
 	c.Assert(job.Append(task.Index, 2, []byte("b"), 3, true), qt.IsFalse)
 	job.DropText(task.Index)
@@ -229,7 +229,7 @@
 	}, 0)
 	had := make(map[identifier.Item]int)
 	for range 2 {
-		task, _, _ := startNext(job, 0)
+		task, _ := startNext(job, 0)
 		had[task.Item.ID] = task.Events
 	}
 	c.Assert(had, qt.DeepEquals, map[identifier.Item]int{"g0-0": 0, "g0-1": 1})
@@ -245,7 +245,7 @@
 	}
 	earlier := batcher.NewJob(s)
 	for range s.Items {
-		task, _, _ := startNext(earlier, 0)
+		task, _ := startNext(earlier, 0)
 		c.Assert(earlier.Append(task.Index, 1, []byte(task.Item.ID+"/1"), 2, false), qt.IsTrue)
 		switch task.Item.ID {
 		case "g0-0":
@@ -265,7 +265,7 @@
 	job.RestoreTexts(earlier.ReusableTexts(next), 0)
 	var out strings.Builder
 	for range next.Items {
-		task, _, _ := startNext(job, 0)
+		task, _ := startNext(job, 0)
 		fmt.Fprintf(&out, "%s had %d whole %v\n", task.Item.ID, task.Events, task.TextComplete)
 	}
 	goldie.New(t).Assert(t, "kept", []byte(out.String()))
@@ -283,15 +283,13 @@
 	c.Assert(batcher.FirstPage(nil, 10), qt.HasLen, 0)
 }
 
-// startNext starts the first item that is due, whatever it needs of its target. If none is due, it returns the time at which
-// the next one will be.
-func startNext(job *batcher.Job, now time.Duration) (batcher.Task, bool, time.Duration) {
-	due, next := job.Due(now)
+// startNext starts the first item that is due, whatever it needs of its target.
+func startNext(job *batcher.Job, now time.Duration) (batcher.Task, bool) {
+	due, _ := job.Due(now)
 	if len(due) == 0 {
-		return batcher.Task{}, false, next
+		return batcher.Task{}, false
 	}
-	task, ok := job.Next(now, due[0].Constraint)
-	return task, ok, 0
+	return job.Next(now, due[0].Constraint)
 }
 
 // Guards against a text that goes on with events of a target of another software version than the one that generated it, also
@@ -299,7 +297,7 @@
 func TestTextsHoldOneRelease(t *testing.T) {
 	c := qt.New(t)
 	job := batcher.NewJob(newSpec(1, 3))
-	task, _, _ := startNext(job, 0)
+	task, _ := startNext(job, 0)
 	job.Begin(task.Index, "a")
 	c.Assert(job.Append(task.Index, 1, []byte("x"), 3, false), qt.IsTrue)
 	job.Begin(task.Index, "b")
@@ -311,8 +309,9 @@
 	due, _ := next.Due(time.Second)
 	begun := batcher.Constraint{Continues: true, Release: "a"}
 	c.Assert(due, qt.DeepEquals, []batcher.Demand{{Constraint: begun, Items: 1}, {Items: 2}})
-	c.Assert(next.RestartTexts(begun, 900*time.Millisecond), qt.Equals, 0, qt.Commentf("not due for so long"))
-	c.Assert(next.RestartTexts(begun, time.Second), qt.Equals, 1)
+	c.Assert(next.RestartText(begun, 900*time.Millisecond), qt.IsFalse, qt.Commentf("not due for so long"))
+	c.Assert(next.RestartText(begun, time.Second), qt.IsTrue)
+	c.Assert(next.RestartText(begun, time.Second), qt.IsFalse)
 	_, ok := next.Next(time.Second, begun)
 	c.Assert(ok, qt.IsFalse)
 	task, _ = next.Next(time.Second, batcher.Constraint{})
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -111,12 +111,12 @@
 	return assignment{}, false, next
 }
 
-// assign starts the next item of a demand on a target of a service. Texts that no target can continue any more begin anew.
+// assign starts the next item of a demand on a target of a service. A text that no target continues begins anew.
 func (c *Conductor) assign(l *ledJob, route navigator.Route, service identifier.Service, d batcher.Demand, now time.Duration) (assignment, bool) {
 	target, ok := c.chooseTarget(service, l.job.Spec(), d.Release, now)
-	if !ok && d.Continues && c.restartTexts(l, service, d, now) {
+	if !ok && d.Continues {
+		target, ok = c.restartText(l, service, d, now)
 		d.Constraint = batcher.Constraint{}
-		target, ok = c.chooseTarget(service, l.job.Spec(), "", now)
 	}
 	if !ok {
 		return assignment{}, false
@@ -132,23 +132,23 @@
 // maxContinuationWait is how long a text waits for a target of the software version that generated it, while one is listed.
 const maxContinuationWait = time.Second
 
-// restartTexts drops the texts of a demand if no target of their software version is listed, and else those that have waited
-// for one for maxContinuationWait. It reports whether there were any. While no target of the service is known at all, as
-// before the listings have been read, the texts are kept.
-func (c *Conductor) restartTexts(l *ledJob, service identifier.Service, d batcher.Demand, now time.Duration) bool {
-	view, since, served := c.Router.View(), now, true
-	if view.Len(service) == 0 {
-		return false
-	}
-	if served = view.Serves(service, d.Release); served {
+// restartText reserves a slot on a target of any release for one text of a demand, and drops that text. It drops none while no
+// target has a free slot, and none that has not waited for maxContinuationWait while its release is listed.
+func (c *Conductor) restartText(l *ledJob, service identifier.Service, d batcher.Demand, now time.Duration) (router.Target, bool) {
+	since, served := now, c.Router.View().Serves(service, d.Release)
+	if served {
 		since = now - maxContinuationWait
 	}
-	n := l.job.RestartTexts(d.Constraint, since)
-	if n == 0 {
-		return false
+	target, ok := c.chooseTarget(service, l.job.Spec(), "", now)
+	if !ok {
+		return target, false
+	}
+	if !l.job.RestartText(d.Constraint, since) {
+		c.Router.Release(target.ID)
+		return target, false
 	}
-	c.Log.Emit(logger.TextsRestarted, "job", l.id, "texts", n, "release", d.Release, "served", served)
-	return true
+	c.Log.Emit(logger.TextRestarted, "job", l.id, "release", d.Release, "served", served)
+	return target, true
 }
 
 // chooseTarget reserves a slot on a target for an item of a job, on one of a release unless that is empty. Slow targets are
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -182,6 +182,8 @@
 
 // Rank returns RankDepartures.
 func (Departures) Rank() Rank { return RankDepartures }
+
+// Rank returns RankAttributor.
 func (Attributor) Rank() Rank { return RankAttributor }
 
 // Rank returns RankConductor.
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -122,8 +122,8 @@
 	origins := attributor.NewStoreArchive(e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log, s.Node, e.incarnation)
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
-		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Counter: tally, Observer: e.observer, Limiter: e.limiter,
-		Origins: e.origins, Clock: e.clock, Zone: s.Zone, Region: s.Region,
+		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Origins: e.origins,
+		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
@@ -162,9 +162,17 @@
 		return nil, err
 	}
 	e.stopMetrics = stopMetrics
+	e.startBackground(&operatorView{decoder: p.Decoder, navigator: nav, log: log}, tally)
+	e.conductor.Start()
+	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
+	return e, nil
+}
+
+// startBackground follows the key-value service and starts the periodic work, until the entry stops.
+func (e *Entry) startBackground(operators *operatorView, tally *tallier.Tallier) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	operators := &operatorView{decoder: p.Decoder, navigator: nav, log: log}
+	p := e.platform
 	e.running.Go(func() {
 		e.followShared(ctx, p.PlanPrefix, 0, e.Apply, operators, regionReader{e}, e.changeBuffers[p.PlanPrefix])
 	})
@@ -187,12 +195,9 @@
 	e.running.Go(func() { departures.Run(ctx) })
 	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
 	e.running.Go(func() { limits.Run(ctx) })
-	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log)
+	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.running.Go(func() { e.origins.Run(ctx) })
-	e.conductor.Start()
-	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
-	return e, nil
 }
 
 // serve opens the listeners for callers, readiness checks and peers, and serves them.
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -175,7 +175,7 @@
 	TextsUnsaved  = Event{
 		Number: 1523, Level: hclog.Warn, Text: "texts of a batch job not saved", Action: "check the key-value service if this persists",
 	}
-	TextsRestarted        = Event{Number: 1524, Level: hclog.Info, Text: "texts begun anew, no target continues them", Action: "none"}
+	TextRestarted         = Event{Number: 1524, Level: hclog.Info, Text: "text begun anew, no target continues it", Action: "none"}
 	WantedVersionReceived = Event{Number: 1530, Level: hclog.Info, Text: "wanted weight version received", Action: "none"}
 	LoadOrdered           = Event{Number: 1531, Level: hclog.Info, Text: "load of weights ordered", Action: "none"}
 	LoadEnded             = Event{Number: 1532, Level: hclog.Info, Text: "load of weights ended or abandoned", Action: "none"}
@@ -196,7 +196,7 @@
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, RequestReleased, OriginsUnsaved, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
-		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextsRestarted,
+		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
--- a/internal/registrar/departures.go
+++ b/internal/registrar/departures.go
@@ -24,7 +24,8 @@
 // IsEmpty reports whether there is nothing to tell.
 func (n DepartureNotices) IsEmpty() bool { return len(n) == 0 }
 
-// departure is a Departure at a monotonic time, which moves on while the target is listed. revision is that of Departures if an answer to this entry said so, else zero.
+// departure is a Departure at a monotonic time, which moves on while the target is listed. revision is that of Departures if an
+// answer to this entry said so, else zero.
 type departure struct {
 	incarnation identifier.Incarnation
 	at          time.Duration
