conductor: the test of faults injects them whether or not its readers wait

Cause: TestJobsSurviveFaults failed once with "only 1 isolated processes". Its steps were injected between two rounds of its readers, and a round takes long while reads fail; with one processor a run of 39 s had 2 isolations where 21 steps of them were due. Change: the steps have a goroutine of their own. The minimum is as before.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -1,10 +1,12 @@
 package conductor_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -95,15 +97,11 @@
 		c.Assert(processes[random.IntN(len(processes))].Submit(t.Context(), s), qt.Equals, conductor.Accepted)
 		readers = append(readers, &reader{cluster: cl, spec: s})
 	}
-	steps := cl.clock.Every(faultPeriod)
-	defer steps.Stop()
-	faults := newFaultSchedule(cl, random)
+	faults := newFaultSchedule(cl, rand.New(rand.NewPCG(7, 8)))
+	ctx, endFaults := context.WithCancel(t.Context())
+	var injecting sync.WaitGroup
+	injecting.Go(func() { faults.run(ctx) })
 	for {
-		select {
-		case <-steps.C():
-			faults.step()
-		default:
-		}
 		incomplete := 0
 		for _, r := range readers {
 			if len(r.seen) < size {
@@ -115,6 +113,8 @@
 			break
 		}
 	}
+	endFaults()
+	injecting.Wait()
 	c.Assert(faults.isolations >= minIsolations, qt.IsTrue, qt.Commentf("only %d isolated processes", faults.isolations))
 	for _, r := range readers {
 		r.checkComplete(c)
@@ -139,6 +139,20 @@
 	return &faultSchedule{cluster: cl, random: random}
 }
 
+// run injects a step each faultPeriod until ctx ends. It does not wait for the readers, which take long where entries fail.
+func (f *faultSchedule) run(ctx context.Context) {
+	steps := f.cluster.clock.Every(faultPeriod)
+	defer steps.Stop()
+	for {
+		select {
+		case <-steps.C():
+			f.step()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (f *faultSchedule) step() {
 	f.round++
 	switch f.round % 12 {
