limiter, isolator, interpreter, registrar: comments that needed a second reading

Change: 28 comments in these packages and in attributor say the same in a plain order. No code changes.

--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -86,7 +86,7 @@
 	return a.await(ctx, a.enqueue(&a.accepted, all...))
 }
 
-// enqueue keeps origins and adds them to a queue. It returns a channel that is closed once they are stored.
+// enqueue adds origins to the table and to a queue. It returns a channel that is closed once they are stored.
 func (a *Attributor) enqueue(to *batch, all ...Attribution) <-chan struct{} {
 	a.lock.Lock()
 	defer a.lock.Unlock()
--- a/internal/attributor/queue.go
+++ b/internal/attributor/queue.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// save stores what waits: the origins of this process at the peer if there is one, the rest in the archive. What could not be
-// stored waits on.
+// save empties the queues: the origins of this process go to the peer if there is one, all others to the archive. Origins that
+// could not be stored are queued again.
 func (a *Attributor) save(ctx context.Context) bool {
 	own, accepted := a.take()
 	if len(own.all) > 0 && a.peer.Save(ctx, own.all) {
@@ -91,7 +91,7 @@
 	return own, accepted
 }
 
-// putBack returns batches that could not be stored to the queues. Who waits for one that came meanwhile waits for both.
+// putBack queues batches again that could not be stored.
 func (a *Attributor) putBack(own, accepted batch) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
@@ -102,8 +102,7 @@
 	}
 }
 
-// after returns a batch of an earlier one and b. Nobody is told of the earlier one any more: its waits are over by the next
-// save.
+// after returns b with the origins of an earlier batch before its own. Callers that wait for the earlier batch time out.
 func (b batch) after(earlier batch) batch {
 	if len(earlier.all) == 0 {
 		return b
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -1,4 +1,4 @@
-// Package interpreter takes in what the answers of targets say about the targets themselves, whichever path made the call.
+// Package interpreter reads the state of targets from their answers, on every path that calls them.
 package interpreter
 
 import (
@@ -13,8 +13,7 @@
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
-// Interpreter is a forwarder.TargetClient that takes in what each answer says, before who made the call sees it or throws it
-// away.
+// Interpreter is a forwarder.TargetClient that reads the state of the target from each answer before the caller gets the answer.
 type Interpreter struct {
 	client  forwarder.TargetClient
 	limiter *limiter.Limiter
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -99,8 +99,8 @@
 	})
 }
 
-// change replaces a known crash by the result of f. Other entries observe the same of a crash that this entry was told of,
-// so it is not passed on.
+// change replaces a known crash by the result of f. A change to a crash that another entry reported is not passed on, since that
+// entry observes the change itself.
 func (i *Isolator) change(id CrashID, f func(Crash) Crash) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
--- a/internal/isolator/observer.go
+++ b/internal/isolator/observer.go
@@ -59,8 +59,7 @@
 // Broken records an attempt whose connection broke. Its target may have crashed.
 func (o *Observer) Broken(a Attempt, now time.Time) { o.Record(a.crash(now), now) }
 
-// Unanswered records an attempt that ended without an answer or a break: its time was up, or its caller left. It counts
-// once its target is known to have ended.
+// Unanswered records an attempt that timed out or whose caller left. It becomes evidence once its target is known to have ended.
 func (o *Observer) Unanswered(a Attempt, now time.Time) {
 	if a.Suspect == (Fingerprint{}) {
 		return
@@ -86,8 +85,7 @@
 	}
 }
 
-// TargetEnded records that an incarnation of a target has ended without having announced it. Requests that were left
-// without an answer there are suspects.
+// TargetEnded records that an incarnation of a target ended without notice. The requests that it left unanswered become suspects.
 func (o *Observer) TargetEnded(t identifier.Target, n identifier.Incarnation, now time.Time) {
 	for _, a := range o.takeUnanswered(t, n, now) {
 		c := a.crash(a.ended)
@@ -113,7 +111,7 @@
 	return taken
 }
 
-// dropOld drops the attempts that ended longer than unansweredPeriod ago. They are in order of their ends.
+// dropOld drops the attempts that ended more than unansweredPeriod ago. The attempts are ordered by their ends.
 func (o *Observer) dropOld(now time.Time) {
 	n := 0
 	for n < len(o.unanswered) && now.Sub(o.unanswered[n].ended) > unansweredPeriod {
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -96,9 +96,9 @@
 	return false
 }
 
-// hasCoincidence reports whether targets of the service ended at the same time as c without f: one that had no suspect, or
-// several. Then something else ends targets. A single one with a suspect may have been ended by that. The caller holds
-// the lock.
+// hasCoincidence reports whether something other than f ends targets of the service: at the time of c, one without any suspect or
+// several that did not run f ended. A single target with another suspect is no such sign, because that suspect may have ended
+// it. The caller holds the lock.
 func (i *Isolator) hasCoincidence(c Crash, f Fingerprint) bool {
 	others := 0
 	for _, other := range i.crashes {
--- a/internal/limiter/allotter.go
+++ b/internal/limiter/allotter.go
@@ -35,12 +35,12 @@
 const (
 	// allotmentTTL is the time after which a target that nobody asks for is forgotten.
 	allotmentTTL = time.Minute
-	// takeoverDelay is the time without permits of a target that is new to an Allotter. Another process may have allotted some
-	// just before, and may go on until it knows that it is no longer responsible.
+	// takeoverDelay is how long an Allotter gives no permits for a target that is new to it. The process that was responsible
+	// before may still allot permits until it learns of the change.
 	takeoverDelay = time.Second
-	// staleWait is the wait of an asker that does not know yet that the target started again.
+	// staleWait is the wait of an asker that has not read the new listing of a restarted target.
 	staleWait = time.Second
-	// maxAllotments is the number of targets from which on forgotten ones are removed.
+	// maxAllotments is the number of targets above which expired ones are removed.
 	maxAllotments = 256
 )
 
--- a/internal/limiter/asker.go
+++ b/internal/limiter/asker.go
@@ -35,8 +35,8 @@
 	l.trigger()
 }
 
-// Await waits until a target of a service may be chosen that could not be before. It returns false if that is not to be
-// expected within limit, as soon as it is known, or if ctx ends.
+// Await waits until another target of a service may be chosen. It returns false as soon as no permit can arrive within limit, and
+// when ctx ends.
 func (l *Limiter) Await(ctx context.Context, s identifier.Service, avoid []identifier.Target, limit time.Duration) bool {
 	if l == nil || !l.active.Load() {
 		return false
@@ -126,7 +126,7 @@
 	}
 }
 
-// await waits until the monotonic time next, if that is not zero, until work waits or an ask was answered, or until ctx ends.
+// await blocks until work waits, an ask is answered, the clock reaches next, or ctx ends. A zero next sets no time limit.
 func (l *Limiter) await(ctx context.Context, next time.Duration) {
 	var expired <-chan time.Time
 	if next > 0 {
@@ -141,8 +141,8 @@
 	}
 }
 
-// dueAsks marks as asking the targets for which a permit is to be asked for now, and returns them with the time at which the
-// next one is due, or zero if no work waits.
+// dueAsks returns the targets that need a new permit now and marks them as asking. It also returns when the next ask is due,
+// or zero if no work waits.
 func (l *Limiter) dueAsks() (due []identifier.Target, next time.Duration) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// burstTime is the time whose permits may accumulate beside one, while nobody asks or the next ask is on its way.
+	// burstTime bounds the permits that accumulate between two asks: one permit and those of this time.
 	burstTime = 250 * time.Millisecond
 	// permitTolerance allows for the rounding of accumulated fractions.
 	permitTolerance = 1e-9
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -20,8 +20,8 @@
 	demandTTL = 300 * time.Millisecond
 	// unreachableWait is the wait after an ask that was not answered.
 	unreachableWait = 200 * time.Millisecond
-	// fallbackShare is the share of a target's rate that all entries together take without being allotted permits, because
-	// they don't reach the entry that is responsible for the target.
+	// fallbackShare is the share of a target's rate that all entries together use without permits while the responsible entry
+	// is unreachable.
 	fallbackShare = 0.5
 )
 
@@ -37,7 +37,7 @@
 type limited struct {
 	incarnation identifier.Incarnation
 	service     identifier.Service
-	// rate is the rate that is kept to, in requests a second, and namedAt the monotonic time of the last answer that named it.
+	// rate is the limit in requests a second. namedAt is the monotonic time of the last answer that named it.
 	rate    float64
 	namedAt time.Duration
 	// permits holds the times at which unused permits expire.
@@ -57,7 +57,8 @@
 
 // demand is the work of a service that waits for a permit.
 type demand struct {
-	// items is the number of items that wait until the monotonic time expiry, requests that of callers' requests.
+	// items is the number of waiting items; it counts until the monotonic time expiry. requests is the number of waiting callers'
+	// requests.
 	items    int
 	expiry   time.Duration
 	requests int
@@ -110,12 +111,12 @@
 	Limited
 	// Lifted means that the target is no longer limited.
 	Lifted
-	// Unreadable means that the target named a rate that makes no sense, for the first time. What held before goes on.
+	// Unreadable means that the target named an invalid rate for the first time. The previous limit stays in force.
 	Unreadable
 )
 
-// Record takes in what an answer of a target says of its rate. sent is the monotonic time at which the answered request was
-// sent: an answer without a rate lifts only one that was named before.
+// Record applies the rate in an answer of a target. sent is the monotonic time at which the request was sent. An answer without
+// a rate lifts only a limit that was named before that time.
 func (l *Limiter) Record(t router.Target, s Statement, sent time.Duration) Change {
 	if l == nil || !s.Named && !l.active.Load() {
 		return NoChange
@@ -131,7 +132,7 @@
 	case s.limits():
 		l.limit(notice, now)
 		if o, told := l.observed[t.ID]; !told || !o.notice.Named || o.notice.Incarnation != t.Incarnation {
-			// Also where another entry has told this one: that entry may stop, and entries that start have to be told.
+			// A notice of another entry is passed on too: that entry may stop before later entries start.
 			l.observe(notice, now)
 		}
 		if known && old.incarnation == t.Incarnation {
--- a/internal/limiter/statement.go
+++ b/internal/limiter/statement.go
@@ -5,14 +5,14 @@
 import "math"
 
 const (
-	// minRate is the lowest rate that is kept to. A target that named less, or zero, has to be asked now and then, since only
-	// its answers show that it takes more again.
+	// minRate is the lowest limit. A target that named less still gets some requests, because only its answers can raise the
+	// limit again.
 	minRate = 0.5
-	// maxRate is the rate from which on a target counts as unlimited.
+	// maxRate is the lowest rate that counts as unlimited.
 	maxRate = 10_000
 )
 
-// Statement is what an answer says of the rate that its target takes. It is immutable. The zero value names no rate.
+// Statement is the rate in an answer of a target. It is immutable. The zero value names no rate.
 type Statement struct {
 	// Named is set if the answer names a rate. Rate is that rate in requests a second, or NaN if it can't be read.
 	Named bool
--- a/internal/registrar/departures.go
+++ b/internal/registrar/departures.go
@@ -52,7 +52,7 @@
 	if !fresh && (known.incarnation > n || known.revision > 0) {
 		return false
 	}
-	// Also where another entry has told this one: that entry may stop, and entries that start have to be told.
+	// A notice of another entry is passed on too: that entry may stop before later entries start.
 	d.revision++
 	d.put(t, departure{incarnation: n, at: now, revision: d.revision})
 	if d.changed != nil {
