--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -80,6 +80,9 @@
 	go c.watchAttempt(a.ledJob.job, t, done, cancel)
 
 	if !c.Forwarder.ConfirmStart(ctx, a.target, a.task.Events > 0) {
+		if outcome := cancelOutcome(ctx); outcome != 0 {
+			return outcome, router.Target{}
+		}
 		return attemptUnsent, router.Target{}
 	}
 	answer, fault := c.Caller.Call(ctx, c.itemCall(a))
--- a/internal/forwarder/continuation.go
+++ b/internal/forwarder/continuation.go
@@ -29,7 +29,7 @@
 // bindStream restricts a request that continues a stream to the service and the release that began it. It returns the reason
 // why the request has to be refused, or an empty one.
 func (x *exchange) bindStream(ctx context.Context) Reason {
-	if !x.request.Continuation.Set {
+	if !x.route.Resumable || !x.request.Continuation.Set {
 		return ""
 	}
 	origin, ok := x.Origins.Lookup(ctx, x.team, x.request.Continuation.Of)
@@ -52,8 +52,11 @@
 		if !ok || !x.route.Resumable || x.ConfirmStart(ctx, target, x.continues) {
 			return target, ok
 		}
-		x.Registrar.RecordFailure(target.ID, x.Clock.Monotonic())
 		x.Router.Release(target.ID)
+		if ctx.Err() != nil {
+			return target, false
+		}
+		x.Registrar.RecordFailure(target.ID, x.Clock.Monotonic())
 	}
 }
 
