--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -182,7 +182,7 @@
 		return
 	}
 	if serving, ok := c.Router.View().Target(a.target.ID); !ok || serving.Incarnation != a.target.Incarnation {
-		// The target has left or started again while the assignment waited for a worker.
+		// The target left or restarted while the assignment waited for a worker.
 		c.Router.Release(a.target.ID)
 		a.ledJob.job.Retry(a.task.Index, c.Clock.Monotonic())
 		c.TriggerAssignment()
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -123,9 +123,9 @@
 	Start(ctx context.Context, t router.Target) (identifier.Incarnation, bool)
 }
 
-// ConfirmStart reports whether a text may be generated at a target under the release of its listing. A target that has started
-// again under its ID may run another software version before its new listing is read, and its answers don't show that. It is
-// therefore asked for its start before it continues a text, and before it begins one after an attempt at it has failed.
+// ConfirmStart reports whether a target runs the release of its listing, as far as is known. A target that restarted under its ID
+// may run another one before its new listing is read, and its answers don't show that. The target is therefore asked for
+// its start before it continues a text, and before it begins one after a failed attempt.
 func (f *Forwarder) ConfirmStart(ctx context.Context, t router.Target, continues bool) bool {
 	if f.Starts == nil || !continues && !f.Registrar.Unconfirmed(t.ID) {
 		return true
--- a/internal/hoster/departures.go
+++ b/internal/hoster/departures.go
@@ -32,15 +32,15 @@
 }
 
 const (
-	// maxStartQuestions is the number of targets that wait to be asked; more leave without being asked.
+	// maxStartQuestions is the capacity of the queue. Targets beyond it are not asked.
 	maxStartQuestions = 256
 	// startAttempts is how often a target is asked for its start, and startPause the time between.
 	startAttempts = 3
 	startPause    = 200 * time.Millisecond
 )
 
-// startQueue asks each target that says that it leaves which start of it said so. It may have started again under its ID
-// before its new listing was read; that listing would else bring it back.
+// startQueue asks leaving targets for their present start and records that start as leaving too. A target may have restarted
+// under its ID before its new listing was read; without the question that listing would bring it back into use.
 type startQueue struct {
 	starts     forwarder.StartReader
 	departures *registrar.Departures
@@ -53,7 +53,7 @@
 	return startQueue{starts: starts, departures: d, clock: clock, targets: make(chan router.Target, maxStartQuestions), changed: changed}
 }
 
-// add takes the target out of the views and has it asked.
+// add takes a target out of the views and queues the question for its start.
 func (q startQueue) add(t router.Target) {
 	q.changed()
 	select {
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -79,7 +79,7 @@
 	// targets are the listed targets, departures those that said that they leave.
 	targets    *targetView
 	departures registrar.Departures
-	// leaving asks the targets that said so for their start.
+	// leaving asks targets that leave for their present start.
 	leaving  startQueue
 	origins  *attributor.Attributor
 	presence *presence
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -43,7 +43,7 @@
 	// expiresAt is the monotonic time from which a target without a listing is dropped; zero while it has one.
 	expiresAt time.Duration
 	intervals eventIntervals
-	// contradictory is set once listings of one start have named several releases: which one generates texts is not known then.
+	// contradictory is set once listings of one start have named several releases, so that the running one is not known.
 	contradictory bool
 	// unconfirmed is set after a failed attempt, until the target confirms the start that its listing names.
 	unconfirmed bool
@@ -158,8 +158,8 @@
 	})
 }
 
-// Unconfirmed reports whether attempts at a target have failed since it last confirmed its start. It may have started again under
-// its ID, with other software, and its new listing may not have been read yet.
+// Unconfirmed reports whether an attempt at a target has failed since the target last confirmed its start. It may have restarted
+// under its ID with other software before its new listing was read.
 func (r *Registrar) Unconfirmed(id identifier.Target) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
