--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -29,7 +29,9 @@
 type Commit struct {
 	Node string
 	Keys []string
-	At   time.Duration
+	// Values holds what was written, by key.
+	Values map[string][]byte
+	At     time.Duration
 }
 
 // Store is a stand-in of the platform's key-value service. Each node calls it at a server of its own, so that it knows
@@ -101,6 +103,13 @@
 	return nodes
 }
 
+// Calls returns all calls so far.
+func (s *Store) Calls() []Call {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.calls)
+}
+
 // Writer returns the node that first wrote a key, or an empty name.
 func (s *Store) Writer(key string) string {
 	s.mutex.Lock()
@@ -246,13 +255,14 @@
 		return
 	}
 	var t storer.Transaction
-	commit := Commit{Node: c.Node}
+	commit := Commit{Node: c.Node, Values: make(map[string][]byte, len(m.Puts))}
 	for _, e := range m.Expected {
 		t = t.WithGuard(e.Key, e.Revision)
 	}
 	for _, p := range m.Puts {
 		t = t.WithPut(p.Key, p.Value, storer.Lease(p.Lease))
 		commit.Keys = append(commit.Keys, p.Key)
+		commit.Values[p.Key] = p.Value
 	}
 	for _, key := range m.Remove {
 		t = t.WithDelete(key)
