--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -216,11 +216,22 @@
 	d.mutex.Lock()
 	d.samplers = append(d.samplers, s)
 	d.mutex.Unlock()
-	d.Store.KV.Write("servers/"+id, s.Listing())
+	d.Store.KV.Write("servers/"+id, s.Listing(0))
 	d.Record.Line("sampler %s of %s starts at %s and is listed", id, service, s.Address())
 	return s, nil
 }
 
+// Relist writes the entry of a sampler again.
+func (d *Deployment) Relist(id string, coldLeft int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, s := range d.samplers {
+		if s.ID == id {
+			d.Store.KV.Write("servers/"+id, s.Listing(coldLeft))
+		}
+	}
+}
+
 // Runs returns what all samplers have begun to run.
 func (d *Deployment) Runs() []Run {
 	d.mutex.Lock()
--- a/review/rig/sampler.go
+++ b/review/rig/sampler.go
@@ -80,12 +80,12 @@
 	return all
 }
 
-// Listing returns its entry in the key-value service.
-func (s *Sampler) Listing() []byte {
+// Listing returns its entry in the key-value service. coldLeft is how much longer it remains slow after its start, in milliseconds.
+func (s *Sampler) Listing(coldLeft int) []byte {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return encode(map[string]any{
-		"service": s.Service, "address": s.Address(), "zone": s.Zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
+		"service": s.Service, "address": s.Address(), "zone": s.Zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": coldLeft,
 		"phase": "dual", "models": s.models(), "seq": 1, "born": s.born.UnixMilli(),
 	})
 }
