review: entries go over their memory on batch jobs within the limits

Three trainers that hand in jobs of 33.2 MB each, within max-body-bytes, push an entry over memory-mb; on the next attempt the other entry goes the same way.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -66,6 +66,8 @@
 // Item is an item of a batch job.
 type Item struct {
 	ID, Group string
+	// Prompt is what its body holds besides its ID.
+	Prompt []byte
 }
 
 // Result is a result of a batch job.
@@ -77,18 +79,27 @@
 
 // Submit submits a batch job of a trainer under a route, once.
 func (c *Client) Submit(ctx context.Context, n *Node, route, id, model string, items []Item) Answer {
+	return c.SubmitBody(ctx, n, route, id, JobBody(route, model, items), 2*time.Second)
+}
+
+// SubmitBody submits a batch job whose body is given.
+func (c *Client) SubmitBody(ctx context.Context, n *Node, route, id string, body []byte, limit time.Duration) Answer {
+	header := map[string]string{"X-Api-Key": Key, "Request-Id": id, "Content-Type": "application/json"}
+	return c.Send(ctx, http.MethodPost, "http://"+n.Callers()+"/"+route+"/"+id, header, body, limit)
+}
+
+// JobBody returns the body of a batch job of a trainer.
+func JobBody(route, model string, items []Item) []byte {
 	messages := make([]map[string]any, 0, len(items))
 	groups := make(map[string]bool)
 	for _, i := range items {
 		groups[i.Group] = true
 		messages = append(messages, map[string]any{
-			"id": i.ID, "path": "/" + route + "/i/" + i.ID, "body": []byte("body of " + i.ID), "token-count": 940, "group-id": i.Group,
+			"id": i.ID, "path": "/" + route + "/i/" + i.ID, "body": append([]byte("body of "+i.ID), i.Prompt...), "token-count": 940, "group-id": i.Group,
 			"headers": map[string]string{"Model": model, "Token-Count": "540,400", "Prompt-Prefix": "9c2e41:300,5d07b8:240"},
 		})
 	}
-	body := encode(map[string]any{"train-step": 1, "model": model, "min-version": 1, "desired": len(groups), "items": messages})
-	header := map[string]string{"X-Api-Key": Key, "Request-Id": id, "Content-Type": "application/json"}
-	return c.Send(ctx, http.MethodPost, "http://"+n.Callers()+"/"+route+"/"+id, header, body, 2*time.Second)
+	return encode(map[string]any{"train-step": 1, "model": model, "min-version": 1, "desired": len(groups), "items": messages})
 }
 
 // Results reads the results of a batch job from the start.
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -47,6 +47,7 @@
 type Node struct {
 	*soaker.Process
 	Name, IP string
+	settings string
 }
 
 // Callers returns the address for clients.
@@ -198,6 +199,7 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
+	n.settings = file
 	env := []string{"MIMOSALB_BOOT=" + file}
 	n.Process, err = soaker.NewProcess(n.Name, filepath.Join(d.folder, n.Name+".log"), env, Program, "--metrics", "9464", role)
 	if err != nil {
