--- a/review/3/main.go
+++ b/review/3/main.go
@@ -76,7 +76,7 @@
 func lastSweeper(d *rig.Deployment) string {
 	last := ""
 	for _, c := range d.Store.Calls() {
-		if c.Path == "/-/kv-range" && c.Prefix == jobPrefix && strings.HasPrefix(c.Node, "front") {
+		if c.Path == rig.Wire().ReadRange && c.Prefix == jobPrefix && strings.HasPrefix(c.Node, "front") {
 			last = c.Node
 		}
 	}
@@ -117,7 +117,7 @@
 			return true
 		}
 		header := map[string]string{"X-Api-Key": rig.Key}
-		p.client.Send(ctx, http.MethodDelete, "http://"+p.Entries[0].Callers()+"/-/lots/"+id, header, nil, 2*time.Second)
+		p.client.Send(ctx, http.MethodDelete, "http://"+p.Entries[0].Callers()+rig.Wire().Lots+id, header, nil, 2*time.Second)
 		timer.Wait(ctx, p.Clock, 2*time.Second)
 	}
 	return false
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	return Answer{Status: resp.StatusCode, Stamp: resp.Header.Get("Response-Stamp"), Body: data}
+	return Answer{Status: resp.StatusCode, Stamp: resp.Header.Get(wire.Stamp), Body: data}
 }
 
 // Item is an item of a batch job.
@@ -104,7 +104,7 @@
 
 // Results reads the results of a batch job from the start.
 func (c *Client) Results(ctx context.Context, n *Node, id string) (total int, results []Result, status int) {
-	a := c.Send(ctx, http.MethodGet, "http://"+n.Callers()+"/-/lots/"+id+"?after=0", map[string]string{"X-Api-Key": Key}, nil, 2*time.Second)
+	a := c.Send(ctx, http.MethodGet, "http://"+n.Callers()+wire.Lots+id+"?after=0", map[string]string{"X-Api-Key": Key}, nil, 2*time.Second)
 	var m struct {
 		Total   int      `json:"total"`
 		Results []Result `json:"results"`
--- a/review/rig/sampler.go
+++ b/review/rig/sampler.go
@@ -103,13 +103,13 @@
 
 // ServeHTTP answers a call.
 func (s *Sampler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.ID {
+	if expected := r.Header.Get(wire.Expected); expected != "" && expected != s.ID {
 		w.Header().Set("Instance-Id", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch r.URL.Path {
-	case "/-/report":
+	case wire.Report:
 		s.mutex.Lock()
 		report := encode(map[string]any{
 			"phase": "dual", "models": s.models(), "busy": false, "seq": s.orders, "queued-count": 0, "running-count": 0, "kv-used": 0,
@@ -118,7 +118,7 @@
 		s.mutex.Unlock()
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(report) // an error means that the caller has gone
-	case "/-/order":
+	case wire.Order:
 		s.order(w, r)
 	default:
 		s.run(w, r)
@@ -156,7 +156,7 @@
 	s.mutex.Unlock()
 	s.record.Line("run   %s %s begins at %s from %s", run.Request, run.Path, s.ID, r.RemoteAddr)
 	w.Header().Set("Request-Id", run.Request)
-	w.Header().Set("Response-Stamp", "stamp."+s.ID+"."+run.Request)
+	w.Header().Set(wire.Stamp, "stamp."+s.ID+"."+run.Request)
 	if r.Header.Get("Model") != "" {
 		s.text(w, r, run)
 	} else {
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -96,7 +96,7 @@
 	defer s.mutex.Unlock()
 	var nodes []string
 	for _, c := range s.calls {
-		if c.Path == "/-/kv-watch" && c.Prefix == prefix && c.At >= after && !slices.Contains(nodes, c.Node) {
+		if c.Path == wire.Watch && c.Prefix == prefix && c.At >= after && !slices.Contains(nodes, c.Node) {
 			nodes = append(nodes, c.Node)
 		}
 	}
@@ -130,7 +130,7 @@
 		s.mutex.Lock()
 		refused := s.refused[node]
 		s.calls = append(s.calls, c)
-		if c.Path == "/-/kv-watch" {
+		if c.Path == wire.Watch {
 			s.watches[node+" "+c.Prefix] = c.At
 		}
 		s.mutex.Unlock()
@@ -144,20 +144,20 @@
 
 func (s *Store) serve(w http.ResponseWriter, r *http.Request, c Call) {
 	switch {
-	case c.Path == "/-/kv-key":
+	case c.Path == wire.ReadKey:
 		e, out := s.KV.Get(r.Context(), c.Prefix)
 		if out == storer.Applied && e.Changed == 0 {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
 		writeOutcome(w, out, encodeEntry(e))
-	case c.Path == "/-/kv-range":
+	case c.Path == wire.ReadRange:
 		s.serveRange(w, r, c)
-	case c.Path == "/-/kv-watch":
+	case c.Path == wire.Watch:
 		s.serveWatch(w, r, c)
-	case c.Path == "/-/kv-txn":
+	case c.Path == wire.Transaction:
 		s.serveTransaction(w, r, c)
-	case c.Path == "/-/kv-lease":
+	case c.Path == wire.Grant:
 		var m struct {
 			TTL int64 `json:"ttl-ms"`
 		}
@@ -167,9 +167,9 @@
 		}
 		l, out := s.KV.Grant(r.Context(), time.Duration(m.TTL)*time.Millisecond)
 		writeOutcome(w, out, map[string]int64{"lease": int64(l), "ttl-ms": m.TTL})
-	case strings.HasPrefix(c.Path, "/-/kv-keep/"):
+	case strings.HasPrefix(c.Path, wire.Renew):
 		writeOutcome(w, s.KV.KeepAlive(r.Context(), leaseOf(c.Path)), struct{}{})
-	case strings.HasPrefix(c.Path, "/-/kv-lease-end/"):
+	case strings.HasPrefix(c.Path, wire.Revoke):
 		writeOutcome(w, s.KV.Revoke(r.Context(), leaseOf(c.Path)), struct{}{})
 	default:
 		w.WriteHeader(http.StatusBadRequest)
