--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -85,7 +85,7 @@
 		}
 		return attemptUnsent, router.Target{}
 	}
-	answer, fault := c.Caller.Call(ctx, c.itemCall(a))
+	answer, fault, _ := forwarder.Send(ctx, c.Caller, func() forwarder.Call { return c.itemCall(a) })
 	if fault == forwarder.NoFault {
 		defer answer.Body.Close() //nolint:errcheck // the body was read to its end or is discarded
 	}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -56,6 +56,14 @@
 	Resume      bool
 	// Priority orders the calls at an engine; zero is the most urgent.
 	Priority int
+	// NewConnection asks for a connection that no call has used before.
+	NewConnection bool
+}
+
+// WithNewConnection returns a copy of c that is sent on a connection that no call has used before.
+func (c Call) WithNewConnection() Call {
+	c.NewConnection = true
+	return c
 }
 
 // WithResume returns a copy of c that requests only the events after the given number.
@@ -99,11 +107,13 @@
 	Broken
 	// Pending means that the attempt was still running when the request ended.
 	Pending
+	// Stale means that the target had closed the kept connection before a byte of the call was written to it.
+	Stale
 )
 
 // String returns the name of the fault.
 func (f Fault) String() string {
-	names := [...]string{"fine", "unsent", "broken", "pending"}
+	names := [...]string{"fine", "unsent", "broken", "pending", "stale"}
 	if f < 0 || int(f) >= len(names) {
 		return "invalid"
 	}
@@ -117,6 +127,19 @@
 	Call(ctx context.Context, c Call) (Answer, Fault)
 }
 
+// Send makes the call that newCall returns. If it met a kept connection that the target had closed, the target has not
+// received it, and it is sent once more on a new connection; stale reports that. The fault is never Stale.
+func Send(ctx context.Context, client TargetClient, newCall func() Call) (a Answer, fault Fault, stale bool) {
+	a, fault = client.Call(ctx, newCall())
+	if fault != Stale {
+		return a, fault, false
+	}
+	if a, fault = client.Call(ctx, newCall().WithNewConnection()); fault == Stale {
+		fault = Unsent
+	}
+	return a, fault, true
+}
+
 // StartReader asks targets which start of theirs serves now.
 type StartReader interface {
 	// Start returns the incarnation of a target. It is false if the target did not tell it in time.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -102,7 +102,9 @@
 	continues    bool
 	recorded     identifier.Release
 	triedTargets []identifier.Target
-	counted      bool
+	// staleAttempts is the number of attempts that met a closed connection and were repeated at the same target.
+	staleAttempts int
+	counted       bool
 
 	computedFingerprint isolator.Fingerprint
 }
@@ -191,7 +193,7 @@
 // awaitTarget chooses the target of the next attempt, and waits a short while for one that takes the request by its rate.
 func (x *exchange) awaitTarget(ctx context.Context) (router.Target, bool) {
 	target, ok := x.chooseTarget()
-	if ok || x.result.Reason == Suspect || len(x.triedTargets) >= max(x.route.MaxAttempts, 1) {
+	if ok || x.result.Reason == Suspect || !x.attemptsLeft() {
 		return target, ok
 	}
 	limit := maxPermitWait
@@ -204,10 +206,15 @@
 	return x.chooseTarget()
 }
 
+// attemptsLeft reports whether the route allows another target. A repeat at the same target counts as an attempt.
+func (x *exchange) attemptsLeft() bool {
+	return len(x.triedTargets)+x.staleAttempts < max(x.route.MaxAttempts, 1)
+}
+
 // chooseTarget chooses the target of the next attempt. Suspended targets are used only if there is no other. It chooses
 // none for a request that is held back by now.
 func (x *exchange) chooseTarget() (router.Target, bool) {
-	if len(x.triedTargets) >= max(x.route.MaxAttempts, 1) {
+	if !x.attemptsLeft() {
 		return router.Target{}, false
 	}
 	if _, held := x.heldBack(); held {
@@ -240,6 +247,12 @@
 	x.Counter.Count(x.team, at)
 }
 
+// recordStale adds an attempt that met a closed connection to the result. It says nothing about its target.
+func (x *exchange) recordStale(t identifier.Target) {
+	x.staleAttempts++
+	x.result.Attempts = append(x.result.Attempts, Attempt{Target: t, Fault: Stale})
+}
+
 // recordAttempt adds an ended attempt to the result, updates the state of its target in the registrar and keeps what it
 // says about crashes. An attempt that ended because its caller left says nothing about its target.
 func (x *exchange) recordAttempt(ctx context.Context, s sentAttempt, a Attempt) {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -189,6 +189,7 @@
 func TestOutcomes(t *testing.T) {
 	refused, broken := reply{status: 503, notRun: true}, reply{fault: forwarder.Broken}
 	unsent, failed := reply{fault: forwarder.Unsent}, reply{status: 500, body: "sorry"}
+	stale := reply{fault: forwarder.Stale}
 	cases := []struct {
 		name, path, key string
 		plan            navigator.Plan
@@ -218,6 +219,10 @@
 		{"once: cut body", "/once/x", "key", plan(), 3, []reply{{status: 200, body: "wh", cut: true}}},
 		{"once: failed", "/once/x", "key", plan(), 3, []reply{failed}},
 		{"once: silent", "/once/x", "key", plan(), 3, []reply{{hang: true}}},
+		{"once: stale connection, then answered", "/once/x", "key", plan(), 1, []reply{stale}},
+		{"once: stale connection, then broke off", "/once/x", "key", plan(), 3, []reply{stale, broken}},
+		{"once: stale connections count as attempts", "/once/x", "key", plan(), 3, []reply{stale, unsent, stale, unsent}},
+		{"stream: stale connection, then answered", "/stream/x", "key", plan(), 1, []reply{stale, {status: 200, body: "1:a\n"}}},
 		{"stream: whole", "/stream/x", "key", plan(), 3, []reply{{status: 200, body: "1:a\n2:b\n"}}},
 		{"stream: cut after two events", "/stream/x", "key", plan(), 3, []reply{{status: 200, body: "1:a\n2:b\n3:", cut: true}}},
 		{"stream: refused, then whole", "/stream/x", "key", plan(), 3, []reply{refused, {status: 200, body: "1:a\n"}}},
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -88,12 +88,17 @@
 		return false, false
 	}
 	defer x.Router.Release(target.ID)
-	call := x.newCall(target)
-	if p.hasEvent {
-		call = call.WithResume(p.lastEvent)
-	}
 	began, sent := x.Clock.Monotonic(), sentAttempt{target: target, at: x.Clock.Now()}
-	a, fault := x.TargetClient.Call(ctx, call)
+	a, fault, stale := Send(ctx, x.TargetClient, func() Call {
+		call := x.newCall(target)
+		if p.hasEvent {
+			call = call.WithResume(p.lastEvent)
+		}
+		return call
+	})
+	if stale {
+		x.recordStale(target.ID)
+	}
 	attempt := Attempt{Target: target.ID, Status: a.Status, NotRun: a.NotRun, Fault: fault}
 	if fault != NoFault || a.NotRun || a.Status >= 300 || !a.Stream {
 		return x.attemptWithoutEvents(ctx, attempt, a, began, sent, p)
--- a/internal/forwarder/unary.go
+++ b/internal/forwarder/unary.go
@@ -15,7 +15,9 @@
 type endedAttempt struct {
 	attempt Attempt
 	sent    sentAttempt
-	answer  Answer
+	// stale is set if the attempt is the repeat of one that met a closed connection.
+	stale  bool
+	answer Answer
 	// body is the first part of the body if hasMore is set, otherwise the complete body.
 	body    []byte
 	hasMore bool
@@ -128,6 +130,9 @@
 		return true, r.interrupted(CallerLeft)
 	}
 	delete(r.runningAttempts, e.attempt.Target)
+	if e.stale {
+		r.recordStale(e.attempt.Target)
+	}
 	r.recordAttempt(r.ctx, e.sent, e.attempt)
 	if e.mayHaveRun() {
 		r.countRequest(e.sent.at)
@@ -160,11 +165,10 @@
 func (x *exchange) startAttempt(ctx context.Context, sent sentAttempt, endedAttempts chan<- endedAttempt) {
 	ctx, cancel := context.WithCancel(ctx)
 	id := sent.target.ID
-	call := x.newCall(sent.target)
 	began := x.Clock.Monotonic()
 	go func() {
-		a, fault := x.TargetClient.Call(ctx, call)
-		e := endedAttempt{answer: a, sent: sent, attempt: Attempt{Target: id, Status: a.Status, NotRun: a.NotRun, Fault: fault}}
+		a, fault, stale := Send(ctx, x.TargetClient, func() Call { return x.newCall(sent.target) })
+		e := endedAttempt{answer: a, sent: sent, stale: stale, attempt: Attempt{Target: id, Status: a.Status, NotRun: a.NotRun, Fault: fault}}
 		e.release = func() {
 			if e.answer.Body != nil {
 				_ = e.answer.Body.Close() // the answer was read or is discarded with its connection, so the error changes nothing
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -152,6 +152,9 @@
 	AnswerUnusable = Event{
 		Number: 1405, Level: hclog.Warn, Text: "answer of a target not usable", Action: "check the target if this persists",
 	}
+	ConnectionStale = Event{
+		Number: 1407, Level: hclog.Info, Text: "call not sent, target had closed the connection", Action: "none; it is sent on a new connection",
+	}
 	OriginsUnsaved = Event{
 		Number: 1410, Level: hclog.Warn, Text: "origins of streams not stored", Action: "check the key-value service if this persists",
 	}
@@ -195,7 +198,7 @@
 		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
-		RequestFailed, AnswerUnusable, RequestReleased, OriginsUnsaved, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
+		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved, JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
