storer, hoster, registrar: only an outage of the store makes a removed listing a lapse

A restarted reader of the region, whose buffer begins after the revision of those that ask it, a history that the store dropped and a connection that was cut interrupt the watch too, with the store up all the while. Seen by callers: DRAIN, requests reached samplers up to 2.9 s after their removal, where 2.5 s are allowed; some were cut by the end of the sampler and answered 502. Change: Availability watches all calls of a process to the store; the store was away if calls had no answer for so long that a listing can lapse. Only then, and for 3 s after, a missing listing is kept. A reader behind the buffer of another process asks the store for the changes between. A dropped history interrupts no view.

--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -99,7 +99,9 @@
 		decoder: c.platform.Decoder, navigator: nav, log: c.log, onDesired: up.SetDesired,
 		onRetire: func(n identifier.Node, status storer.Put) { c.retire(ctx, n, status) },
 	}
-	targets := &targetView{decoder: c.platform.Decoder, registrar: reg, router: router.NewRouter(), clock: c.clock, log: c.log}
+	targets := &targetView{
+		decoder: c.platform.Decoder, registrar: reg, router: router.NewRouter(), availability: c.availability, clock: c.clock, log: c.log,
+	}
 	var tasks sync.WaitGroup
 	// A task that returns before ctx ends has seen a later term; the other tasks are then cancelled.
 	for _, task := range []func(){
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -139,8 +139,8 @@
 		StoreReached: e.presence.reachedJustNow,
 	})
 	e.targets = &targetView{
-		departures: &e.departures,
-		decoder:    p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
+		departures: &e.departures, availability: e.availability,
+		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
 			e.limiter.Retain(route.View())
 			e.conductor.TriggerAssignment()
 		},
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -43,12 +43,6 @@
 	Target(key string) identifier.Target
 }
 
-// KeyValue reads, writes and watches keys of the key-value service.
-type KeyValue interface {
-	storer.Driver
-	storer.Feed
-}
-
 // Targets sends requests and weight switches to targets.
 type Targets interface {
 	forwarder.TargetClient
@@ -73,7 +67,7 @@
 
 // Platform holds the interfaces and key prefixes that the adapter of a platform provides.
 type Platform struct {
-	KeyValue       KeyValue
+	KeyValue       storer.Service
 	Targets        Targets
 	ReportReceiver tallier.ReportReceiver
 	Decoder        Decoder
@@ -99,6 +93,8 @@
 	Ready   string
 	Peer    string
 	Metrics string
+	// Heartbeat is the time between two renewals of a target's listing.
+	Heartbeat time.Duration
 	// MinTTL is the shortest TTL of a duty's lease. DutyCooldown is the time for which a process does not campaign after
 	// its own term, so that two processes do not alternate in quick succession.
 	MinTTL       time.Duration
@@ -142,13 +138,15 @@
 // base holds the state that entries and controllers have in common.
 type base struct {
 	Settings
-	platform    Platform
-	observers   Observers
-	clock       timer.Service
-	log         *logger.Logger
-	store       *storer.Storer
-	codec       codec.Jobs
-	incarnation identifier.Incarnation
+	platform  Platform
+	observers Observers
+	clock     timer.Service
+	log       *logger.Logger
+	store     *storer.Storer
+	// availability knows of outages of the key-value service.
+	availability *storer.Availability
+	codec        codec.Jobs
+	incarnation  identifier.Incarnation
 }
 
 // Observers receive the log lines and metrics of a process.
@@ -161,13 +159,30 @@
 
 func newBase(s Settings, p Platform, o Observers) base {
 	clock := timer.NewSystem()
+	availability := storer.NewAvailability(clock, minLapseOutage(s.Heartbeat))
+	p.KeyValue = storer.Observe(p.KeyValue, availability)
 	return base{
-		Settings: s, platform: p, observers: o, clock: clock, log: o.Log,
+		Settings: s, platform: p, observers: o, clock: clock, log: o.Log, availability: availability,
 		store:       storer.NewStorer(p.KeyValue, clock, storer.WithMaxPause(maxPause), storer.WithCallTimeout(callTimeout)),
 		incarnation: identifier.Incarnation(clock.Now().UnixMilli()),
 	}
 }
 
+const (
+	// silentHeartbeats is the least number of heartbeats between the begin of an outage and the end of a listing's lease,
+	// which lasts three of them and was renewed within the one before.
+	silentHeartbeats = 2
+	// outageMargin is how much later than its begin a process may notice an outage: its registration is renewed so often.
+	outageMargin = presenceTTL/renewalsPerTTL + 100*time.Millisecond
+	// shortestOutage is the shortest time without an answer that counts as an outage.
+	shortestOutage = 300 * time.Millisecond
+)
+
+// minLapseOutage returns the shortest outage that a process sees in which the listing of a target may lapse.
+func minLapseOutage(heartbeat time.Duration) time.Duration {
+	return max(shortestOutage, silentHeartbeats*heartbeat-outageMargin)
+}
+
 func (b base) owner() recorder.Owner { return recorder.Owner{Node: b.Node, Incarnation: b.incarnation} }
 
 // follow keeps a view of the keys below a prefix up to date. A change reaches the view within maxDelay.
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -72,8 +72,8 @@
 // errContradiction is the reason why a target is not used whose listings name several releases for one start.
 var errContradiction = errors.New("listings of one start name several software versions")
 
-// lapseWindow is the time after an interruption within which a listing may have been removed only because its lease
-// expired while the store was unavailable.
+// lapseWindow is the time after an outage within which a listing may have been removed only because its lease expired while
+// the store was away. At any other time a removal means that the target has left, however this process came to know of it.
 const lapseWindow = 3 * time.Second
 
 // targetView is a storer.View of the listings of targets. It updates the registrar and the router.
@@ -83,8 +83,8 @@
 	router    *router.Router
 	clock     timer.Service
 	log       *logger.Logger
-	// interruptedAt is the monotonic time of the last interruption; zero before the first.
-	interruptedAt time.Duration
+	// availability knows whether leases may have expired in an outage; it may be nil.
+	availability *storer.Availability
 	// departures holds the targets that said that they leave; it may be nil.
 	departures *registrar.Departures
 	// adopting is held from the making of a view to its adoption, so that no earlier view replaces a later one.
@@ -112,12 +112,23 @@
 		}
 	}
 	v.unusableCount.Store(int64(len(v.unusable)))
-	v.update(v.registrar.Replace(all, v.clock.Monotonic()))
+	if v.mayHaveLapsed() {
+		v.update(v.registrar.ReplaceAfterOutage(all, v.clock.Monotonic()))
+	} else {
+		ended, removed := v.registrar.Replace(all)
+		for _, id := range removed {
+			v.log.Emit(logger.TargetUnlisted, "target", id, "lapsed", false)
+		}
+		v.update(ended)
+	}
 	v.synced.Store(true)
 }
 
-// Interrupted records the time from which changes of listings may be missed.
-func (v *targetView) Interrupted() { v.interruptedAt = v.clock.Monotonic() }
+// Interrupted has no effect: reads that fail do not show that the leases of listings have expired.
+func (v *targetView) Interrupted() {}
+
+// mayHaveLapsed reports whether a listing that is not there may be back soon.
+func (v *targetView) mayHaveLapsed() bool { return v.availability.AwayWithin(lapseWindow) }
 
 // Apply applies the change of one listing. A listing that can't be decoded counts as removed.
 func (v *targetView) Apply(c storer.Change) {
@@ -137,12 +148,11 @@
 			return
 		}
 	}
-	now := v.clock.Monotonic()
-	lapsed := v.interruptedAt > 0 && now-v.interruptedAt < lapseWindow
+	lapsed := v.mayHaveLapsed()
 	v.log.Emit(logger.TargetUnlisted, "target", id, "lapsed", lapsed, "changed", c.Changed)
 	var removed []registrar.Listing
 	if lapsed {
-		v.registrar.MarkLapsed(id, now)
+		v.registrar.MarkLapsed(id, v.clock.Monotonic())
 	} else {
 		removed = v.registrar.Remove(id)
 	}
--- a/internal/registrar/departures_test.go
+++ b/internal/registrar/departures_test.go
@@ -25,7 +25,7 @@
 	r.Put(listing("a", 5))
 	c.Assert(serving(r), qt.Equals, "b", qt.Commentf("a ready listing of the same start"))
 	r.Remove("a")
-	r.Replace([]registrar.Listing{listing("a", 4), listing("b", 5)}, time.Second)
+	r.ReplaceAfterOutage([]registrar.Listing{listing("a", 4), listing("b", 5)}, time.Second)
 	c.Assert(serving(r), qt.Equals, "b", qt.Commentf("an older history"))
 	r.Put(listing("a", 6))
 	c.Assert(serving(r), qt.Equals, "a b", qt.Commentf("a later start"))
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -92,28 +92,62 @@
 	})
 }
 
-// Replace puts all listings into the table after the watch of them was interrupted. Targets without a listing are
-// kept for lapseGrace, because the leases of listings expire while the store is unavailable. It returns the listings of
-// incarnations that were replaced by others.
-func (r *Registrar) Replace(all []Listing, now time.Duration) []Listing {
+// Replace makes all listings the contents of the table. It returns the listings of incarnations that have ended, and which
+// targets are no longer listed.
+func (r *Registrar) Replace(all []Listing) (ended []Listing, removed []identifier.Target) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	listed := make(map[identifier.Target]bool, len(all))
-	replaced := make([]Listing, 0, len(all))
-	for _, l := range all {
-		listed[l.ID] = true
-		replaced = append(replaced, r.put(l)...)
+	defer r.notify()
+	ended = r.putAll(all)
+	removed = r.unlisted(all)
+	for _, id := range removed {
+		ended = append(ended, r.records[id].listing)
+		delete(r.records, id)
 	}
-	for id, rec := range r.records {
-		if !listed[id] && rec.expiresAt == 0 {
+	return ended, removed
+}
+
+// ReplaceAfterOutage puts all listings into the table after an outage of the store. Targets without a listing are kept for
+// lapseGrace, because the leases of listings expire while the store is away. It returns the listings of incarnations that
+// were replaced by others.
+func (r *Registrar) ReplaceAfterOutage(all []Listing, now time.Duration) []Listing {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	defer r.notify()
+	replaced := r.putAll(all)
+	for _, id := range r.unlisted(all) {
+		if rec := r.records[id]; rec.expiresAt == 0 {
 			rec.expiresAt = now + lapseGrace
 			r.records[id] = rec
 		}
 	}
-	r.notify()
 	return replaced
 }
 
+// putAll adds or replaces listings and returns those of the incarnations that were replaced. The caller holds the lock.
+func (r *Registrar) putAll(all []Listing) []Listing {
+	replaced := make([]Listing, 0, len(all))
+	for _, l := range all {
+		replaced = append(replaced, r.put(l)...)
+	}
+	return replaced
+}
+
+// unlisted returns the targets that are not among the listings, in order of their IDs. The caller holds the lock.
+func (r *Registrar) unlisted(all []Listing) []identifier.Target {
+	listed := make(map[identifier.Target]bool, len(all))
+	for _, l := range all {
+		listed[l.ID] = true
+	}
+	var missing []identifier.Target
+	for _, id := range slices.Sorted(maps.Keys(r.records)) {
+		if !listed[id] {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
+
 // Expire drops the targets whose grace period is over, and returns their last listings.
 func (r *Registrar) Expire(now time.Duration) []Listing {
 	r.lock.Lock()
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -54,7 +54,7 @@
 	show("a drains")
 	r.Remove("b")
 	show("b is gone")
-	r.Replace([]registrar.Listing{listing("b", 2)}, 10*time.Second)
+	r.ReplaceAfterOutage([]registrar.Listing{listing("b", 2)}, 10*time.Second)
 	show("only b is there after an outage")
 	r.Expire(11 * time.Second)
 	show("a second later")
@@ -67,6 +67,10 @@
 	r.Expire(22 * time.Second)
 	show("c lapsed two seconds ago")
 	r.Put(listing("c", 1))
+	r.Put(listing("d", 1))
+	r.MarkLapsed("d", 23*time.Second)
+	_, removed := r.Replace([]registrar.Listing{listing("b", 2), listing("c", 1)})
+	show(fmt.Sprintf("the store holds b and c, not %s", removed))
 	for i := range 5 {
 		r.RecordFailure("c", time.Duration(30+i)*time.Second)
 	}
--- a/internal/storer/changebuffer.go
+++ b/internal/storer/changebuffer.go
@@ -198,14 +198,17 @@
 func (f *SharedFeed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, Outcome) {
 	if address, ok := f.source.Address(); ok && f.clock.Monotonic() >= f.directUntil {
 		changes, revision, out := f.source.ReadChanges(ctx, address, prefix, after, min(wait, maxPeerWait))
-		if out == Applied || out == Conflict {
+		switch {
+		case out == Applied:
 			f.fromPeer = true
 			return changes, revision, out
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return nil, 0, Unavailable
+		case out != Conflict:
+			f.directUntil = f.clock.Monotonic() + directPeriod
 		}
-		f.directUntil = f.clock.Monotonic() + directPeriod
+		// After a Conflict the history of the other process begins too late, because it has just started. The service still
+		// has what this process lacks; the next read is made at the other process again.
 	}
 	f.fromPeer = false
 	changes, revision, out := f.Feed.Changes(ctx, prefix, after, wait)
--- a/internal/storer/changebuffer_test.go
+++ b/internal/storer/changebuffer_test.go
@@ -66,10 +66,16 @@
 	buffer *storer.ChangeBuffer
 	mutex  sync.Mutex
 	away   bool
-	asked  int
+	// stopped is set while there is no such process.
+	stopped bool
+	asked   int
 }
 
-func (p *peer) Address() (string, bool) { return "n", true }
+func (p *peer) Address() (string, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return "n", !p.stopped
+}
 
 func (p *peer) ReadChanges(ctx context.Context, _, _ string, after int64, wait time.Duration) ([]storer.Change, int64, storer.Outcome) {
 	p.mutex.Lock()
@@ -148,6 +154,51 @@
 	c.Assert(p.asked > 0, qt.IsTrue)
 }
 
+// Guards against a reader that takes its view for out of date, or reads all entries again, because the process that reads for it
+// has just started and does not have the latest changes.
+func TestLateBufferInterruptsNothing(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewSystem()
+	kv := keyvalue.NewService(clock)
+	kv.Write("p/a", []byte("0"))
+	p := &peer{buffer: storer.NewChangeBuffer(clock, time.Minute), stopped: true}
+	v := &view{changed: make(chan struct{}, 1000)}
+	ctx, cancel := context.WithCancel(t.Context())
+	started := make(chan int64, 1)
+	// start starts the other process after changes of which the reader does not know, in the pause after one that it read.
+	start := func() time.Duration {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		if p.stopped {
+			kv.Write("q/a", []byte("1"))
+			_, revision, _ := kv.Snapshot(ctx, "p/")
+			p.buffer.Reset(revision)
+			p.stopped = false
+			started <- revision
+		}
+		return 0
+	}
+	var following sync.WaitGroup
+	following.Go(func() {
+		feed := storer.NewSharedFeed(kv, p, storer.NewChangeBuffer(clock, time.Second), clock)
+		storer.NewFollower(feed, storer.NewStorer(kv, clock), "p/", start, 100*time.Millisecond).Follow(ctx, v)
+	})
+	for !v.shows("p/a=0") {
+		<-v.changed
+	}
+	kv.Write("p/a", []byte("1"))
+	revision := <-started
+	kv.Write("p/b", []byte("3"))
+	p.buffer.Add(revision, []storer.Change{{Entry: storer.Entry{Key: "p/b", Value: []byte("3"), Changed: revision + 1}}}, revision+1)
+	for !v.shows("p/a=1 p/b=3") {
+		<-v.changed
+	}
+	cancel()
+	following.Wait()
+	c.Assert(v.interrupted, qt.Equals, 0)
+	c.Assert(v.resets, qt.Equals, 1)
+}
+
 // Guards against a reader that waits at a process that has lost the service until long after that process's last read
 // is too old: the reader would keep sending requests to a target that has left.
 func TestChangeBufferDoesNotHoldReaders(t *testing.T) {
--- a/internal/storer/feed.go
+++ b/internal/storer/feed.go
@@ -29,7 +29,7 @@
 	Reset(entries []Entry)
 	// Apply applies one change.
 	Apply(c Change)
-	// Interrupted reports that the view may be out of date from now on.
+	// Interrupted reports that reads fail, so that the view may be out of date from now on.
 	Interrupted()
 }
 
@@ -66,13 +66,16 @@
 		snapshotCtx, cancel := timer.WithTimeout(ctx, f.store.clock, snapshotTimeout)
 		entries, revision, out := f.feed.Snapshot(snapshotCtx, f.prefix)
 		cancel()
-		if out == Applied {
+		switch {
+		case out == Applied:
 			failures = 0
 			v.Reset(entries)
 			f.applyChanges(ctx, v, revision, &failures)
-			if ctx.Err() == nil {
-				v.Interrupted()
-			}
+			// The service has dropped the history. It is not away, so the view is not interrupted.
+			timer.Wait(ctx, f.store.clock, jitteredPause(1, maxFollowPause))
+			continue
+		case ctx.Err() == nil && failures == 0:
+			v.Interrupted()
 		}
 		failures++
 		timer.Wait(ctx, f.store.clock, jitteredPause(failures, maxFollowPause))
--- a/internal/storer/feed_test.go
+++ b/internal/storer/feed_test.go
@@ -20,6 +20,7 @@
 	mutex       sync.Mutex
 	keys        map[string]string
 	interrupted int
+	resets      int
 	changed     chan struct{}
 }
 
@@ -27,6 +28,7 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	v.keys = make(map[string]string)
+	v.resets++
 	for _, e := range entries {
 		v.keys[e.Key] = string(e.Value)
 	}
