conductor, storer: each read, notice or take-over of a job that fails is made again soon

Cause: an owner that could not read its job when it was told of it logged that and did nothing more. A record that names this process, which does not lead the job, counts as a failed read. Notices say whether they were acted on. A refused take-over of a restarted process is made again. The maintenance reads several jobs at a time, so that a slow read holds up no other.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -52,8 +52,8 @@
 	AcceptForwarded(ctx context.Context, s batcher.Spec) conductor.Acceptance
 	// KnownRecord returns the record of a job as this process knows it.
 	KnownRecord(id identifier.Job) (recorder.Record, bool)
-	// Refresh reads the record of a job from the store again.
-	Refresh(ctx context.Context, id identifier.Job)
+	// Refresh reads the record of a job from the store again, and reports whether that succeeded.
+	Refresh(ctx context.Context, id identifier.Job) bool
 }
 
 // FindReply holds the record of a job. Found is false if the process does not know the job.
@@ -113,10 +113,10 @@
 	return nil
 }
 
-// Notify reads the record of a job from the store again, because another process has changed it.
-func (j *Jobs) Notify(id identifier.Job, received *bool) error {
-	*received = true
-	j.handler.Refresh(context.Background(), id)
+// Notify reads the record of a job from the store again, because another process has changed it. The reply says whether that
+// succeeded.
+func (j *Jobs) Notify(id identifier.Job, refreshed *bool) error {
+	*refreshed = j.handler.Refresh(context.Background(), id)
 	return nil
 }
 
@@ -294,10 +294,10 @@
 // submitTimeout limits a submission. A process that takes longer is frozen or has lost the store.
 const submitTimeout = 600 * time.Millisecond
 
-// Notify makes the process at address read the record of a job again, and reports whether that process replied.
+// Notify makes the process at address read the record of a job again, and reports whether it has done so.
 func (c *Client) Notify(ctx context.Context, address string, id identifier.Job) bool {
-	var received bool
-	return c.call(ctx, address, "Jobs.Notify", id, &received, notifyTimeout) && received
+	var refreshed bool
+	return c.call(ctx, address, "Jobs.Notify", id, &refreshed, notifyTimeout) && refreshed
 }
 
 // notifyTimeout limits a notification. The process that receives it reads the store before it replies.
--- a/internal/adapter/jobpeer/jobpeer_test.go
+++ b/internal/adapter/jobpeer/jobpeer_test.go
@@ -39,10 +39,12 @@
 	return recorder.Record{ID: id, Team: "team", Changed: 7}, id != "unknown"
 }
 
-func (h *handler) Refresh(_ context.Context, id identifier.Job) {
+// Refresh fails for one job.
+func (h *handler) Refresh(_ context.Context, id identifier.Job) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.notified = append(h.notified, id)
+	return id != "unreadable"
 }
 
 // serve serves calls at address. The returned function closes the listener and its connections.
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,15 +27,34 @@
 type link struct {
 	*keyvalue.Service
 	*engine
-	down atomic.Bool
+	clock timer.Service
+	// refuseWrites is that of the cluster.
+	refuseWrites *atomic.Bool
+	down         atomic.Bool
 	// turnedAway makes the store refuse every call, while other processes are reached.
 	turnedAway atomic.Bool
+	// unreadable is the prefix of the keys whose ranges can't be read; empty for none. slow is the time that reads take.
+	unreadable atomic.Value
+	slow       atomic.Int64
 	// past holds what stale reads return; if it is nil, they return the present.
 	past atomic.Pointer[map[string]storer.Entry]
 }
 
 func (l *link) reachesStore() bool { return !l.down.Load() && !l.turnedAway.Load() }
 
+// read waits as long as a read takes, and reports whether it succeeds.
+func (l *link) read(ctx context.Context, key string) bool {
+	if slow := l.slow.Load(); slow > 0 {
+		select {
+		case <-l.clock.After(time.Duration(slow)).C():
+		case <-ctx.Done():
+			return false
+		}
+	}
+	prefix, _ := l.unreadable.Load().(string)
+	return l.reachesStore() && (prefix == "" || !strings.HasPrefix(key, prefix))
+}
+
 // GetStale returns an entry of the past.
 func (l *link) GetStale(ctx context.Context, key string) (storer.Entry, storer.Outcome) {
 	past := l.past.Load()
@@ -48,14 +68,14 @@
 }
 
 func (l *link) Get(ctx context.Context, key string) (storer.Entry, storer.Outcome) {
-	if !l.reachesStore() {
+	if !l.read(ctx, key) {
 		return storer.Entry{}, storer.Unavailable
 	}
 	return l.Service.Get(ctx, key)
 }
 
 func (l *link) Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, storer.Outcome) {
-	if !l.reachesStore() {
+	if !l.read(ctx, prefix) {
 		return nil, 0, storer.Unavailable
 	}
 	return l.Service.Snapshot(ctx, prefix)
@@ -75,7 +95,7 @@
 }
 
 func (l *link) Commit(ctx context.Context, t storer.Transaction) storer.Outcome {
-	if !l.reachesStore() {
+	if !l.reachesStore() || l.refuseWrites.Load() {
 		return storer.Unavailable
 	}
 	return l.Service.Commit(ctx, t)
@@ -105,6 +125,8 @@
 	processes []*process
 	// cores holds the cores of the processes; a process that is not in it has an unknown number.
 	cores map[identifier.Node]float64
+	// refuseWrites makes the store refuse every transaction.
+	refuseWrites atomic.Bool
 	// dropNotifications makes every notification between processes fail.
 	dropNotifications atomic.Bool
 }
@@ -149,8 +171,7 @@
 func (p peers) Notify(ctx context.Context, address string, id identifier.Job) bool {
 	for _, other := range p.cluster.processes {
 		if string(other.node) == address && !other.link.down.Load() && !p.cluster.dropNotifications.Load() {
-			other.Refresh(ctx, id)
-			return true
+			return other.Refresh(ctx, id)
 		}
 	}
 	return false
@@ -170,7 +191,7 @@
 
 // restart adds a process in the given incarnation of its node.
 func (cl *cluster) restart(node identifier.Node, incarnation identifier.Incarnation) *process {
-	l := &link{Service: cl.kv, engine: cl.engine}
+	l := &link{Service: cl.kv, engine: cl.engine, clock: cl.clock, refuseWrites: &cl.refuseWrites}
 	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(nil), router.NewRouter(router.WithPolicy(router.NewCombined()))
 	nav.Adopt(testPlan())
 	for i := range 6 {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -32,8 +32,8 @@
 	// Find returns the record of a job as the process at an address knows it. The second result is false if that process
 	// does not know the job or the call failed.
 	Find(ctx context.Context, address string, id identifier.Job) (recorder.Record, bool)
-	// Notify tells the process at an address that the record of a job has changed, and reports whether the call
-	// succeeded.
+	// Notify tells the process at an address that the record of a job has changed, and reports whether that process has
+	// read and applied it.
 	Notify(ctx context.Context, address string, id identifier.Job) bool
 }
 
@@ -82,6 +82,11 @@
 	// unconfirmedCheckedAt is when it last tried to read those records.
 	unconfirmed          map[identifier.Job]batcher.Spec
 	unconfirmedCheckedAt time.Duration
+	// unread holds the jobs of which a read failed, and unnotified the owners that were not notified of a change.
+	unread     retries[struct{}]
+	unnotified retries[recorder.Owner]
+	// loading holds the jobs that this process reads in order to lead them.
+	loading map[identifier.Job]bool
 	// membershipCurrent is false while members may be out of date; membershipStateSince is when members was last
 	// replaced or membershipCurrent last changed.
 	membershipCurrent    bool
@@ -103,7 +108,7 @@
 func NewConductor(deps Dependencies) *Conductor {
 	return &Conductor{
 		Dependencies: deps, records: make(map[identifier.Job]recorder.Record), members: make(map[identifier.Node]recorder.Registration),
-		led:         make(map[identifier.Job]*ledJob),
+		led: make(map[identifier.Job]*ledJob), loading: make(map[identifier.Job]bool),
 		unconfirmed: make(map[identifier.Job]batcher.Spec), queue: worker.NewQueue[assignment](workerCount), wake: make(chan struct{}, 1),
 	}
 }
@@ -127,6 +132,7 @@
 		// Readers that still ask this process must get the results of the next owner, not the last ones from here.
 		c.stopLeading(l, "the process is stopping")
 	}
+	c.finishNotices(ctx)
 	if c.cancel != nil {
 		c.cancel()
 		c.pool.Close()
--- a/internal/conductor/export_test.go
+++ b/internal/conductor/export_test.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
 
@@ -22,3 +24,15 @@
 	task, _ := j.Next(0, batcher.Constraint{})
 	c.runItem(ctx, assignment{ledJob: &ledJob{job: j}, task: task, target: t})
 }
+
+// Successor returns the process that becomes the owner of a job if this one closes or is lost.
+func (c *Conductor) Successor(id identifier.Job) (recorder.Registration, bool) {
+	return c.selectProcess(string(id), func(p recorder.Registration) bool { return p.Owner.Node != c.Self.Node })
+}
+
+// MembershipCurrent reports whether this process takes its members for up to date.
+func (c *Conductor) MembershipCurrent() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.membershipCurrent
+}
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -34,26 +34,36 @@
 func (l *ledJob) age(now time.Duration) time.Duration { return l.ageThen + now - l.began }
 
 // Refresh reads the record of a job from the store again and applies it, for example after a peer's notification of
-// a change.
-func (c *Conductor) Refresh(ctx context.Context, id identifier.Job) {
+// a change. It reports whether that succeeded; if not, it is repeated soon.
+func (c *Conductor) Refresh(ctx context.Context, id identifier.Job) bool {
 	r, out, err := c.Recorder.Record(ctx, id)
+	ok := true
 	switch {
 	case out != applied || err != nil:
 		c.Log.Emit(logger.JobUnreadable, "job", id, "outcome", out.String(), "error", err)
+		ok = false
 	case r.Changed == 0:
 		c.applyErasure(id)
 	default:
-		c.applyRecord(ctx, r)
+		ok = c.applyRecord(ctx, r)
 	}
+	if !ok {
+		c.readAgain(id)
+		return false
+	}
+	c.lock.Lock()
+	c.unread.Remove(id)
+	c.lock.Unlock()
+	return true
 }
 
 // applyRecord caches a record that was read and starts or stops leading its job accordingly. It ignores a record that
-// is older than the cached one.
-func (c *Conductor) applyRecord(ctx context.Context, r recorder.Record) {
+// is older than the cached one. It is false if the job could not be read.
+func (c *Conductor) applyRecord(ctx context.Context, r recorder.Record) bool {
 	c.lock.Lock()
 	if old, ok := c.records[r.ID]; ok && old.Changed > r.Changed {
 		c.lock.Unlock()
-		return
+		return true
 	}
 	c.records[r.ID] = r
 	l := c.led[r.ID]
@@ -66,6 +76,7 @@
 	owned := r.Owner == c.Self
 	// A job that another process has led may have results and texts in the store.
 	submittedHere = submittedHere && r.Term == 1
+	ok := true
 	switch {
 	case l != nil && !owned:
 		c.stopLeading(l, "the record names another owner")
@@ -76,9 +87,10 @@
 		job.RestoreTexts(c.reusableTexts(job), c.Clock.Monotonic())
 		c.startLeading(r, job, 0)
 	case l == nil && owned && !r.Ended:
-		c.loadJob(ctx, r)
+		ok = c.loadJob(ctx, r)
 	}
 	c.TriggerAssignment()
+	return ok
 }
 
 // applyErasure drops a job whose record no longer exists in the store.
@@ -147,15 +159,38 @@
 	return texts
 }
 
-// loadJob reads the spec, results and partial texts of a job from the store and starts leading it.
-func (c *Conductor) loadJob(ctx context.Context, r recorder.Record) {
+// beginLoading reports whether this process may begin to read a job in order to lead it: it does not do so already.
+func (c *Conductor) beginLoading(id identifier.Job) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.loading[id] {
+		return false
+	}
+	c.loading[id] = true
+	return true
+}
+
+func (c *Conductor) endLoading(id identifier.Job) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	delete(c.loading, id)
+}
+
+// loadJob reads the spec, results and partial texts of a job from the store and starts leading it. It is false if one of them
+// could not be read, or another goroutine reads them: that one may have begun with an older record.
+func (c *Conductor) loadJob(ctx context.Context, r recorder.Record) bool {
+	if !c.beginLoading(r.ID) {
+		return false
+	}
+	defer c.endLoading(r.ID)
 	var reads sync.WaitGroup
 	var results []batcher.Result
 	var resultsOut storeOutcome
 	var resultsErr error
 	var texts []batcher.PartialText
+	textsRead := true
 	reads.Go(func() { results, resultsOut, resultsErr = c.Recorder.Results(ctx, r.ID) })
-	reads.Go(func() { texts = c.storedTexts(ctx, r) })
+	reads.Go(func() { texts, textsRead = c.storedTexts(ctx, r) })
 	spec, out, err := c.Recorder.Spec(ctx, r)
 	reads.Wait()
 	if out == applied && err == nil {
@@ -163,20 +198,34 @@
 	}
 	if out != applied || err != nil || len(spec.Items) == 0 {
 		c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
-		return
+		return false
+	}
+	if !textsRead && c.firstRead(r.ID) {
+		return false
 	}
 	job := batcher.NewJob(spec, results...)
 	job.RestoreSavedTexts(texts, c.Clock.Monotonic())
 	c.startLeading(r, job, max(0, c.Clock.Now().Sub(r.Submitted)))
+	return true
 }
 
-// storedTexts returns the partial texts that previous owners have saved. Without them the items are generated again.
-func (c *Conductor) storedTexts(ctx context.Context, r recorder.Record) []batcher.PartialText {
+// firstRead reports whether a job was not yet tried again. Texts that can't be read then either are generated anew: the job
+// must not wait for them.
+func (c *Conductor) firstRead(id identifier.Job) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	_, again := c.unread.entries[id]
+	return !again
+}
+
+// storedTexts returns the partial texts that previous owners have saved. It is false if they could not be read.
+func (c *Conductor) storedTexts(ctx context.Context, r recorder.Record) ([]batcher.PartialText, bool) {
 	texts, out, err := c.Recorder.PartialTexts(ctx, r.ID)
 	if out != applied || err != nil {
 		c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
+		return nil, false
 	}
-	return texts
+	return texts, true
 }
 
 // handOver stores pending results, makes another process the owner of a job and notifies it.
@@ -193,6 +242,6 @@
 	out, err := c.Recorder.HandOver(ctx, record, record.WithOwner(successor.Owner), c.nextSave(l), texts)
 	c.Log.Emit(logger.JobHandedOver, "job", record.ID, "to", successor.Owner.Node, "texts", len(texts), "outcome", out.String(), "error", err)
 	if out == applied {
-		c.Peers.Notify(ctx, successor.Address, l.id)
+		c.notify(ctx, successor, l.id)
 	}
 }
--- a/internal/conductor/maintain.go
+++ b/internal/conductor/maintain.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -52,12 +54,8 @@
 			return
 		}
 		reclaimed = reclaimed || c.reclaim(ctx)
-		for _, id := range c.dueRefreshes() {
-			if ctx.Err() != nil {
-				return
-			}
-			c.Refresh(ctx, id)
-		}
+		c.refreshAll(ctx, c.dueRefreshes())
+		c.repeatNotices(ctx)
 		if c.sweepDue() {
 			c.sweep(ctx)
 		}
@@ -66,13 +64,14 @@
 }
 
 // reclaim takes over the jobs of earlier incarnations of this process. They can't be running any more, so no delay is
-// needed. It returns false if the store could not be read.
+// needed. It returns false if the store could not be read, or a job not taken over.
 func (c *Conductor) reclaim(ctx context.Context) bool {
 	records, out, err := c.Recorder.Records(ctx)
 	if out != applied || err != nil {
 		return false
 	}
 	var takeovers sync.WaitGroup
+	var failed atomic.Bool
 	for _, r := range records {
 		if r.Owner.Node != c.Self.Node || r.Owner == c.Self || r.Ended {
 			continue
@@ -80,13 +79,17 @@
 		takeovers.Go(func() {
 			out, err := c.Recorder.Replace(ctx, r, r.WithOwner(c.Self))
 			c.Log.Emit(logger.JobAdopted, "job", r.ID, "from", r.Owner.Node, "to", c.Self.Node, "outcome", out.String(), "error", err)
-			if out == applied {
+			switch {
+			case out == applied:
 				c.Refresh(ctx, r.ID)
+			case out != conflict:
+				// After a conflict another process has changed the record, and with it the owner.
+				failed.Store(true)
 			}
 		})
 	}
 	takeovers.Wait()
-	return true
+	return !failed.Load()
 }
 
 // dueRefreshes returns the jobs whose records have to be read again, and drops expired jobs, specs and records from
@@ -127,7 +130,9 @@
 			delete(c.records, id)
 		}
 	}
-	return due
+	due = append(due, c.dueReads(now)...)
+	slices.Sort(due)
+	return slices.Compact(due)
 }
 
 // sweepDue reports whether this process has to sweep now, and schedules the next sweep if so.
@@ -151,9 +156,7 @@
 	records, out, err := c.Recorder.Records(ctx)
 	if out != applied || err != nil {
 		c.Log.Emit(logger.JobUnreadable, "outcome", out.String(), "error", err)
-		c.lock.Lock()
-		c.nextSweepAt = c.Clock.Monotonic() + sweepRetryDelay
-		c.lock.Unlock()
+		c.sweepAgain()
 		return
 	}
 	wall := c.Clock.Now()
@@ -186,15 +189,18 @@
 	c.Log.Emit(logger.JobAdopted, "job", r.ID, "from", r.Owner.Node, "to", successor.Owner.Node, "outcome", out.String(), "error", err)
 	switch {
 	case out != applied:
-		c.lock.Lock()
-		c.nextSweepAt = c.Clock.Monotonic() + sweepRetryDelay
-		c.lock.Unlock()
+		c.sweepAgain()
 	case successor.Owner == c.Self:
 		c.Refresh(ctx, r.ID)
-	case !c.Peers.Notify(ctx, successor.Address, r.ID):
-		// The new owner may be gone, and the next sweep chooses another one. Otherwise that sweep notifies it again.
-		c.lock.Lock()
-		c.nextSweepAt = c.Clock.Monotonic() + sweepRetryDelay
-		c.lock.Unlock()
+	default:
+		// If the new owner is gone, the sweep that follows its removal chooses another one.
+		c.notify(ctx, successor, r.ID)
 	}
 }
+
+// sweepAgain schedules the next sweep soon, because a part of this one failed.
+func (c *Conductor) sweepAgain() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.nextSweepAt = c.Clock.Monotonic() + sweepRetryDelay
+}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -51,6 +51,16 @@
 	c.membershipCurrent, c.membershipStateSince = false, c.Clock.Monotonic()
 }
 
+// Resumed marks the members as up to date again. Without it no job would be swept until a process joins or leaves.
+func (v *MembershipView) Resumed() {
+	c := v.conductor
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if !c.membershipCurrent {
+		c.membershipCurrent, c.membershipStateSince = true, c.Clock.Monotonic()
+	}
+}
+
 // Apply applies one change of a registration.
 func (v *MembershipView) Apply(change storer.Change) {
 	c := v.conductor
@@ -65,16 +75,12 @@
 	c.Log.Emit(logger.PeerChanged, "node", name, "there", !change.Removed, "address", p.Address, "leaving", p.Leaving)
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	now := c.Clock.Monotonic()
-	if !c.membershipCurrent {
-		c.membershipCurrent, c.membershipStateSince = true, now
-	}
 	if change.Removed {
 		delete(c.members, name)
 	} else {
 		c.members[name] = p
 	}
-	c.membershipChangedAt = now
+	c.membershipChangedAt = c.Clock.Monotonic()
 }
 
 func (v *MembershipView) decode(e storer.Entry) (recorder.Registration, bool) {
--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -154,7 +154,7 @@
 	delete(c.records, r.ID)
 	c.lock.Unlock()
 	if registered {
-		c.Peers.Notify(ctx, owner.Address, r.ID)
+		c.notify(ctx, owner, r.ID)
 	}
 }
 
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -99,7 +99,7 @@
 	switch {
 	case acceptance != Accepted || out != applied:
 	case closing:
-		c.Peers.Notify(ctx, owner.Address, s.ID)
+		c.notify(ctx, owner, s.ID)
 	default:
 		c.Refresh(context.WithoutCancel(ctx), s.ID)
 	}
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -25,12 +25,13 @@
 	// onDesired is called with desired versions and onRetire with VMs to retire; either may be nil.
 	onDesired func(upgrader.DesiredVersion)
 	onRetire  func(n identifier.Node, status storer.Put)
-	// interrupted is set from an interruption of the watch until the next change.
+	// interrupted is set from an interruption of the watch until reads work again.
 	interrupted bool
 }
 
 // Reset applies all entries.
 func (v *operatorView) Reset(entries []storer.Entry) {
+	v.Resumed()
 	for _, e := range entries {
 		v.Apply(storer.Change{Entry: e})
 	}
@@ -44,12 +45,16 @@
 	v.interrupted = true
 }
 
-// Apply decodes one changed entry and adopts it. Removed entries are ignored.
-func (v *operatorView) Apply(c storer.Change) {
+// Resumed logs that the plan is up to date again.
+func (v *operatorView) Resumed() {
 	if v.interrupted {
 		v.log.Emit(logger.StoreRegained)
-		v.interrupted = false
 	}
+	v.interrupted = false
+}
+
+// Apply decodes one changed entry and adopts it. Removed entries are ignored.
+func (v *operatorView) Apply(c storer.Change) {
 	if c.Removed {
 		return
 	}
@@ -127,6 +132,9 @@
 // Interrupted has no effect: reads that fail do not show that the leases of listings have expired.
 func (v *targetView) Interrupted() {}
 
+// Resumed has no effect either.
+func (v *targetView) Resumed() {}
+
 // mayHaveLapsed reports whether a listing that is not there may be back soon.
 func (v *targetView) mayHaveLapsed() bool { return v.availability.AwayWithin(lapseWindow) }
 
--- a/internal/storer/feed.go
+++ b/internal/storer/feed.go
@@ -31,6 +31,8 @@
 	Apply(c Change)
 	// Interrupted reports that reads fail, so that the view may be out of date from now on.
 	Interrupted()
+	// Resumed reports that reads of changes work again after an interruption, whether or not there are changes.
+	Resumed()
 }
 
 // Follower keeps a view of the keys below a prefix up to date.
@@ -94,6 +96,9 @@
 		}
 		switch out {
 		case Applied:
+			if *failures > 0 {
+				v.Resumed()
+			}
 			*failures = 0
 			for _, c := range changes {
 				v.Apply(c)
--- a/internal/storer/feed_test.go
+++ b/internal/storer/feed_test.go
@@ -21,6 +21,7 @@
 	keys        map[string]string
 	interrupted int
 	resets      int
+	resumed     int
 	changed     chan struct{}
 }
 
@@ -52,6 +53,18 @@
 	v.interrupted++
 }
 
+func (v *view) count(n *int) int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return *n
+}
+
+func (v *view) Resumed() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.resumed++
+}
+
 func (v *view) shows(want string) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
@@ -65,7 +78,7 @@
 }
 
 // Guards against a view that misses a change, even if the service drops the history or is down for a while, that holds
-// keys of another prefix, or whose Interrupted method is called when the follower is stopped.
+// keys of another prefix, that is not told when reads work again, or whose Interrupted method is called when the follower is stopped.
 func TestFollower(t *testing.T) {
 	c := qt.New(t)
 	clock := timer.NewSystem()
@@ -92,8 +105,15 @@
 	kv.Write("p/b", []byte("4"))
 	until("p/b=4")
 	kv.Set(keyvalue.Faults{Down: true})
-	kv.Write("p/a", []byte("5"))
+	for v.count(&v.interrupted) == 0 {
+		<-clock.After(10 * time.Millisecond).C()
+	}
 	kv.Set(keyvalue.Faults{})
+	// Reads that work again are reported although nothing has changed.
+	for v.count(&v.resumed) == 0 {
+		<-clock.After(10 * time.Millisecond).C()
+	}
+	kv.Write("p/a", []byte("5"))
 	until("p/a=5 p/b=4")
 	v.mutex.Lock()
 	before := v.interrupted
