conductor: a job that is led here adopts no record of another owner

Cause: a former owner that read the new record put it into its job before it stopped leading it. A commit under way took that record as the guard of its write, and the guard held under the new owner's revision. An owner that got a job back without having noticed that another process had led it went on in the same way with what it had before. TestFormerOwnerWritesNothing and TestOwnerAgainReadsItsJob fail without the change: a late write succeeds; no further result in 10 s. Change: a led job adopts only a record that names this process and is the one that it holds, or has ended. At any other it is given up, and read from the store if this process is the owner again.

--- a/internal/conductor/export_test.go
+++ b/internal/conductor/export_test.go
@@ -36,3 +36,15 @@
 	defer c.lock.Unlock()
 	return c.membershipCurrent
 }
+
+// Led returns a job that this process leads.
+func (c *Conductor) Led(id identifier.Job) *ledJob {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.led[id]
+}
+
+// StoreLate writes a result of a job, as a commit does that was under way when the process stopped leading the job.
+func (c *Conductor) StoreLate(ctx context.Context, l *ledJob, r batcher.Result) bool {
+	return c.storeResults(ctx, l, 0, []batcher.Result{r})
+}
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -67,19 +67,24 @@
 	}
 	c.records[r.ID] = r
 	l := c.led[r.ID]
-	if l != nil {
+	owned := r.Owner == c.Self
+	// Only a record under which this process may write becomes the guard of its writes: a commit may be under way that has not
+	// seen yet that the job is another's. Other processes change a record that has not ended only by giving it to another owner.
+	current := l != nil && owned && (r.Ended || r.Changed == l.record.Changed)
+	if current {
 		l.record, l.confirmedAt = r, c.Clock.Monotonic()
 	}
 	spec, submittedHere := c.unconfirmed[r.ID]
 	delete(c.unconfirmed, r.ID)
 	c.lock.Unlock()
-	owned := r.Owner == c.Self
 	// A job that another process has led may have results and texts in the store.
 	submittedHere = submittedHere && r.Term == 1
 	ok := true
+	if l != nil && !current {
+		c.stopLeading(l, "the job was given to another owner")
+		l = nil
+	}
 	switch {
-	case l != nil && !owned:
-		c.stopLeading(l, "the record names another owner")
 	case l != nil && r.Ended:
 		l.job.Finish()
 	case l == nil && owned && !r.Ended && submittedHere:
--- a/internal/conductor/unread_test.go
+++ b/internal/conductor/unread_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -161,6 +162,61 @@
 	r.finish(c, sweeper)
 }
 
+// Guards against a former owner that writes results under the record of the new owner, which then conflicts with them for good.
+func TestFormerOwnerWritesNothing(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 25, 0)
+	cl.engine.callTime = callTime
+	a, b := cl.start("a"), cl.start("b")
+	for a.Processes() < 2 || b.Processes() < 2 {
+		<-cl.clock.After(20 * time.Millisecond).C()
+	}
+	s := newSpec("job", itemCount)
+	c.Assert(a.Accept(t.Context(), s), qt.Equals, conductor.Accepted)
+	former := a.Led("job")
+	a.link.turnedAway.Store(true)
+	cl.kv.Remove(recorder.NodeKey("a"))
+	for b.JobCount() == 0 {
+		<-cl.clock.After(10 * time.Millisecond).C()
+	}
+	a.link.turnedAway.Store(false)
+	a.Refresh(t.Context(), "job")
+	c.Assert(a.JobCount(), qt.Equals, 0)
+	c.Assert(a.StoreLate(t.Context(), former, batcher.Result{Item: s.Items[0].ID}), qt.IsFalse)
+	r := &reader{cluster: cl, spec: s}
+	r.finish(c, b)
+}
+
+// Guards against an owner that was away while another process led its job, and goes on with what it had before: its results then
+// conflict with those of the other one for good.
+func TestOwnerAgainReadsItsJob(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 26, 0)
+	cl.engine.callTime = callTime
+	a, b := cl.start("a"), cl.start("b")
+	for a.Processes() < 2 || b.Processes() < 2 {
+		<-cl.clock.After(20 * time.Millisecond).C()
+	}
+	s := newSpec("job", itemCount)
+	c.Assert(a.Accept(t.Context(), s), qt.Equals, conductor.Accepted)
+	a.link.turnedAway.Store(true)
+	cl.kv.Remove(recorder.NodeKey("a"))
+	for b.JobCount() == 0 {
+		<-cl.clock.After(10 * time.Millisecond).C()
+	}
+	r := &reader{cluster: cl, spec: s}
+	for len(r.seen) < 50 {
+		r.readPage(c, b)
+	}
+	cl.register(a)
+	for b.Processes() < 2 {
+		<-cl.clock.After(10 * time.Millisecond).C()
+	}
+	b.Close(t.Context())
+	a.link.turnedAway.Store(false)
+	r.finish(c, a)
+}
+
 // Guards against processes that sweep no jobs after an interruption of their watch, until another process joins or leaves.
 func TestMembersAreCurrentAgain(t *testing.T) {
 	c := qt.New(t)
