forwarder, registrar, platform: an answer that may be continued comes from the listed start

Cause: the origin of a stream, and of an item's text, is the software version of the listing by which its sampler was chosen. A sampler was asked for its start before a continuation and after a failed attempt, not before a first attempt, and an entry whose listings stand still has no failed attempt at a sampler that started again with other software. Change: an answer says when its connection was opened. Before its events count, the sampler is asked for its start, unless it confirmed the listed one after that. A connection ends with the start that accepted it, so that one question covers all connections opened before. An answer of another start is not used. A question for each burst of new connections is what it costs.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -95,6 +95,12 @@
 	if outcome := answerOutcome(answer, fault); outcome != attemptComplete {
 		return outcome, router.Target{}
 	}
+	if !c.Forwarder.ConfirmAnswer(ctx, a.target, answer) {
+		if outcome := cancelOutcome(ctx); outcome != 0 {
+			return outcome, router.Target{}
+		}
+		return attemptUnsent, router.Target{}
+	}
 	return c.readEvents(ctx, a, answer, t)
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -93,6 +93,8 @@
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
 	Body   io.ReadCloser
+	// Opened is when the connection of the answer was opened; it is zero if that is unknown.
+	Opened time.Time
 }
 
 // Fault is the reason why an attempt has no answer.
@@ -153,11 +155,27 @@
 	if f.Starts == nil || !continues && !f.Registrar.Unconfirmed(t.ID) {
 		return true
 	}
+	return f.askStart(ctx, t)
+}
+
+// ConfirmAnswer reports whether an answer that may be continued later came from the start that the listing of its target names, and so
+// from its release. An entry whose listings are out of date would else file the answer under the release of an earlier start. A
+// connection ends with the start that accepted it, so that one question covers all connections that were opened before it.
+func (f *Forwarder) ConfirmAnswer(ctx context.Context, t router.Target, a Answer) bool {
+	if f.Starts == nil || f.Registrar.ConfirmedSince(t.ID, a.Opened) {
+		return true
+	}
+	return f.askStart(ctx, t)
+}
+
+// askStart asks a target for its start, and reports whether it is the listed one.
+func (f *Forwarder) askStart(ctx context.Context, t router.Target) bool {
+	asked := f.Clock.Now()
 	serving, ok := f.Starts.Start(ctx, t)
 	if !ok || serving != t.Incarnation {
 		return false
 	}
-	f.Registrar.Confirm(t.ID)
+	f.Registrar.Confirm(t.ID, asked)
 	return true
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -105,6 +105,12 @@
 	}
 	defer a.Body.Close() //nolint:errcheck // the answer was read, so the error changes nothing
 	x.countRequest(sent.at)
+	if x.route.Resumable && !x.ConfirmAnswer(ctx, target, a) {
+		attempt.Fault = Broken
+		attempt.Took = x.Clock.Monotonic() - began
+		x.recordAttempt(ctx, sent, attempt)
+		return false, ctx.Err() == nil
+	}
 	if !x.recordOrigin(ctx, target) {
 		return false, false
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -45,8 +45,10 @@
 	intervals eventIntervals
 	// contradictory is set once listings of one start have named several releases, so that the running one is not known.
 	contradictory bool
-	// unconfirmed is set after a failed attempt, until the target confirms the start that its listing names.
+	// unconfirmed is set after a failed attempt, until the target confirms the start that its listing names. confirmed is when
+	// it was last asked for its start and confirmed it; zero if it never was.
 	unconfirmed bool
+	confirmed   time.Time
 }
 
 // NewRegistrar returns an empty Registrar with the region of each availability zone.
@@ -200,14 +202,25 @@
 	return r.records[id].unconfirmed
 }
 
-// Confirm records that the start of a target which its listing names serves.
-func (r *Registrar) Confirm(id identifier.Target) {
+// Confirm records that the start of a target which its listing names serves, by an answer to a question of the given time.
+func (r *Registrar) Confirm(id identifier.Target, asked time.Time) {
 	r.update(id, func(rec record) record {
 		rec.unconfirmed = false
+		if asked.After(rec.confirmed) {
+			rec.confirmed = asked
+		}
 		return rec
 	})
 }
 
+// ConfirmedSince reports whether a target was asked for its start at the given time or later, and confirmed the listed one. It is
+// false for the zero time.
+func (r *Registrar) ConfirmedSince(id identifier.Target, since time.Time) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return !since.IsZero() && !r.records[id].confirmed.Before(since)
+}
+
 // RecordVersion records the weight version with which a target answered. It ignores versions below the known one.
 func (r *Registrar) RecordVersion(id identifier.Target, m identifier.Model, v identifier.Version) {
 	r.update(id, func(rec record) record {
