--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -168,3 +169,22 @@
 	defer p.mutex.Unlock()
 	return append([]string(nil), p.findings...)
 }
+
+// PeakMemory returns the largest resident memory of the running process so far, in bytes, as the kernel states it.
+func (p *Process) PeakMemory() (int64, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.run == nil {
+		return 0, fmt.Errorf("%s does not run", p.name)
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.run.cmd.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("read memory of %s: %w", p.name, err)
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	var kibibytes int64
+	if _, err := fmt.Sscan(rest, &kibibytes); err != nil {
+		return 0, fmt.Errorf("read memory of %s: %w", p.name, err)
+	}
+	return kibibytes << 10, nil
+}
