conductor, batcher, platform: a job waits for the configuration by which it was accepted

Cause: the leader of a job took a route that its configuration does not hold for one that has ended, although the job had been accepted under a newer configuration than its own. TestRouteThatIsNotReadYet without the change: 40 of 40 items abandoned. Change: a job holds the revision of the configuration by which it was accepted.

--- a/internal/batcher/spec.go
+++ b/internal/batcher/spec.go
@@ -25,7 +25,9 @@
 	// Desired is the number of complete groups that the trainer waits for.
 	Desired   int
 	Submitted time.Time
-	Items     []Item
+	// Revision is that of the configuration by which the job was accepted.
+	Revision identifier.Revision
+	Items    []Item
 }
 
 // Item is one rollout of a job.
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -111,9 +111,10 @@
 // process is a Conductor with its connections.
 type process struct {
 	*conductor.Conductor
-	link  *link
-	owner recorder.Owner
-	node  identifier.Node
+	navigator *navigator.Navigator
+	link      *link
+	owner     recorder.Owner
+	node      identifier.Node
 }
 
 // cluster is a store, an engine and the processes that use them.
@@ -178,12 +179,12 @@
 }
 
 // testPlan returns a plan with one route for jobs and one for scoring calls.
-func testPlan() navigator.Plan {
+func testPlan(more ...navigator.Route) navigator.Plan {
 	shares := []navigator.Share{{Service: "s", Weight: 1}}
-	return navigator.NewPlan(1).WithRoutes(
+	return navigator.NewPlan(identifier.Revision(1 + len(more))).WithRoutes(append(more,
 		navigator.Route{Name: "jobs", Host: "h", Prefix: "/jobs/", Kind: navigator.Rollout, Shares: shares, MaxAttempts: 3, QueueTTL: time.Minute},
 		navigator.Route{Name: "score", Host: "h", Prefix: "/score/", Kind: navigator.Repeatable, Shares: shares, MaxAttempts: 4, Public: true},
-	).WithTeams(navigator.Team{Name: "team", Keys: []string{"key"}})
+	)...).WithTeams(navigator.Team{Name: "team", Keys: []string{"key"}})
 }
 
 // start adds a process in its first incarnation.
@@ -207,7 +208,7 @@
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: l, Opener: cl.engine, Clock: cl.clock, Zone: "z",
 	})
 	me := recorder.Owner{Node: node, Incarnation: incarnation}
-	p := &process{link: l, owner: me, node: node, Conductor: conductor.NewConductor(conductor.Dependencies{
+	p := &process{link: l, navigator: nav, owner: me, node: node, Conductor: conductor.NewConductor(conductor.Dependencies{
 		Self: me, Recorder: recorder.NewRecorder(store.WithPurpose(storer.PurposeRun), codec.Jobs{}), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: l, Opener: cl.engine, Peers: peers{cluster: cl}, Clock: cl.clock, Zone: "z", Retention: 2 * time.Minute,
 		StoreReached: l.reachesStore,
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -84,7 +84,8 @@
 		spec := l.job.Spec()
 		route, known := plan.Route(spec.Host, spec.Path)
 		switch {
-		case plan.Revision() == 0:
+		case plan.Revision() == 0, plan.Revision() < spec.Revision:
+			// The route may be one that this process has not read yet.
 			continue
 		case !known || route.Kind != navigator.Rollout, c.expired(l, route):
 			l.job.AbandonWaiting()
--- a/internal/conductor/submit_test.go
+++ b/internal/conductor/submit_test.go
@@ -10,6 +10,7 @@
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/navigator"
 )
 
 // jobsByProcess returns how many jobs each process of a cluster leads or keeps for readers.
@@ -115,3 +116,33 @@
 		c.Assert(p.Submit(t.Context(), newSpec("next-"+string(p.node), 4)), qt.Equals, conductor.Accepted, qt.Commentf("%s", p.node))
 	}
 }
+
+// Guards against the items of an accepted job that are abandoned by an owner which has not read the configuration with its route yet,
+// and against items that wait for a route that a later configuration removed.
+func TestRouteThatIsNotReadYet(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 31, 0)
+	a := cl.start("a")
+	added := navigator.Route{
+		Name: "added", Host: "h", Prefix: "/added/", Kind: navigator.Rollout, Shares: []navigator.Share{{Service: "s", Weight: 1}},
+		MaxAttempts: 3, QueueTTL: time.Minute,
+	}
+	s := newSpec("job", 40)
+	s.Path, s.Revision = "/added/job", 2
+	c.Assert(a.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+	page, _ := a.Results(t.Context(), "team", "job", 0, time.Second)
+	c.Assert(page.Results, qt.HasLen, 0)
+	a.navigator.Adopt(testPlan(added))
+	r := &reader{cluster: cl, spec: s}
+	for len(r.seen) < len(s.Items) {
+		r.readPage(c, a)
+	}
+	r.checkComplete(c)
+
+	removed := newSpec("removed", 4)
+	removed.Path, removed.Revision = "/gone/job", 1
+	c.Assert(a.Submit(t.Context(), removed), qt.Equals, conductor.Accepted)
+	page, _ = a.Results(t.Context(), "team", "removed", 0, 5*time.Second)
+	c.Assert(page.Results, qt.HasLen, 4)
+	c.Assert(page.Results[0].State, qt.Equals, batcher.Abandoned)
+}
