--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -60,30 +60,12 @@
 // applyRecord caches a record that was read and starts or stops leading its job accordingly. It ignores a record that
 // is older than the cached one. It is false if the job could not be read.
 func (c *Conductor) applyRecord(ctx context.Context, r recorder.Record) bool {
-	c.lock.Lock()
-	if old, ok := c.records[r.ID]; ok && old.Changed > r.Changed {
-		c.lock.Unlock()
+	l, spec, submittedHere, newest := c.adoptRecord(r)
+	if !newest {
 		return true
 	}
-	c.records[r.ID] = r
-	l := c.led[r.ID]
 	owned := r.Owner == c.Self
-	// Only a record under which this process may write becomes the guard of its writes: a commit may be under way that has not
-	// seen yet that the job is another's. Other processes change a record that has not ended only by giving it to another owner.
-	current := l != nil && owned && (r.Ended || r.Changed == l.record.Changed)
-	if current {
-		l.record, l.confirmedAt = r, c.Clock.Monotonic()
-	}
-	spec, submittedHere := c.unconfirmed[r.ID]
-	delete(c.unconfirmed, r.ID)
-	c.lock.Unlock()
-	// A job that another process has led may have results and texts in the store.
-	submittedHere = submittedHere && r.Term == 1
 	ok := true
-	if l != nil && !current {
-		c.stopLeading(l, "the job was given to another owner")
-		l = nil
-	}
 	switch {
 	case l != nil && r.Ended:
 		l.job.Finish()
@@ -98,6 +80,34 @@
 	return ok
 }
 
+// adoptRecord caches a record that was read, and stops leading its job if the record is not one to lead it under. It returns the job
+// if this process goes on leading it, and its spec if it was submitted here and no other process has led it. It changes nothing if
+// a newer record is cached.
+func (c *Conductor) adoptRecord(r recorder.Record) (l *ledJob, spec batcher.Spec, submittedHere, newest bool) {
+	c.lock.Lock()
+	if old, ok := c.records[r.ID]; ok && old.Changed > r.Changed {
+		c.lock.Unlock()
+		return nil, spec, false, false
+	}
+	c.records[r.ID] = r
+	l = c.led[r.ID]
+	// Only a record under which this process may write becomes the guard of its writes: a commit may be under way that has not
+	// seen yet that the job is another's. Other processes change a record that has not ended only by giving it to another owner.
+	current := l != nil && r.Owner == c.Self && (r.Ended || r.Changed == l.record.Changed)
+	if current {
+		l.record, l.confirmedAt = r, c.Clock.Monotonic()
+	}
+	spec, submittedHere = c.unconfirmed[r.ID]
+	delete(c.unconfirmed, r.ID)
+	c.lock.Unlock()
+	if l != nil && !current {
+		c.stopLeading(l, "the job was given to another owner")
+		l = nil
+	}
+	// A job that another process has led may have results and texts in the store.
+	return l, spec, submittedHere && r.Term == 1, true
+}
+
 // applyErasure drops a job whose record no longer exists in the store.
 func (c *Conductor) applyErasure(id identifier.Job) {
 	c.lock.Lock()
--- a/internal/conductor/unread_test.go
+++ b/internal/conductor/unread_test.go
@@ -162,28 +162,34 @@
 	r.finish(c, sweeper)
 }
 
-// Guards against a former owner that writes results under the record of the new owner, which then conflicts with them for good.
-func TestFormerOwnerWritesNothing(t *testing.T) {
-	c := qt.New(t)
-	cl := newCluster(t, 25, 0)
+// turnOwnerAway starts two processes and submits a job to the first one, which the store turns away until the second one leads
+// the job.
+func (cl *cluster) turnOwnerAway(c *qt.C) (former, owner *process, r *reader) {
 	cl.engine.callTime = callTime
-	a, b := cl.start("a"), cl.start("b")
-	for a.Processes() < 2 || b.Processes() < 2 {
+	former, owner = cl.start("a"), cl.start("b")
+	for former.Processes() < 2 || owner.Processes() < 2 {
 		<-cl.clock.After(20 * time.Millisecond).C()
 	}
 	s := newSpec("job", itemCount)
-	c.Assert(a.Accept(t.Context(), s), qt.Equals, conductor.Accepted)
-	former := a.Led("job")
-	a.link.turnedAway.Store(true)
+	c.Assert(former.Accept(c.Context(), s), qt.Equals, conductor.Accepted)
+	former.link.turnedAway.Store(true)
 	cl.kv.Remove(recorder.NodeKey("a"))
-	for b.JobCount() == 0 {
+	for owner.JobCount() == 0 {
 		<-cl.clock.After(10 * time.Millisecond).C()
 	}
+	return former, owner, &reader{cluster: cl, spec: s}
+}
+
+// Guards against a former owner that writes results under the record of the new owner, which then conflicts with them for good.
+func TestFormerOwnerWritesNothing(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 25, 0)
+	a, b, r := cl.turnOwnerAway(c)
+	former := a.Led("job")
 	a.link.turnedAway.Store(false)
 	a.Refresh(t.Context(), "job")
 	c.Assert(a.JobCount(), qt.Equals, 0)
-	c.Assert(a.StoreLate(t.Context(), former, batcher.Result{Item: s.Items[0].ID}), qt.IsFalse)
-	r := &reader{cluster: cl, spec: s}
+	c.Assert(a.StoreLate(t.Context(), former, batcher.Result{Item: r.spec.Items[0].ID}), qt.IsFalse)
 	r.finish(c, b)
 }
 
@@ -192,19 +198,7 @@
 func TestOwnerAgainReadsItsJob(t *testing.T) {
 	c := qt.New(t)
 	cl := newCluster(t, 26, 0)
-	cl.engine.callTime = callTime
-	a, b := cl.start("a"), cl.start("b")
-	for a.Processes() < 2 || b.Processes() < 2 {
-		<-cl.clock.After(20 * time.Millisecond).C()
-	}
-	s := newSpec("job", itemCount)
-	c.Assert(a.Accept(t.Context(), s), qt.Equals, conductor.Accepted)
-	a.link.turnedAway.Store(true)
-	cl.kv.Remove(recorder.NodeKey("a"))
-	for b.JobCount() == 0 {
-		<-cl.clock.After(10 * time.Millisecond).C()
-	}
-	r := &reader{cluster: cl, spec: s}
+	a, b, r := cl.turnOwnerAway(c)
 	for len(r.seen) < 50 {
 		r.readPage(c, b)
 	}
