dispatcher, runner: entries know of a crash before its request is answered

Cause: on the product's own path an entry told the others of a crash in its next period, at once only if the crash held the request back. What callers saw: a call that ended two targets was sent to a third one, since its caller submitted it again, at another entry, before that entry had heard of the second crash.

--- a/internal/demonstrator/crash_test.go
+++ b/internal/demonstrator/crash_test.go
@@ -106,6 +106,26 @@
 	b.Assert(crashed, qt.Equals, 2)
 }
 
+// Guards against a call that crashes a third target because its caller submits it again, at another entry, before that entry
+// has heard of the last crash.
+func TestCrashIsKnownBeforeItsAnswer(t *testing.T) {
+	b := newTestbed(t, linkedPlan())
+	b.setServiceSwitches(switcher.Switches{Mute: "harm"})
+	for i := range 12 {
+		body := fmt.Sprint("harm ", i)
+		for n := range 8 {
+			b.callWithKey(n%2, fmt.Sprint(body, " key ", n), body)
+		}
+		crashed := 0
+		for _, s := range b.Standin.Services {
+			if s.RunsOfBody(body) > 0 {
+				crashed++
+			}
+		}
+		b.Check(crashed <= 2, qt.IsTrue, qt.Commentf("%s crashed %d targets", body, crashed))
+	}
+}
+
 // Guards against a group of a trainer's step that is never placed again: targets crashed under its rollouts for another
 // reason, and each submission was refused for an hour, long after the targets had room.
 func TestRolloutsAreOwedAfterCrashes(t *testing.T) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -72,7 +72,8 @@
 	queue        *scheduler.Scheduler[*job]
 	pool         *worker.Pool[*job]
 	endHandlers  []func(EndedRequest)
-	heldHandler  func(context.Context)
+	// evidenceHandler sends the evidence of this entry to the other entries.
+	evidenceHandler func(context.Context)
 }
 
 // Option sets a property of a Dispatcher.
@@ -89,10 +90,11 @@
 // WithIsolator sets the crash evidence that the entry shares with others.
 func WithIsolator(i *isolator.Isolator) Option { return func(d *Dispatcher) { d.isolator = i } }
 
-// WithHeldHandler sets a function that sends the evidence against a request that is held back to the other entries. It
-// is called before the caller gets its answer, so that every entry that answers holds back a resubmission.
-func WithHeldHandler(f func(context.Context)) Option {
-	return func(d *Dispatcher) { d.heldHandler = f }
+// WithEvidenceHandler sets a function that sends the evidence against requests to the other entries. It is called before the
+// caller of a request that a crash ended or that is held back gets its answer, so that every entry knows of the crash when
+// the caller submits the request again.
+func WithEvidenceHandler(f func(context.Context)) Option {
+	return func(d *Dispatcher) { d.evidenceHandler = f }
 }
 
 // EndedRequest describes a request that has ended.
@@ -109,19 +111,19 @@
 		s.Workers = DefaultWorkers
 	}
 	d := &Dispatcher{
-		settings:     s,
-		clock:        clock,
-		agents:       agents,
-		config:       config,
-		admitter:     &admitter.Admitter{},
-		router:       r,
-		retryBudget:  &retrier.Budget{},
-		resumeBudget: &retrier.Budget{Ratio: retrier.ResumeRatio, Reserve: retrier.ResumeReserve},
-		latencies:    &retrier.LatencyTracker{},
-		isolator:     &isolator.Isolator{},
-		claims:       noClaimStore{},
-		heldHandler:  func(context.Context) {},
-		queue:        &scheduler.Scheduler[*job]{},
+		settings:        s,
+		clock:           clock,
+		agents:          agents,
+		config:          config,
+		admitter:        &admitter.Admitter{},
+		router:          r,
+		retryBudget:     &retrier.Budget{},
+		resumeBudget:    &retrier.Budget{Ratio: retrier.ResumeRatio, Reserve: retrier.ResumeReserve},
+		latencies:       &retrier.LatencyTracker{},
+		isolator:        &isolator.Isolator{},
+		claims:          noClaimStore{},
+		evidenceHandler: func(context.Context) {},
+		queue:           &scheduler.Scheduler[*job]{},
 	}
 	for _, o := range opts {
 		o(d)
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -14,6 +14,7 @@
 	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/retrier"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/scheduler"
@@ -117,7 +118,7 @@
 		}
 		if wait, held := d.isolator.HeldBack(j.request.Call.Fingerprint, d.clock.Now()); held {
 			d.releaseTarget(j, target.ID)
-			d.heldHandler(j.ctx)
+			d.evidenceHandler(j.ctx)
 			return failure(j.runState(), ReasonCrashesTargets).withRetryAfter(wait)
 		}
 		outcome := d.runAttempt(j, target, id)
@@ -138,9 +139,6 @@
 		d.isolator.Clear(j.request.Call.Fingerprint)
 	}
 	_, held := d.isolator.HeldBack(j.request.Call.Fingerprint, d.clock.Now())
-	if held {
-		d.heldHandler(j.ctx)
-	}
 	state := retrier.RequestState{Once: j.request.Service.Once, Ran: j.mayHaveRun, Attempts: j.attempts, Suspect: held}
 	budget := d.retryBudget
 	if j.resumable() && j.progress.tokens > 0 {
@@ -148,6 +146,10 @@
 	}
 	step := retrier.Decide(state, outcome.event, budget)
 	j.mayHaveRun = j.mayHaveRun || outcome.event.MayHaveRun()
+	suspected := held || outcome.event == retrier.Crashed && j.request.Call.Fingerprint != (isolator.Fingerprint{})
+	if step != retrier.Retry && suspected {
+		d.evidenceHandler(j.ctx)
+	}
 	switch step {
 	case retrier.Retry:
 		return Result{}, false
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -37,6 +37,8 @@
 	dispatcher *dispatcher.Dispatcher
 	claims     *claimer.Claimer
 	isolator   *isolator.Isolator
+	// broadcasts takes the responses that wait for an exchange of evidence. Each channel is closed after its exchange.
+	broadcasts chan chan<- struct{}
 	platform   *platformclient.Client
 	callers    *httpserver.Server
 	operators  *httpserver.Server
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -71,7 +71,7 @@
 	b := &entryBuilder{
 		entry: &Entry{
 			log: log, clock: clock, period: period(s), linger: time.Duration(s.Linger), cancel: cancel,
-			isolator: &isolator.Isolator{}, platform: platformclient.NewClient(s.Platform, clock),
+			isolator: &isolator.Isolator{}, broadcasts: make(chan chan<- struct{}), platform: platformclient.NewClient(s.Platform, clock),
 		},
 		settings: s, log: log, ctx: ctx, pepper: pepper, token: token, peers: peers,
 		config:  &configurator.Configurator{},
@@ -119,7 +119,7 @@
 	settings := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
 	e.claims = claimer.NewClaimer(b.store.WithPurpose(storer.PurposeClaim), codec.Claims{}, e.clock)
 	e.dispatcher = dispatcher.NewDispatcher(settings, e.clock, b.usage.meteredAgents(rpcclient.NewAgents(e.peers)), b.config, b.router,
-		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator), dispatcher.WithHeldHandler(e.broadcastEvidence),
+		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator), dispatcher.WithEvidenceHandler(e.broadcastEvidence),
 		dispatcher.WithEndHandler(b.metrics.Ended), dispatcher.WithEndHandler(b.usage.countEnded), dispatcher.WithEndHandler(e.logHeld))
 	b.planner = newPlanner(s, b.usage, b.store.WithPurpose(storer.PurposeOrder), b.log, b.members, b.config, e.dispatcher.Waiting)
 }
