platform, conductor, reserver: batch jobs within the limits do not take an entry over its memory

Cause: nothing bounded the sum of what was read at a time, each step held a copy of the whole job (body, items, their JSON form, the message to the leader, the job there), and the bodies of a job stayed in memory until its trainer ended it. Change: large bodies reserve their memory before they are read, half of the process's together. A large job is led where it was submitted, drops its bodies once all results are durable, and is refused if those of all large jobs exceed a quarter of the memory. A refusal says "not run" only if the store holds no such job. Loads of large jobs use the same reservations.

--- a/internal/adapter/codec/job.go
+++ b/internal/adapter/codec/job.go
@@ -21,14 +21,6 @@
 	Results []batcher.Result
 }
 
-// EncodeSpec returns the stored form of a job as submitted.
-func (Jobs) EncodeSpec(s batcher.Spec) ([]byte, error) { return encodeGzip(s), nil }
-
-// DecodeSpec reads a job as submitted.
-func (Jobs) DecodeSpec(data []byte) (batcher.Spec, error) {
-	return decodeGzip[batcher.Spec](data)
-}
-
 // EncodeResults returns the stored form of results, the first at position from.
 func (Jobs) EncodeResults(from int, results []batcher.Result) ([]byte, error) {
 	return encodeGzip(resultChunk{From: from, Results: results}), nil
--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -39,6 +39,10 @@
 	saved int
 }
 
+// LargeSize is the size above which a job is large: its bodies are in the memory of one process at a time, and only while an item
+// may need them. It is far above that of everyday jobs.
+const LargeSize identifier.Bytes = 2 << 20
+
 // Task is an item that was started, with the state of its text. It is immutable.
 type Task struct {
 	Index int
@@ -55,17 +59,20 @@
 // Job is the state of one batch job in the process that leads it.
 //
 // Invariants: an item has at most one result; a result is readable only once it is durable, and then keeps its
-// position; a text grows only by the event that follows its last one, and holds events of one software version. Lock rank:
-// container.RankBatcher.
+// position; a text grows only by the event that follows its last one, and holds events of one software version; a large job whose
+// results are all durable has no bodies. Lock rank: container.RankBatcher.
 type Job struct {
-	lock       container.Lock[container.Batcher]
-	spec       Spec
-	startOrder []int
-	items      []itemState
-	byID       map[identifier.Item]int
-	durable    []Result
-	pending    []Result
-	finished   bool
+	lock container.Lock[container.Batcher]
+	spec Spec
+	// bodyBytes is the size of the bodies in spec, and bodiesDropped is set once it has none.
+	bodyBytes     identifier.Bytes
+	bodiesDropped bool
+	startOrder    []int
+	items         []itemState
+	byID          map[identifier.Item]int
+	durable       []Result
+	pending       []Result
+	finished      bool
 	// groupLeft counts the items without a result of each group, and completeGroups the groups without such an item.
 	groupLeft      map[identifier.Group]int
 	completeGroups int
@@ -81,7 +88,7 @@
 func NewJob(s Spec, durable ...Result) *Job {
 	j := &Job{
 		spec: s, startOrder: s.startOrder(), items: make([]itemState, len(s.Items)), byID: make(map[identifier.Item]int, len(s.Items)),
-		done: make(chan struct{}), groupLeft: make(map[identifier.Group]int),
+		done: make(chan struct{}), groupLeft: make(map[identifier.Group]int), bodyBytes: s.Size(),
 	}
 	for i, item := range s.Items {
 		j.byID[item.ID] = i
@@ -94,11 +101,38 @@
 			j.countResult(i)
 		}
 	}
+	j.dropBodies()
 	return j
 }
 
-// Spec returns the job as it was submitted.
-func (j *Job) Spec() Spec { return j.spec }
+// Spec returns the job as it was submitted. A large job whose results are all durable has no bodies any more.
+func (j *Job) Spec() Spec {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return j.spec
+}
+
+// WholeSpec returns the job as it was submitted, and false if it has no bodies any more.
+func (j *Job) WholeSpec() (Spec, bool) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return j.spec, !j.bodiesDropped
+}
+
+// BodyBytes returns the size of the bodies that Spec returns.
+func (j *Job) BodyBytes() identifier.Bytes {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return j.bodyBytes
+}
+
+// dropBodies drops the bodies of a large job that no item needs any more. The trainer may keep the job for minutes. The caller
+// holds the lock.
+func (j *Job) dropBodies() {
+	if j.bodyBytes > LargeSize && len(j.durable) == len(j.items) {
+		j.spec, j.bodyBytes, j.bodiesDropped = j.spec.WithoutBodies(), 0, true
+	}
+}
 
 // Next starts the next due item that needs what c says.
 func (j *Job) Next(now time.Duration, c Constraint) (Task, bool) {
@@ -272,6 +306,7 @@
 	j.durable = append(j.durable, j.pending[:n]...)
 	j.pending = slices.Clone(j.pending[n:])
 	j.stepPending = j.stepPending && len(j.pending) > 0
+	j.dropBodies()
 	j.notifyChange()
 }
 
--- a/internal/batcher/spec.go
+++ b/internal/batcher/spec.go
@@ -85,6 +85,24 @@
 	return work
 }
 
+// Size returns the size of all bodies, which are nearly all of a large job.
+func (s Spec) Size() identifier.Bytes {
+	size := 0
+	for _, item := range s.Items {
+		size += len(item.Body) + len(item.Score.Body)
+	}
+	return identifier.Bytes(size)
+}
+
+// WithoutBodies returns a copy of s whose items and scoring calls have no bodies.
+func (s Spec) WithoutBodies() Spec {
+	s.Items = slices.Clone(s.Items)
+	for i := range s.Items {
+		s.Items[i].Body, s.Items[i].Score.Body = nil, nil
+	}
+	return s
+}
+
 // startOrder returns the indices of the items in the order in which they start. The longest are first, because a group
 // is complete only when its last item ends, and nearly every group has a long one.
 func (s Spec) startOrder() []int {
--- a/internal/batcher/text.go
+++ b/internal/batcher/text.go
@@ -71,8 +71,9 @@
 // there.
 func (j *Job) ReusableTexts(next Spec) []PartialText {
 	again := make(map[identifier.Item]bool)
+	spec := j.Spec()
 	for _, item := range next.Items {
-		if i, ok := j.byID[item.ID]; ok && bytes.Equal(item.Body, j.spec.Items[i].Body) {
+		if i, ok := j.byID[item.ID]; ok && bytes.Equal(item.Body, spec.Items[i].Body) {
 			again[item.ID] = true
 		}
 	}
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -126,6 +126,8 @@
 	processes []*process
 	// cores holds the cores of the processes; a process that is not in it has an unknown number.
 	cores map[identifier.Node]float64
+	// jobMemory is that of the next processes; zero means that it is not bounded.
+	jobMemory identifier.Bytes
 	// refuseWrites makes the store refuse every transaction.
 	refuseWrites atomic.Bool
 	// dropNotifications makes every notification between processes fail.
@@ -211,7 +213,7 @@
 	p := &process{link: l, navigator: nav, owner: me, node: node, Conductor: conductor.NewConductor(conductor.Dependencies{
 		Self: me, Recorder: recorder.NewRecorder(store.WithPurpose(storer.PurposeRun), codec.Jobs{}), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: l, Opener: cl.engine, Peers: peers{cluster: cl}, Clock: cl.clock, Zone: "z", Retention: 2 * time.Minute,
-		StoreReached: l.reachesStore,
+		StoreReached: l.reachesStore, JobMemory: cl.jobMemory,
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -16,6 +16,7 @@
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/reserver"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/timer"
 	"github.com/mimosalb/mimosalb/internal/worker"
@@ -61,6 +62,10 @@
 	// calls are logged. Both may be nil.
 	ObserveAttempt func(end string, took time.Duration)
 	Sampler        *logger.Sampler
+	// JobMemory bounds the bodies of the large jobs that this process accepts; zero if they are not bounded.
+	JobMemory identifier.Bytes
+	// Bodies is the memory in which large jobs are read; nil if it is not bounded.
+	Bodies *reserver.Reserver
 }
 
 // workerCount limits how many items one process runs or scores concurrently.
--- a/internal/conductor/engine_test.go
+++ b/internal/conductor/engine_test.go
@@ -23,6 +23,8 @@
 	random *rand.Rand
 	// faultRate is the share of calls that fail.
 	faultRate float64
+	// refusing makes every call be refused as not run.
+	refusing atomic.Bool
 	// callTime is how long a call takes.
 	callTime time.Duration
 	version  atomic.Uint64
@@ -114,6 +116,11 @@
 	if strings.HasPrefix(id, "impossible") {
 		return newAnswer(422, strings.NewReader("")), forwarder.NoFault
 	}
+	if e.refusing.Load() {
+		a := newAnswer(503, strings.NewReader(""))
+		a.NotRun = true
+		return a, forwarder.NoFault
+	}
 	switch p := e.randomFloat() / max(e.faultRate, 1e-9); {
 	case p < 0.2:
 		a := newAnswer(503, strings.NewReader(""))
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -10,6 +10,7 @@
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
+	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
 // ledJob is a job that this process leads.
@@ -198,6 +199,11 @@
 		return false
 	}
 	defer c.endLoading(r.ID)
+	release, ok := c.reserveLoad(ctx, r)
+	if !ok {
+		return false
+	}
+	defer release()
 	var reads sync.WaitGroup
 	var results []batcher.Result
 	var resultsOut storeOutcome
@@ -224,6 +230,23 @@
 	return true
 }
 
+// loadReserveTimeout bounds the time for which the load of a large job waits for memory. Others wait for it meanwhile, and it is
+// tried again soon.
+const loadReserveTimeout = 500 * time.Millisecond
+
+// loadFactor is the memory that the load of a job takes, in the size of its bodies: what the store returns, and the job.
+const loadFactor = 3
+
+// reserveLoad reserves the memory in which a large job is loaded. A process that starts again may find several of its jobs.
+func (c *Conductor) reserveLoad(ctx context.Context, r recorder.Record) (release func(), ok bool) {
+	if c.Bodies == nil || r.Size <= batcher.LargeSize {
+		return func() {}, true
+	}
+	ctx, cancel := timer.WithTimeout(ctx, c.Clock, loadReserveTimeout)
+	defer cancel()
+	return c.Bodies.Reserve(ctx, loadFactor*r.Size)
+}
+
 // firstRead reports whether a job was not yet tried again. Texts that can't be read then either are generated anew: the job
 // must not wait for them.
 func (c *Conductor) firstRead(id identifier.Job) bool {
--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -103,9 +103,11 @@
 	l := c.led[id]
 	c.lock.Unlock()
 	var spec batcher.Spec
+	whole := false
 	if l != nil {
-		spec = l.job.Spec()
-	} else {
+		spec, whole = l.job.WholeSpec()
+	}
+	if !whole {
 		var out storeOutcome
 		var err error
 		if spec, out, err = c.Recorder.Spec(ctx, r); out != applied || err != nil {
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -20,8 +20,15 @@
 
 // Submit accepts a job. Once it returns Accepted, the job is stored durably. Jobs of one model and region are led by
 // the same process where possible, because it has open connections to the targets and the texts of earlier jobs. A process
-// that has no capacity or can't store the job is passed over.
+// that has no capacity or can't store the job is passed over. A large job is led where it was submitted: passed on, it would be
+// in the memory of two processes, and hold up the other messages between them.
 func (c *Conductor) Submit(ctx context.Context, s batcher.Spec) Acceptance {
+	if size := s.Size(); size > batcher.LargeSize {
+		if !c.hasRoom(s.ID, size) {
+			return c.Refuse(ctx, s.Team, s.ID)
+		}
+		return c.Accept(ctx, s)
+	}
 	tried := make(map[identifier.Node]bool)
 	for len(tried) < maxLeadersTried {
 		leader, ok := c.selectLeader(s, tried)
@@ -81,7 +88,7 @@
 	}
 	c.lock.Unlock()
 	if seen {
-		return acceptanceOfExisting(known, s)
+		return acceptanceOfExisting(known, s.Team)
 	}
 	owner := recorder.Registration{Owner: c.Self}
 	if closing {
@@ -106,6 +113,43 @@
 	return acceptance
 }
 
+// hasRoom reports whether the bodies of a further large job fit beside those of the jobs that this process leads or has accepted.
+// A job that it knows takes no further room.
+func (c *Conductor) hasRoom(id identifier.Job, size identifier.Bytes) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if _, seen := c.records[id]; seen || c.JobMemory == 0 {
+		return true
+	}
+	held := identifier.Bytes(0)
+	for _, l := range c.led {
+		if n := l.job.BodyBytes(); n > batcher.LargeSize {
+			held += n
+		}
+	}
+	for _, s := range c.unconfirmed {
+		if n := s.Size(); n > batcher.LargeSize {
+			held += n
+		}
+	}
+	return held == 0 || held+size <= c.JobMemory
+}
+
+// Refuse returns the acceptance of a submission for which there is no memory. It is Refused only if the job does not exist: an earlier
+// submission, of which the trainer got no answer, may have been accepted.
+func (c *Conductor) Refuse(ctx context.Context, team identifier.Team, id identifier.Job) Acceptance {
+	record, out, err := c.Recorder.Record(ctx, id)
+	acceptance := Refused
+	switch {
+	case out != applied || err != nil:
+		acceptance = AcceptanceUnknown
+	case record.Changed != 0:
+		acceptance = acceptanceOfExisting(record, team)
+	}
+	c.Log.Emit(logger.JobSubmitted, "job", id, "team", team, "outcome", acceptance.String(), "store", out.String(), "reason", "memory", "error", err)
+	return acceptance
+}
+
 // dropUnconfirmed drops the spec of a job that this process did not accept.
 func (c *Conductor) dropUnconfirmed(id identifier.Job) {
 	c.lock.Lock()
@@ -124,7 +168,7 @@
 		if read != applied || err != nil || record.Changed == 0 {
 			return AcceptanceUnknown
 		}
-		return acceptanceOfExisting(record, s)
+		return acceptanceOfExisting(record, s.Team)
 	case unavailable:
 		c.dropUnconfirmed(s.ID)
 		return Refused
@@ -134,8 +178,8 @@
 }
 
 // acceptanceOfExisting returns the acceptance of a submission whose job ID exists already.
-func acceptanceOfExisting(r recorder.Record, s batcher.Spec) Acceptance {
-	if r.Team != s.Team {
+func acceptanceOfExisting(r recorder.Record, team identifier.Team) Acceptance {
+	if r.Team != team {
 		return OtherTeam
 	}
 	return Accepted
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -26,6 +26,7 @@
 	"github.com/mimosalb/mimosalb/internal/persister"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/reserver"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/tallier"
@@ -43,8 +44,18 @@
 	Synced  func() bool
 	Meter   Meter
 	Sampler *logger.Sampler
+	// Bodies is the memory in which large bodies of callers are read.
+	Bodies *reserver.Reserver
 }
 
+const (
+	// bodyMemoryDivisor divides the memory of the process to give the part in which large bodies and jobs are read.
+	// jobMemoryDivisor divides it to give the part for the large jobs that this process leads. The rest is for everything else
+	// and for what the collector has not freed yet.
+	bodyMemoryDivisor = 2
+	jobMemoryDivisor  = 4
+)
+
 const (
 	// headerTimeout bounds the time for reading the header of a request. idleTimeout bounds the time for which a
 	// connection may be idle.
@@ -130,13 +141,14 @@
 		p.TargetPrefix: storer.NewChangeBuffer(e.clock, watchWait(e.Drain)+bufferAgeMargin),
 	}
 	e.forwarder = fwd
+	bodies := reserver.NewReserver(s.Memory / bodyMemoryDivisor)
 	e.presence = newPresence(e.base)
 	e.observer.Listed = e.presence.storeReached
 	e.conductor = conductor.NewConductor(conductor.Dependencies{
 		Self: e.owner(), Recorder: recorder.NewRecorder(e.store.WithPurpose(storer.PurposeRun), e.codec), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: calls, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
-		StoreReached: e.presence.reachedJustNow,
+		StoreReached: e.presence.reachedJustNow, JobMemory: s.Memory / jobMemoryDivisor, Bodies: bodies,
 	})
 	e.targets = &targetView{
 		departures: &e.departures, availability: e.availability,
@@ -149,7 +161,7 @@
 	e.front = newFront(FrontDependencies{
 		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log,
 		Synced: func() bool { return e.presence.storeReached() && e.targets.synced.Load() },
-		Meter:  o.Metrics, Sampler: sampler,
+		Meter:  o.Metrics, Sampler: sampler, Bodies: bodies,
 	})
 	if err := e.serve(); err != nil {
 		return nil, err
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -87,6 +87,8 @@
 	Regions map[identifier.Zone]identifier.Region
 	// Cores is the number of CPU cores, possibly fractional, that the process may use; zero if unknown.
 	Cores float64
+	// Memory bounds the memory of the process; zero if unknown.
+	Memory identifier.Bytes
 	// Callers, Ready and Peer are the addresses on which an entry listens. Metrics is the address on which a process
 	// serves its metrics; they are not served if it is empty.
 	Callers string
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -47,6 +47,8 @@
 	// Model is the model whose weights generate the texts, and Work the expected length of all of them in tokens.
 	Model identifier.Model
 	Work  int
+	// Size is that of all bodies. Records that earlier builds wrote have none.
+	Size identifier.Bytes
 	// Ended is set when the job was ended; no further items run.
 	Ended bool
 	// Changed is the revision of the record in the key-value service, or zero if the record does not exist.
@@ -119,7 +121,7 @@
 	parts := splitValue(data)
 	record := Record{
 		ID: s.ID, Team: s.Team, Owner: o, Term: 1, Parts: len(parts), Total: len(s.Items), Submitted: s.Submitted,
-		Model: s.Model, Work: s.Work(),
+		Model: s.Model, Work: s.Work(), Size: s.Size(),
 	}
 	encodedRecord, err := r.codec.EncodeRecord(record)
 	if err != nil {
