recorder: a job that does not fit into one transaction is not sent to the store

Cause: a job of more than 30 values was sent in a transaction of more than 32 entries. The store answers 400, which counts as a store that is down, so the next submissions were refused without being sent. Change: such a job is refused without a call, with the cause in the log line of its submission.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -27,6 +29,13 @@
 // maxValueBytes limits the size of one stored value of a job; the service accepts up to a megabyte.
 const maxValueBytes = 700 << 10
 
+// maxSpecParts limits the values that hold a Spec. They are stored in one transaction, of at most 32 entries, with the record and
+// its guard. The service answers a larger one as it does while it is down, so it is not sent.
+const maxSpecParts = 30
+
+// errTooLarge is the error of a job that does not fit into one transaction.
+var errTooLarge = errors.New("the job does not fit into one transaction")
+
 // Owner identifies the incarnation of a process that leads jobs.
 type Owner struct {
 	Node        identifier.Node
@@ -119,6 +128,9 @@
 		return storer.Unavailable, err
 	}
 	parts := splitValue(data)
+	if len(parts) > maxSpecParts {
+		return storer.Unavailable, fmt.Errorf("store %d values of job %s: %w", len(parts), s.ID, errTooLarge)
+	}
 	record := Record{
 		ID: s.ID, Team: s.Team, Owner: o, Term: 1, Parts: len(parts), Total: len(s.Items), Submitted: s.Submitted,
 		Model: s.Model, Work: s.Work(), Size: s.Size(),
