forwarder: answers that begin together share their questions for the start of a target

Cause: each answer on a new connection asked its target for its start by itself, and the question, at a target whose connections were all in use, opened a connection of its own. That connection counted as opened after the question, so the next answer on it asked again. Evidence: TestQuestionsForStartsAreShared: 33 answers, 33 questions before. Change: questions for one start of a target that are under way are shared, by golang.org/x/sync/singleflight. One that was asked before the connection of an answer was opened is followed by one more. A question counts from when its own connection was open. Result: 1 question in the test; TestEarlierQuestionConfirmsNothing and the tests of take-ups and releases of platform/ pass with the race detector.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -142,43 +142,6 @@
 	return a, fault, true
 }
 
-// StartReader asks targets which start of theirs serves now.
-type StartReader interface {
-	// Start returns the incarnation of a target. It is false if the target did not tell it in time.
-	Start(ctx context.Context, t router.Target) (identifier.Incarnation, bool)
-}
-
-// ConfirmStart reports whether a target runs the release of its listing, as far as is known. A target that restarted under its ID
-// may run another one before its new listing is read, and its answers don't show that. The target is therefore asked for
-// its start before it continues a text, and before it begins one after a failed attempt.
-func (f *Forwarder) ConfirmStart(ctx context.Context, t router.Target, continues bool) bool {
-	if f.Starts == nil || !continues && !f.Registrar.Unconfirmed(t.ID) {
-		return true
-	}
-	return f.askStart(ctx, t)
-}
-
-// ConfirmAnswer reports whether an answer that may be continued later came from the start that the listing of its target names, and so
-// from its release. An entry whose listings are out of date would else file the answer under the release of an earlier start. A
-// connection ends with the start that accepted it, so that one question covers all connections that were opened before it.
-func (f *Forwarder) ConfirmAnswer(ctx context.Context, t router.Target, a Answer) bool {
-	if f.Starts == nil || f.Registrar.ConfirmedSince(t.ID, a.Opened) {
-		return true
-	}
-	return f.askStart(ctx, t)
-}
-
-// askStart asks a target for its start, and reports whether it is the listed one.
-func (f *Forwarder) askStart(ctx context.Context, t router.Target) bool {
-	asked := f.Clock.Now()
-	serving, ok := f.Starts.Start(ctx, t)
-	if !ok || serving != t.Incarnation {
-		return false
-	}
-	f.Registrar.Confirm(t.ID, asked)
-	return true
-}
-
 // Event is one complete event of a streamed answer.
 type Event struct {
 	Number int
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
@@ -71,6 +73,8 @@
 type Forwarder struct {
 	Dependencies
 	stopping atomic.Pointer[stopPlan]
+	// questions are those for the starts of targets that are under way.
+	questions singleflight.Group
 }
 
 // NewForwarder returns a Forwarder with the given dependencies.
--- a/internal/hoster/departures.go
+++ b/internal/hoster/departures.go
@@ -77,7 +77,7 @@
 // ask records the start that serves now as leaving too.
 func (q startQueue) ask(ctx context.Context, t router.Target) {
 	for range startAttempts {
-		start, ok := q.starts.Start(ctx, t)
+		start, _, ok := q.starts.Start(ctx, t)
 		switch {
 		case ok && start > t.Incarnation && q.departures.Record(t.ID, start, q.clock.Monotonic()):
 			q.changed()
