--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -114,7 +114,7 @@
 }
 
 // hasRoom reports whether the bodies of a further large job fit beside those of the jobs that this process leads or has accepted.
-// A job that it knows takes no further room.
+// A job that it knows takes no further room. A single one always fits: it could be accepted nowhere else either.
 func (c *Conductor) hasRoom(id identifier.Job, size identifier.Bytes) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
