rpcserver: a connection that is accepted while the server closes is closed too

Cause: Close closes the connections in its table once. One that was accepted before and put into the table after that stayed open, and Close waited for its goroutine, that is, for the peer. Evidence: the dump of the test process names Server.Close and the connection; TestCloseEndsLateConnections ends with a deadlock before. Change: Close notes that it closes first; the goroutine that accepts looks at that after it put the connection into the table.

--- a/internal/adapter/rpcserver/rpcserver.go
+++ b/internal/adapter/rpcserver/rpcserver.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
@@ -31,6 +32,8 @@
 	listener net.Listener
 	conns    container.Table[container.Connection, net.Conn, *codec]
 	tasks    sync.WaitGroup
+	// closing is set before the connections are closed. One that is accepted meanwhile is closed by the goroutine that accepted it.
+	closing atomic.Bool
 }
 
 // Option sets a property of a Server.
@@ -92,6 +95,7 @@
 
 // Close stops the listener, closes all connections and waits for their goroutines.
 func (s *Server) Close() error {
+	s.closing.Store(true)
 	err := s.listener.Close()
 	s.conns.Each(func(c net.Conn, _ *codec) bool {
 		_ = c.Close()
@@ -113,6 +117,9 @@
 		}
 		cc := newCodec(c, s.inFlight)
 		s.conns.Put(c, cc)
+		if s.closing.Load() {
+			_ = c.Close()
+		}
 		s.tasks.Add(1)
 		go s.serve(c, cc)
 	}
