storer, registrar, hoster: targets that lapsed in an outage are kept until 2 s after its end

Cause: a removal up to 3 s after an outage of the store counted as a lapsed lease, and the target was kept for 2 s from when the removal was read. A target that left then got requests for up to 2.6 s; 2.5 s are allowed. Change: the time for which such a target is kept counts from the end of the outage, within which lapsed listings return. A removal that is read later counts at once. TestRemovalsAndLapses, with two more cases, showed a target in use 2.5 s after an outage.

--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -77,9 +77,9 @@
 // errContradiction is the reason why a target is not used whose listings name several releases for one start.
 var errContradiction = errors.New("listings of one start name several software versions")
 
-// lapseWindow is the time after an outage within which a listing may have been removed only because its lease expired while
-// the store was away. At any other time a removal means that the target has left, however this process came to know of it.
-const lapseWindow = 3 * time.Second
+// lapseGrace is the time after the end of an outage within which listings return whose leases expired while the store was away.
+// A target that is not listed then has left, whenever this process came to know of the removal.
+const lapseGrace = 2 * time.Second
 
 // targetView is a storer.View of the listings of targets. It updates the registrar and the router.
 type targetView struct {
@@ -117,8 +117,8 @@
 		}
 	}
 	v.unusableCount.Store(int64(len(v.unusable)))
-	if v.mayHaveLapsed() {
-		v.update(v.registrar.ReplaceAfterOutage(all, v.clock.Monotonic()))
+	if end, ok := v.availability.ReturnEnd(lapseGrace); ok {
+		v.update(v.registrar.ReplaceAfterOutage(all, end))
 	} else {
 		ended, removed := v.registrar.Replace(all)
 		for _, id := range removed {
@@ -135,9 +135,6 @@
 // Resumed has no effect either.
 func (v *targetView) Resumed() {}
 
-// mayHaveLapsed reports whether a listing that is not there may be back soon.
-func (v *targetView) mayHaveLapsed() bool { return v.availability.AwayWithin(lapseWindow) }
-
 // Apply applies the change of one listing. A listing that can't be decoded counts as removed.
 func (v *targetView) Apply(c storer.Change) {
 	id := v.decoder.Target(c.Key)
@@ -156,11 +153,11 @@
 			return
 		}
 	}
-	lapsed := v.mayHaveLapsed()
+	returnEnd, lapsed := v.availability.ReturnEnd(lapseGrace)
 	v.log.Emit(logger.TargetUnlisted, "target", id, "lapsed", lapsed, "changed", c.Changed)
 	var removed []registrar.Listing
 	if lapsed {
-		v.registrar.MarkLapsed(id, v.clock.Monotonic())
+		v.registrar.MarkLapsed(id, returnEnd)
 	} else {
 		removed = v.registrar.Remove(id)
 	}
--- a/internal/hoster/view_test.go
+++ b/internal/hoster/view_test.go
@@ -29,8 +29,8 @@
 }
 
 // Guards against a target that stays in use after the store has removed its listing, because a read of the listings broke off or
-// the history of another entry begins too late, and against one that is dropped although its lease expired only because the store
-// was away.
+// the history of another entry begins too late, against one that stays in use for longer than listings take to return after an
+// outage, and against one that is dropped although its lease expired only because the store was away.
 func TestRemovalsAndLapses(t *testing.T) {
 	const heartbeat = 1200 * time.Millisecond
 	entries := []storer.Entry{{Key: "a", Changed: 1}, {Key: "b", Changed: 2}}
@@ -57,6 +57,14 @@
 			v.Interrupted()
 			outage(clock, a)
 		}},
+		{"the store was away 1.5 s ago", func(clock *timer.Manual, a *storer.Availability, _ *targetView) {
+			outage(clock, a)
+			clock.Advance(1500 * time.Millisecond)
+		}},
+		{"the store was away 2.5 s ago", func(clock *timer.Manual, a *storer.Availability, _ *targetView) {
+			outage(clock, a)
+			clock.Advance(2500 * time.Millisecond)
+		}},
 		{"the store was away 4 s ago", func(clock *timer.Manual, a *storer.Availability, _ *targetView) {
 			outage(clock, a)
 			clock.Advance(4 * time.Second)
@@ -80,7 +88,10 @@
 			d.play(clock, a, v)
 			news[by](v)
 			fmt.Fprintf(&out, "%s, b removed by a %s: uses %s", d.name, by, used(v))
-			clock.Advance(2 * time.Second)
+			clock.Advance(500 * time.Millisecond)
+			v.expire()
+			fmt.Fprintf(&out, ", 0.5 s later %s", used(v))
+			clock.Advance(1500 * time.Millisecond)
 			v.expire()
 			fmt.Fprintf(&out, ", 2 s later %s\n", used(v))
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// lapseGrace is how long a target is kept whose listing was removed during an outage of the store. Listings whose
-	// lease expired during an outage are back within two seconds of its end.
-	lapseGrace = 2 * time.Second
 	// minSuspension is how long a target gets no requests after a failure; it doubles with each consecutive failure.
 	minSuspension = 500 * time.Millisecond
 	// maxDoublings bounds how often minSuspension is doubled; maxSuspension is reached before.
@@ -84,11 +81,11 @@
 }
 
 // MarkLapsed handles the removal of a listing whose lease may have expired only because the store was unavailable. The
-// target is kept for lapseGrace.
-func (r *Registrar) MarkLapsed(id identifier.Target, now time.Duration) {
+// target is kept until the monotonic time end.
+func (r *Registrar) MarkLapsed(id identifier.Target, end time.Duration) {
 	r.update(id, func(rec record) record {
 		if rec.expiresAt == 0 {
-			rec.expiresAt = now + lapseGrace
+			rec.expiresAt = end
 		}
 		return rec
 	})
@@ -109,17 +106,17 @@
 	return ended, removed
 }
 
-// ReplaceAfterOutage puts all listings into the table after an outage of the store. Targets without a listing are kept for
-// lapseGrace, because the leases of listings expire while the store is away. It returns the listings of incarnations that
+// ReplaceAfterOutage puts all listings into the table after an outage of the store. Targets without a listing are kept until the
+// monotonic time end, because the leases of listings expire while the store is away. It returns the listings of incarnations that
 // were replaced by others.
-func (r *Registrar) ReplaceAfterOutage(all []Listing, now time.Duration) []Listing {
+func (r *Registrar) ReplaceAfterOutage(all []Listing, end time.Duration) []Listing {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	defer r.notify()
 	replaced := r.putAll(all)
 	for _, id := range r.unlisted(all) {
 		if rec := r.records[id]; rec.expiresAt == 0 {
-			rec.expiresAt = now + lapseGrace
+			rec.expiresAt = end
 			r.records[id] = rec
 		}
 	}
--- a/internal/storer/availability.go
+++ b/internal/storer/availability.go
@@ -32,15 +32,23 @@
 	return &Availability{clock: clock, minOutage: minOutage}
 }
 
-// AwayWithin reports whether the service is away or was so within the given time before now.
-func (a *Availability) AwayWithin(span time.Duration) bool {
+// ReturnEnd returns the monotonic time until which keys whose leases expired in an outage may return, which they do within span of
+// its end. While the service is away, that is span from now. The second result is false if there was no outage so recently.
+func (a *Availability) ReturnEnd(span time.Duration) (time.Duration, bool) {
 	if a == nil {
-		return false
+		return 0, false
 	}
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	now := a.clock.Monotonic()
-	return a.away(now) || a.wasAway && now-a.restored < span
+	switch {
+	case a.away(now):
+		return now + span, true
+	case a.wasAway && now-a.restored < span:
+		return a.restored + span, true
+	default:
+		return 0, false
+	}
 }
 
 // away reports whether calls have had no answer for minOutage. The caller holds the lock.
--- a/internal/storer/availability_test.go
+++ b/internal/storer/availability_test.go
@@ -86,12 +86,13 @@
 		clock.Advance(time.Second)
 		a := storer.NewAvailability(clock, minOutage)
 		tc.play(clock, a)
-		now := a.AwayWithin(window)
+		_, now := a.ReturnEnd(window)
 		clock.Advance(window - time.Millisecond)
 		a.End(a.Begin(), storer.Applied)
-		within := a.AwayWithin(window)
+		_, within := a.ReturnEnd(window)
 		clock.Advance(window)
-		fmt.Fprintf(&out, "%-42s away %t, in the window after it %t, later %t\n", tc.name, now, within, a.AwayWithin(window))
+		_, later := a.ReturnEnd(window)
+		fmt.Fprintf(&out, "%-42s away %t, in the window after it %t, later %t\n", tc.name, now, within, later)
 	}
 	goldie.New(t).Assert(t, "availability", []byte(out.String()))
 }
