confiner, router, forwarder: everyday requests keep to the regions of their route and team

An everyday request whose route allows only another region was sent to a target in the entry's own region: regions were a matter of cost only.

confiner.Regions is the immutable set and confiner.Scope the one place that decides where a body may be. Routes and teams carry regions, read from `allowed-regions`; the plan intersects them. Requirements carry the regions, and every policy of the router rejects a candidate outside. A restricted choice draws from zones inside, so that a small set stays balanced. The forwarder asks before each attempt (first send, retry, hedged request, continuation) and once more after a target was asked for its start: what the accepting configuration and the present one both allow. A request whose regions have no target is refused at once as not run, without waiting for permits elsewhere.

Conclusion: everyday requests and calls made for a job are confined.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
@@ -36,6 +37,8 @@
 	Continuation Continuation
 	// Internal marks a request of mimosalb itself: it needs no key and is counted for no team.
 	Internal bool
+	// Regions are those of the work for which the request is made, such as a batch job. They apply beside those of the route and the team.
+	Regions confiner.Regions
 }
 
 // fingerprint returns the fingerprint of the request of a team. It is the same in every process, and for each attempt of a
--- a/internal/forwarder/continuation.go
+++ b/internal/forwarder/continuation.go
@@ -49,14 +49,23 @@
 func (x *exchange) awaitStreamTarget(ctx context.Context) (router.Target, bool) {
 	for {
 		target, ok := x.awaitTarget(ctx)
-		if !ok || !x.route.Resumable || x.ConfirmStart(ctx, target, x.continues) {
+		if !ok || !x.route.Resumable {
 			return target, ok
 		}
+		confirmed := x.ConfirmStart(ctx, target, x.continues)
+		if confirmed && x.mayReach(target) {
+			return target, true
+		}
 		x.Router.Release(target.ID)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return target, false
+		case confirmed:
+			// Another configuration was adopted during the question. The target got no attempt.
+			x.triedTargets = x.triedTargets[:len(x.triedTargets)-1]
+		default:
+			x.Registrar.RecordFailure(target.ID, x.Clock.Monotonic())
 		}
-		x.Registrar.RecordFailure(target.ID, x.Clock.Monotonic())
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -109,6 +109,7 @@
 	// staleAttempts is the number of attempts that met a closed connection and were repeated at the same target.
 	staleAttempts int
 	counted       bool
+	confinement   confinement
 
 	computedFingerprint isolator.Fingerprint
 }
@@ -146,7 +147,7 @@
 	now := f.Clock.Monotonic()
 	x := &exchange{
 		Forwarder: f, request: q, route: route, service: service, team: result.Team, priority: priority,
-		deadline: now + requestTimeout(q, route), result: result,
+		deadline: now + requestTimeout(q, route), result: result, confinement: newConfinement(plan, q, result.Team, f.Region),
 	}
 	x.targetDeadline = x.deadline
 	if q.TargetTimeout > 0 {
@@ -204,7 +205,7 @@
 	if x.route.LatencyGoal > 0 {
 		limit = x.route.LatencyGoal / permitWaitDivisor
 	}
-	if !x.Limiter.Await(ctx, x.service, x.triedTargets, min(limit, x.deadline-x.Clock.Monotonic())) {
+	if !x.Limiter.Await(ctx, x.service, x.unawaited(), min(limit, x.deadline-x.Clock.Monotonic())) {
 		return target, false
 	}
 	return x.chooseTarget()
@@ -225,7 +226,7 @@
 		x.result.Reason = Suspect
 		return router.Target{}, false
 	}
-	requirements := router.Requirements{Service: x.service, Zone: x.Zone, Region: x.Region, Release: x.release}
+	requirements := router.Requirements{Service: x.service, Zone: x.Zone, Region: x.Region, Release: x.release, Regions: x.scope().Regions}
 	requirements.Avoid = append(x.Registrar.TargetsToAvoid(x.service, "", 0, x.Clock.Monotonic()), x.triedTargets...)
 	target, ok := x.Limiter.Choose(x.Router, requirements)
 	if !ok {
@@ -301,6 +302,10 @@
 		}
 	}
 	r = r.notRun(reason)
+	if reason == NoTarget && x.unserved() {
+		r.Reason, r.RetryAfter = Confined, confinedRetryAfter
+		return r
+	}
 	if wait := x.Limiter.RetryAfter(x.service); wait > r.RetryAfter {
 		r.Reason, r.RetryAfter = TargetsLimited, wait
 	}
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -55,6 +55,7 @@
 	Stopping           Reason = "the process stops before the time of the request is up"
 	OriginUnknown      Reason = "what began the stream is not known"
 	OriginGone         Reason = "no target of the software version that began the stream"
+	Confined           Reason = "no target in the regions that the request is confined to"
 	Suspect            Reason = "targets broke off under this request"
 )
 
--- a/internal/navigator/plan.go
+++ b/internal/navigator/plan.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -65,6 +66,8 @@
 	QueueTTL time.Duration
 	// ResultDue is the time from the submission of a batch job until its results are due; zero if it is unknown.
 	ResultDue time.Duration
+	// Regions are those in which the requests of the route may be served, cached, stored and forwarded.
+	Regions confiner.Regions
 }
 
 // Service is a group of targets that do the same work.
@@ -86,6 +89,8 @@
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions are those in which the requests of the team may be served, cached, stored and forwarded.
+	Regions confiner.Regions
 }
 
 // Limits bound the size of a caller's header and body. Zero means no limit.
@@ -101,7 +106,9 @@
 	routes     map[string]Route
 	services   map[identifier.Service]Service
 	teamsByKey map[string]Team
-	limits     Limits
+	// confinedTeams holds the regions of the teams that are restricted.
+	confinedTeams map[identifier.Team]confiner.Regions
+	limits        Limits
 }
 
 // NewPlan returns an empty plan with the given revision.
@@ -142,6 +149,7 @@
 		for _, key := range t.Keys {
 			p.teamsByKey[key] = t
 		}
+		p = p.withTeamRegions(t)
 	}
 	return p
 }
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -104,6 +104,24 @@
 			best, bestCost = i, cost
 		}
 	}
+	if c.Requirements.Regions.Restricted() {
+		c.drawConfined(consider)
+	} else {
+		c.drawAny(consider)
+	}
+	for _, id := range c.router.prefixes.holders(c.Requirements.Prefix) {
+		if i, ok := c.router.view.index[id]; ok && c.inGroup(i) {
+			consider(i)
+		}
+	}
+	if best >= 0 {
+		return best, true
+	}
+	return c.anyTarget()
+}
+
+// drawAny calls consider for random targets of the local availability zone and of others.
+func (c *Choice) drawAny(consider func(i int)) {
 	localZone, remoteZones := len(c.group.zones), len(c.group.zones)
 	if z, ok := c.group.byZone[c.Requirements.Zone]; ok {
 		localZone, remoteZones = z, remoteZones-1
@@ -118,15 +136,6 @@
 		}
 		consider(c.randomMember(c.group.zones[z].members))
 	}
-	for _, id := range c.router.prefixes.holders(c.Requirements.Prefix) {
-		if i, ok := c.router.view.index[id]; ok && c.inGroup(i) {
-			consider(i)
-		}
-	}
-	if best >= 0 {
-		return best, true
-	}
-	return c.anyTarget()
 }
 
 // Spread chooses the target with the lowest share of slots taken by this entry, the nearest of equal ones, and none if all
@@ -221,7 +230,7 @@
 // candidate returns the target at an index of the view, or false if the requirements exclude it.
 func (c *Choice) candidate(i int) (Candidate, bool) {
 	t := c.router.view.targets[i]
-	if c.Requirements.avoids(t.ID) {
+	if c.Requirements.avoids(t.ID) || !c.Requirements.Regions.Allows(t.Region) {
 		return Candidate{}, false
 	}
 	return Candidate{Choice: c, Target: t, Load: c.router.load(t)}, true
@@ -243,7 +252,11 @@
 	zones := c.group.zones
 	first := c.router.random.IntN(len(zones))
 	for z := range zones {
-		members := zones[(first+z)%len(zones)].members
+		zone := zones[(first+z)%len(zones)]
+		if !c.Requirements.Regions.Allows(zone.region) {
+			continue
+		}
+		members := zone.members
 		start := c.router.random.IntN(len(members))
 		for m := range members {
 			i := members[(start+m)%len(members)]
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -42,6 +43,8 @@
 	Version identifier.Version
 	// Release pins the attempt to a software version; the empty one accepts any.
 	Release identifier.Release
+	// Regions are those in which the target may be.
+	Regions confiner.Regions
 	// PromptBytes is the length of the prompt, and Prefix the hashes of its prefixes.
 	PromptBytes identifier.Bytes
 	Prefix      Prefix
