conductor, recorder: batch jobs keep to the regions of their route and team

Cause: items, scoring calls and the leadership of jobs went to any region. A job whose owner was lost was led wherever an entry lived.

Change: a job carries its Scope: the regions of the accepting configuration and the region of its client's entry. The record keeps it with host and path, so that an entry decides by the record alone whether it may read the bodies, also after a restart; records of earlier builds have none and are unrestricted. Targets of items, faster targets and scoring calls are chosen inside; before each send, and while an attempt runs, the present configuration is asked too. Reassignment, reclaiming, closing entries and a peer's submission choose among allowed entries; a leader that a new configuration excludes gives its job away. Without such an entry the job waits (E1525) and readers get 503 with Retry-After once all durable results are read. A job with no target for its items or its scoring calls is refused. Texts of earlier jobs are reused within one scope only.

Conclusion: jobs are confined.

--- a/internal/batcher/spec.go
+++ b/internal/batcher/spec.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -27,7 +28,9 @@
 	Submitted time.Time
 	// Revision is that of the configuration by which the job was accepted.
 	Revision identifier.Revision
-	Items    []Item
+	// Scope is where the bodies and texts of the job may be, by the configuration that accepted it.
+	Scope confiner.Scope
+	Items []Item
 }
 
 // Item is one rollout of a job.
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
@@ -34,6 +33,7 @@
 var (
 	errEventOverdue = errors.New("target sent no event within the timeout")
 	errEnded        = errors.New("job ended during the attempt")
+	errConfined     = errors.New("the configuration allows the attempt no longer")
 )
 
 // eventTimings records when the events of an attempt arrived, by the monotonic clock. The zero value has no events.
@@ -77,7 +77,7 @@
 	a.ledJob.job.Begin(a.task.Index, a.target.Release)
 	done := make(chan struct{})
 	defer close(done)
-	go c.watchAttempt(a.ledJob.job, t, done, cancel)
+	go c.watchAttempt(a, t, done, cancel)
 
 	if !c.Forwarder.ConfirmStart(ctx, a.target, a.task.Events > 0) {
 		if outcome := cancelOutcome(ctx); outcome != 0 {
@@ -85,6 +85,9 @@
 		}
 		return attemptUnsent, router.Target{}
 	}
+	if !c.mayRun(a) {
+		return attemptStopped, router.Target{}
+	}
 	answer, fault, _ := forwarder.Send(ctx, c.Caller, func() forwarder.Call { return c.itemCall(a) })
 	if fault == forwarder.NoFault {
 		defer answer.Body.Close() //nolint:errcheck // the body was read to its end or is discarded
@@ -130,7 +133,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errEventOverdue):
 		return attemptTimedOut
-	case errors.Is(context.Cause(ctx), errEnded):
+	case errors.Is(context.Cause(ctx), errEnded), errors.Is(context.Cause(ctx), errConfined):
 		return attemptStopped
 	default:
 		return 0
@@ -181,19 +184,20 @@
 	spec := a.ledJob.job.Spec()
 	return c.Forwarder.Limiter.Choose(c.Router, router.Requirements{
 		Service: a.target.Service, Zone: c.Zone, Region: c.Region, Release: a.target.Release, Spread: true,
-		Avoid: append(c.Registrar.TargetsToAvoid(a.target.Service, spec.Model, spec.Least, now), c.Registrar.SlowTargets(a.target.Service, now)...),
+		Regions: c.scope(a.ledJob).Regions,
+		Avoid:   append(c.Registrar.TargetsToAvoid(a.target.Service, spec.Model, spec.Least, now), c.Registrar.SlowTargets(a.target.Service, now)...),
 	})
 }
 
-// watchAttempt cancels an attempt whose next event is overdue or whose job has finished.
-func (c *Conductor) watchAttempt(j *batcher.Job, t *eventTimings, done <-chan struct{}, cancel context.CancelCauseFunc) {
+// watchAttempt cancels an attempt whose next event is overdue, whose job has finished or which a new configuration does not allow.
+func (c *Conductor) watchAttempt(a assignment, t *eventTimings, done <-chan struct{}, cancel context.CancelCauseFunc) {
 	ticks := c.Clock.Every(watchPeriod)
 	defer ticks.Stop()
 	for {
 		select {
 		case <-done:
 			return
-		case <-j.Done():
+		case <-a.ledJob.job.Done():
 			cancel(errEnded)
 			return
 		case <-ticks.C():
@@ -201,6 +205,10 @@
 				cancel(errEventOverdue)
 				return
 			}
+			if !c.mayRun(a) {
+				cancel(errConfined)
+				return
+			}
 		}
 	}
 }
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -38,6 +38,9 @@
 	slow       atomic.Int64
 	// past holds what stale reads return; if it is nil, they return the present.
 	past atomic.Pointer[map[string]storer.Entry]
+	// bodies counts the bodies that the process gets and sends, and region is that of the process.
+	bodies *bodyCounts
+	region identifier.Region
 }
 
 func (l *link) reachesStore() bool { return !l.down.Load() && !l.turnedAway.Load() }
@@ -71,6 +74,7 @@
 	if !l.read(ctx, key) {
 		return storer.Entry{}, storer.Unavailable
 	}
+	l.bodies.countRead(key, l.region)
 	return l.Service.Get(ctx, key)
 }
 
@@ -105,6 +109,7 @@
 	if l.down.Load() {
 		return forwarder.Answer{}, forwarder.Unsent
 	}
+	l.bodies.countCall(c)
 	return l.engine.Call(ctx, c)
 }
 
@@ -128,6 +133,13 @@
 	cores map[identifier.Node]float64
 	// jobMemory is that of the next processes; zero means that it is not bounded.
 	jobMemory identifier.Bytes
+	// regions holds the regions of the processes, and targets lists the targets, one in each of these zones beside those in zone z, with the
+	// regions of the zones.
+	regions map[identifier.Node]identifier.Region
+	targets map[identifier.Zone]identifier.Region
+	// plan is that of the next processes; that of testPlan if it is nil. bodies counts where bodies went.
+	plan   *navigator.Plan
+	bodies bodyCounts
 	// refuseWrites makes the store refuse every transaction.
 	refuseWrites atomic.Bool
 	// dropNotifications makes every notification between processes fail.
@@ -156,6 +168,7 @@
 func (p peers) Submit(ctx context.Context, address string, s batcher.Spec) (conductor.Acceptance, bool) {
 	for _, other := range p.cluster.processes {
 		if string(other.node) == address && !other.link.down.Load() {
+			p.cluster.bodies.add("entry", other.link.region)
 			return other.AcceptForwarded(ctx, s), true
 		}
 	}
@@ -194,15 +207,24 @@
 
 // restart adds a process in the given incarnation of its node.
 func (cl *cluster) restart(node identifier.Node, incarnation identifier.Incarnation) *process {
-	l := &link{Service: cl.kv, engine: cl.engine, clock: cl.clock, refuseWrites: &cl.refuseWrites}
-	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(nil), router.NewRouter(router.WithPolicy(router.NewCombined()))
-	nav.Adopt(testPlan())
+	l := &link{Service: cl.kv, engine: cl.engine, clock: cl.clock, refuseWrites: &cl.refuseWrites, bodies: &cl.bodies, region: cl.regions[node]}
+	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(cl.targets), router.NewRouter(router.WithPolicy(router.NewCombined()))
+	plan := testPlan()
+	if cl.plan != nil {
+		plan = *cl.plan
+	}
+	nav.Adopt(plan)
 	for i := range 6 {
 		reg.Put(registrar.Listing{
 			ID: identifier.Target(fmt.Sprintf("t%d", i)), Service: "s", Zone: "z", Slots: 32,
 			Versions: map[identifier.Model]identifier.Version{"m": 5},
 		})
 	}
+	for zone := range cl.targets {
+		reg.Put(registrar.Listing{
+			ID: identifier.Target("t-" + zone), Service: "s", Zone: zone, Slots: 32, Versions: map[identifier.Model]identifier.Version{"m": 5},
+		})
+	}
 	view, _ := reg.Watch()
 	route.Adopt(view)
 	store := storer.NewStorer(l, cl.clock, storer.WithMaxPause(50*time.Millisecond), storer.WithCallTimeout(500*time.Millisecond))
@@ -213,6 +235,7 @@
 	p := &process{link: l, navigator: nav, owner: me, node: node, Conductor: conductor.NewConductor(conductor.Dependencies{
 		Self: me, Recorder: recorder.NewRecorder(store.WithPurpose(storer.PurposeRun), codec.Jobs{}), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: l, Opener: cl.engine, Peers: peers{cluster: cl}, Clock: cl.clock, Zone: "z", Retention: 2 * time.Minute,
+		Region:       cl.regions[node],
 		StoreReached: l.reachesStore, JobMemory: cl.jobMemory,
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -233,7 +256,9 @@
 }
 
 func (cl *cluster) register(p *process) {
-	data, err := codec.Jobs{}.EncodeRegistration(recorder.Registration{Owner: p.owner, Address: string(p.node), Cores: cl.cores[p.node]})
+	data, err := codec.Jobs{}.EncodeRegistration(recorder.Registration{
+		Owner: p.owner, Address: string(p.node), Cores: cl.cores[p.node], Region: cl.regions[p.node],
+	})
 	if err != nil {
 		cl.t.Fatal(err)
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -133,7 +133,9 @@
 	c.closing = true
 	c.lock.Unlock()
 	for _, l := range c.ledJobs() {
-		c.handOver(ctx, l)
+		if !c.handOver(ctx, l) {
+			c.leaveWaiting(ctx, l)
+		}
 		// Readers that still ask this process must get the results of the next owner, not the last ones from here.
 		c.stopLeading(l, "the process is stopping")
 	}
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -29,6 +30,9 @@
 	// confirmedAt is the monotonic time at which the store last confirmed the record, or at which a read of it was
 	// last due.
 	confirmedAt time.Duration
+	// scope is that of the record. leavingAt is when this process next tries to give a job away that it may not lead any more.
+	scope     confiner.Scope
+	leavingAt time.Duration
 }
 
 // age returns the time since the job was submitted. Jumps of the wall clock while it is led do not change it.
@@ -70,6 +74,8 @@
 	switch {
 	case l != nil && r.Ended:
 		l.job.Finish()
+	case l == nil && owned && !r.Ended && !c.mayLead(r):
+		ok = c.reassign(ctx, r)
 	case l == nil && owned && !r.Ended && submittedHere:
 		job := batcher.NewJob(spec)
 		job.RestoreTexts(c.reusableTexts(job), c.Clock.Monotonic())
@@ -137,7 +143,7 @@
 func (c *Conductor) startLeading(r recorder.Record, j *batcher.Job, age time.Duration) {
 	ctx, stop := context.WithCancel(context.Background())
 	now := c.Clock.Monotonic()
-	l := &ledJob{id: r.ID, submitted: r.Submitted, job: j, record: r, stop: stop, began: now, ageThen: age, confirmedAt: now}
+	l := &ledJob{id: r.ID, submitted: r.Submitted, job: j, record: r, stop: stop, began: now, ageThen: age, confirmedAt: now, scope: r.Scope}
 	c.lock.Lock()
 	if c.closing || c.led[r.ID] != nil || c.records[r.ID].Changed != r.Changed {
 		c.lock.Unlock()
@@ -161,7 +167,7 @@
 	slices.Reverse(earlier)
 	for _, l := range earlier {
 		s := l.job.Spec()
-		if s.Team != next.Team || s.Model != next.Model {
+		if s.Team != next.Team || s.Model != next.Model || !s.Scope.SharesTexts(next.Scope) {
 			continue
 		}
 		job.CarryOver(s)
@@ -266,12 +272,13 @@
 	return texts, true
 }
 
-// handOver stores pending results, makes another process the owner of a job and notifies it.
-func (c *Conductor) handOver(ctx context.Context, l *ledJob) {
+// handOver stores pending results, makes another process the owner of a job and notifies it. It reports whether that process owns
+// the job.
+func (c *Conductor) handOver(ctx context.Context, l *ledJob) bool {
 	record := c.currentRecord(l)
-	successor, ok := c.selectProcess(string(l.id), func(p recorder.Registration) bool { return p.Owner.Node != c.Self.Node })
+	successor, ok := c.selectSuccessor(record)
 	if record.Ended || !ok {
-		return
+		return false
 	}
 	if from, pending := l.job.Pending(); len(pending) > 0 {
 		c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes))
@@ -282,4 +289,5 @@
 	if out == applied {
 		c.notify(ctx, successor, l.id)
 	}
+	return out == applied
 }
--- a/internal/conductor/maintain.go
+++ b/internal/conductor/maintain.go
@@ -56,6 +56,7 @@
 		reclaimed = reclaimed || c.reclaim(ctx)
 		c.refreshAll(ctx, c.dueRefreshes())
 		c.repeatNotices(ctx)
+		c.leaveConfined(ctx)
 		if c.sweepDue() {
 			c.sweep(ctx)
 		}
@@ -73,7 +74,7 @@
 	var takeovers sync.WaitGroup
 	var failed atomic.Bool
 	for _, r := range records {
-		if r.Owner.Node != c.Self.Node || r.Owner == c.Self || r.Ended {
+		if r.Owner.Node != c.Self.Node || r.Owner == c.Self || r.Ended || !c.mayLead(r) {
 			continue
 		}
 		takeovers.Go(func() {
@@ -179,11 +180,14 @@
 	}
 }
 
-// reassign makes another process the owner of a job and notifies it.
-func (c *Conductor) reassign(ctx context.Context, r recorder.Record) {
-	successor, ok := c.selectProcess(string(r.ID), anyProcess)
+// reassign makes another process the owner of a job and notifies it. A job that no registered process may lead waits. It reports whether
+// the job has another owner.
+func (c *Conductor) reassign(ctx context.Context, r recorder.Record) bool {
+	scope := c.recordScope(r)
+	successor, ok := c.selectProcess(string(r.ID), func(p recorder.Registration) bool { return scope.AllowsEntry(p.Region) })
 	if !ok {
-		return
+		c.reportWaiting(r, scope)
+		return false
 	}
 	out, err := c.Recorder.Replace(ctx, r, r.WithOwner(successor.Owner))
 	c.Log.Emit(logger.JobAdopted, "job", r.ID, "from", r.Owner.Node, "to", successor.Owner.Node, "outcome", out.String(), "error", err)
@@ -196,6 +200,7 @@
 		// If the new owner is gone, the sweep that follows its removal chooses another one.
 		c.notify(ctx, successor, r.ID)
 	}
+	return out == applied
 }
 
 // sweepAgain schedules the next sweep soon, because a part of this one failed.
--- a/internal/conductor/outcome.go
+++ b/internal/conductor/outcome.go
@@ -47,11 +47,13 @@
 	Missing
 	// ReadFailed means that the store could not be read.
 	ReadFailed
+	// Waiting means that the job has no further results and no registered process that may lead it.
+	Waiting
 )
 
 // String returns the name of the outcome.
 func (o ReadOutcome) String() string {
-	names := [...]string{"none", "found", "missing", "unsure"}
+	names := [...]string{"none", "found", "missing", "unsure", "waiting"}
 	if o < 0 || int(o) >= len(names) {
 		return "invalid"
 	}
--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -47,6 +47,9 @@
 		c.Log.Emit(logger.JobUnreadable, "job", id, "outcome", out.String(), "error", err)
 		return Page{}, ReadFailed
 	}
+	if after >= len(all) && c.waits(r, len(all)) {
+		return Page{}, Waiting
+	}
 	if after < 0 || after >= len(all) {
 		return Page{Total: r.Total}, Found
 	}
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -95,6 +95,9 @@
 		if !ok {
 			continue
 		}
+		if !c.mayAssign(plan, l, route) {
+			continue
+		}
 		demands, due := l.job.Due(now)
 		if due > 0 && (next == 0 || due < next) {
 			next = due
@@ -114,7 +117,7 @@
 
 // assign starts the next item of a demand on a target of a service. A text that no target continues begins anew.
 func (c *Conductor) assign(l *ledJob, route navigator.Route, service identifier.Service, d batcher.Demand, now time.Duration) (assignment, bool) {
-	target, ok := c.chooseTarget(service, l.job.Spec(), d.Release, now)
+	target, ok := c.chooseTarget(service, l, d.Release, now)
 	if !ok && d.Continues {
 		target, ok = c.restartText(l, service, d, now)
 		d.Constraint = batcher.Constraint{}
@@ -140,7 +143,7 @@
 	if served {
 		since = now - maxContinuationWait
 	}
-	target, ok := c.chooseTarget(service, l.job.Spec(), "", now)
+	target, ok := c.chooseTarget(service, l, "", now)
 	if !ok {
 		return target, false
 	}
@@ -155,9 +158,10 @@
 // chooseTarget reserves a slot on a target for an item of a job, on one of a release unless that is empty. Slow targets are
 // used only if there is no other.
 func (c *Conductor) chooseTarget(
-	service identifier.Service, spec batcher.Spec, release identifier.Release, now time.Duration,
+	service identifier.Service, l *ledJob, release identifier.Release, now time.Duration,
 ) (router.Target, bool) {
-	need := router.Requirements{Service: service, Zone: c.Zone, Region: c.Region, Release: release, Spread: true}
+	spec := l.job.Spec()
+	need := router.Requirements{Service: service, Zone: c.Zone, Region: c.Region, Release: release, Spread: true, Regions: c.scope(l).Regions}
 	avoid := c.Registrar.TargetsToAvoid(service, spec.Model, spec.Least, now)
 	need.Avoid = append(c.Registrar.SlowTargets(service, now), avoid...)
 	if target, ok := c.Forwarder.Limiter.Choose(c.Router, need); ok {
@@ -331,11 +335,17 @@
 	failures := 0
 	end := c.scoreEnd(a)
 	for ctx.Err() == nil && !job.Finished() && !c.expired(a.ledJob, a.route) {
-		began := c.Clock.Monotonic()
+		began, scope := c.Clock.Monotonic(), c.scope(a.ledJob)
+		if !scope.AllowsEntry(c.Region) {
+			// The job moves, or waits, and is scored where it is led next.
+			timer.Wait(ctx, c.Clock, maintenancePeriod)
+			continue
+		}
 		var sink scoreSink
 		r := c.Forwarder.Forward(ctx, forwarder.Request{
 			ID: call.ID, Method: "POST", URI: call.Path, Path: path, Host: call.Host, Body: call.Body,
 			CallerTimeout: scoreTimeout, TargetTimeout: max(end-began, minTargetTimeout), Internal: true, Header: map[string][]string{},
+			Regions: scope.Regions,
 		}, &sink)
 		c.reportScore(a, r, c.Clock.Monotonic()-began)
 		switch {
@@ -348,7 +358,7 @@
 				return
 			}
 		}
-		timer.Wait(ctx, c.Clock, retryDelay)
+		timer.Wait(ctx, c.Clock, scoreDelay(r))
 	}
 }
 
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -23,6 +24,11 @@
 // that has no capacity or can't store the job is passed over. A large job is led where it was submitted: passed on, it would be
 // in the memory of two processes, and hold up the other messages between them.
 func (c *Conductor) Submit(ctx context.Context, s batcher.Spec) Acceptance {
+	plan := c.Navigator.Current()
+	s.Scope = confiner.NewScope(c.Region, plan.Regions(s.Host, s.Path, s.Team))
+	if !c.servable(plan, s) {
+		return c.refuse(ctx, s.Team, s.ID, "regions")
+	}
 	if size := s.Size(); size > batcher.LargeSize {
 		if !c.hasRoom(s.ID, size) {
 			return c.Refuse(ctx, s.Team, s.ID)
@@ -72,7 +78,7 @@
 	c.lock.Lock()
 	closing := c.closing
 	c.lock.Unlock()
-	if closing || !c.storeReached() || unfinished+len(s.Items) > workerCount {
+	if closing || !c.specScope(s).AllowsEntry(c.Region) || !c.storeReached() || unfinished+len(s.Items) > workerCount {
 		return Declined
 	}
 	return c.Accept(ctx, s)
@@ -93,7 +99,7 @@
 	owner := recorder.Registration{Owner: c.Self}
 	if closing {
 		var ok bool
-		if owner, ok = c.selectProcess(string(s.ID), func(p recorder.Registration) bool { return p.Owner.Node != c.Self.Node }); !ok {
+		if owner, ok = c.selectSuccessor(recorder.Record{ID: s.ID, Team: s.Team, Scope: s.Scope, Host: s.Host, Path: s.Path}); !ok {
 			return Refused
 		}
 	}
@@ -138,6 +144,11 @@
 // Refuse returns the acceptance of a submission for which there is no memory. It is Refused only if the job does not exist: an earlier
 // submission, of which the trainer got no answer, may have been accepted.
 func (c *Conductor) Refuse(ctx context.Context, team identifier.Team, id identifier.Job) Acceptance {
+	return c.refuse(ctx, team, id, "memory")
+}
+
+// refuse returns the acceptance of a submission that is refused for a reason.
+func (c *Conductor) refuse(ctx context.Context, team identifier.Team, id identifier.Job, reason string) Acceptance {
 	record, out, err := c.Recorder.Record(ctx, id)
 	acceptance := Refused
 	switch {
@@ -146,7 +157,7 @@
 	case record.Changed != 0:
 		acceptance = acceptanceOfExisting(record, team)
 	}
-	c.Log.Emit(logger.JobSubmitted, "job", id, "team", team, "outcome", acceptance.String(), "store", out.String(), "reason", "memory", "error", err)
+	c.Log.Emit(logger.JobSubmitted, "job", id, "team", team, "outcome", acceptance.String(), "store", out.String(), "reason", reason, "error", err)
 	return acceptance
 }
 
--- a/internal/confiner/regions.go
+++ b/internal/confiner/regions.go
@@ -39,6 +39,9 @@
 // Restricted reports whether the set excludes any region.
 func (r Regions) Restricted() bool { return r != "" }
 
+// Empty reports whether the set contains no region.
+func (r Regions) Empty() bool { return r == separator }
+
 // Allows reports whether the set contains a region. A restricted set contains no unknown region, whose name is empty.
 func (r Regions) Allows(name identifier.Region) bool {
 	if r == "" {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -178,7 +178,15 @@
 	TextsUnsaved  = Event{
 		Number: 1523, Level: hclog.Warn, Text: "texts of a batch job not saved", Action: "check the key-value service if this persists",
 	}
-	TextRestarted         = Event{Number: 1524, Level: hclog.Info, Text: "text begun anew, no target continues it", Action: "none"}
+	TextRestarted = Event{Number: 1524, Level: hclog.Info, Text: "text begun anew, no target continues it", Action: "none"}
+	JobWaiting    = Event{
+		Number: 1525, Level: hclog.Warn, Text: "batch job waits, no entry in its regions",
+		Action: "start an entry in one of the regions that the event names; the job goes on there",
+	}
+	RegionsUnserved = Event{
+		Number: 1109, Level: hclog.Error, Text: "allowed regions without a target",
+		Action: "correct allowed-regions, or start targets of the service there; the requests are refused until then",
+	}
 	WantedVersionReceived = Event{Number: 1530, Level: hclog.Info, Text: "wanted weight version received", Action: "none"}
 	LoadOrdered           = Event{Number: 1531, Level: hclog.Info, Text: "load of weights ordered", Action: "none"}
 	LoadEnded             = Event{Number: 1532, Level: hclog.Info, Text: "load of weights ended or abandoned", Action: "none"}
@@ -195,12 +203,12 @@
 		ProcessStarted, ProcessStopped, DrainStarted, PeersUnencrypted, CertificateReloaded,
 		CertificateUnreadable, PeerRefused, HandlerPanicked, SettingsReloaded, SettingsInvalid, LinesDropped,
 		ConnectionsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
-		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
+		ConfigUnreadable, RegionsUnserved, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
-		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted,
+		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted, JobWaiting,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/storer"
 )
@@ -58,6 +59,11 @@
 	Work  int
 	// Size is that of all bodies. Records that earlier builds wrote have none.
 	Size identifier.Bytes
+	// Scope is that of the Spec, and Host and Path determine the route whose regions apply as well. A process decides by them whether it
+	// may read the Spec. Records that earlier builds wrote have none and are unrestricted.
+	Scope confiner.Scope
+	Host  string
+	Path  string
 	// Ended is set when the job was ended; no further items run.
 	Ended bool
 	// Changed is the revision of the record in the key-value service, or zero if the record does not exist.
@@ -133,7 +139,7 @@
 	}
 	record := Record{
 		ID: s.ID, Team: s.Team, Owner: o, Term: 1, Parts: len(parts), Total: len(s.Items), Submitted: s.Submitted,
-		Model: s.Model, Work: s.Work(), Size: s.Size(),
+		Model: s.Model, Work: s.Work(), Size: s.Size(), Scope: s.Scope, Host: s.Host, Path: s.Path,
 	}
 	encodedRecord, err := r.codec.EncodeRecord(record)
 	if err != nil {
