--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -198,7 +198,8 @@
 	e.stopRegistering = stopRegistering
 	e.registering.Go(func() { e.presence.keepRegistered(registerCtx) })
 	e.running.Go(func() { tally.Run(ctx) })
-	e.running.Go(func() { e.expireListings(ctx, e.targets) })
+	residency := residencyReport{navigator: operators.navigator, router: e.targets.router, log: e.log, synced: e.targets.synced.Load}
+	e.running.Go(func() { e.expireListings(ctx, e.targets, &residency) })
 	e.running.Go(func() { e.limiter.Run(ctx) })
 	e.running.Go(func() { e.leaving.run(ctx) })
 	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
@@ -283,14 +284,15 @@
 // expiryCheckPeriod is the time between two checks for targets whose listings did not return in time.
 const expiryCheckPeriod = time.Second
 
-// expireListings removes targets whose listings were lost and did not return in time.
-func (e *Entry) expireListings(ctx context.Context, v *targetView) {
+// expireListings removes targets whose listings were lost and did not return in time, and checks each new plan against the listings.
+func (e *Entry) expireListings(ctx context.Context, v *targetView, r *residencyReport) {
 	ticks := e.clock.Every(expiryCheckPeriod)
 	defer ticks.Stop()
 	for {
 		select {
 		case <-ticks.C():
 			v.expire()
+			r.check()
 		case <-ctx.Done():
 			return
 		}
