evacuator: orders that nothing more is sent to an availability zone

An operator can order that the targets of a zone get nothing more, and later take the zone back. No part of the system held such orders.

--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -21,6 +21,7 @@
 	RankGatekeeper    Rank = 110
 	RankStreamer      Rank = 120
 	RankRegistrar     Rank = 115
+	RankEvacuator     Rank = 116
 	RankDepartures    Rank = 117
 	RankAttributor    Rank = 118
 	RankConductor     Rank = 125
@@ -55,6 +56,8 @@
 	Navigator struct{}
 	// Registrar ranks the lock of the registered targets.
 	Registrar struct{}
+	// Evacuator ranks the lock of the orders to evacuate availability zones.
+	Evacuator struct{}
 	// Departures ranks the lock of the targets that leave.
 	Departures struct{}
 	// Attributor ranks the lock of the origins of streams.
@@ -180,6 +183,9 @@
 // Rank returns RankRegistrar.
 func (Registrar) Rank() Rank { return RankRegistrar }
 
+// Rank returns RankEvacuator.
+func (Evacuator) Rank() Rank { return RankEvacuator }
+
 // Rank returns RankDepartures.
 func (Departures) Rank() Rank { return RankDepartures }
 
--- a/links_test.go
+++ b/links_test.go
@@ -13,7 +13,7 @@
 func TestPagesPointToFiles(t *testing.T) {
 	c := qt.New(t)
 	var pages []string
-	for _, pattern := range []string{"README.md", "CONTRIBUTING.md", "docs/*.md", "docs/operators/*.md", "docs/incidents/*.md"} {
+	for _, pattern := range []string{"README.md", "CONTRIBUTING.md", "docs/*.md", "docs/operators/*.md", "docs/incidents/*.md", "docs/design/*.md"} {
 		found, err := filepath.Glob(pattern)
 		c.Assert(err, qt.IsNil)
 		pages = append(pages, found...)
