hoster: the key op/evacuate/ZONE keeps requests away from a zone

An operator of the users' platform writes a key to the store to evacuate a zone, and removes it to take the zone back. Nothing read these keys.

Where the settings have `evacuate-ms`, each entry follows them through the reader of its region, and the controller finds them in the watch of `op/` that it has anyway. The registrar leaves the targets of evacuated zones out of its views, like draining ones, and lists them as draining to the controller, so that no weights are loaded there. A call to a target that was chosen before the order arrived ends unsent, and such a target is not asked for its start. An entry uses no target, and is not ready, before it has read the orders. A service whose targets are all in evacuated zones is logged (E1323) and counted; its requests get 503 at once, and so do new batch jobs for it.

--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -147,6 +147,18 @@
 		"mimosalb_registrar_unusable_listings", Gauge, "",
 		"Entries among the listings of targets that name no target to use.",
 	}
+	evacuatedZones = Definition{
+		"mimosalb_evacuator_evacuated_zones", Gauge, "",
+		"Availability zones to whose targets this process sends nothing because an operator evacuated them.",
+	}
+	unknownZones = Definition{
+		"mimosalb_evacuator_unknown_zones", Gauge, "",
+		"Orders to evacuate a zone that the deployment does not have; they change nothing.",
+	}
+	strandedServices = Definition{
+		"mimosalb_evacuator_stranded_services", Gauge, "",
+		"Services all of whose targets are in evacuated zones; their requests are refused.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -161,6 +173,7 @@
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
+		evacuatedZones, unknownZones, strandedServices,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -40,6 +40,9 @@
 		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
 		Unusable: func() int64 { return 7 },
+		Evacuation: func() exporter.EvacuationState {
+			return exporter.EvacuationState{Zones: 8, Unknown: 9, Stranded: 10}
+		},
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -17,6 +17,15 @@
 	Held     func() int
 	Limited  func() int
 	Unusable func() int64
+	// Evacuation reads the gauges of evacuation; it is nil where evacuation is switched off.
+	Evacuation func() EvacuationState
+}
+
+// EvacuationState holds the values of the gauges of evacuation.
+type EvacuationState struct {
+	// Zones is the number of evacuated zones, Unknown that of orders for unknown zones, and Stranded that of services without a target
+	// outside the evacuated zones.
+	Zones, Unknown, Stranded int
 }
 
 // Hosted holds the metrics of a process that runs on the users' own platform.
@@ -49,6 +58,11 @@
 	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
 	newGauge(h.registry, unusableListings, func() float64 { return float64(s.Unusable()) })
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
+	if s.Evacuation != nil {
+		newGauge(h.registry, evacuatedZones, func() float64 { return float64(s.Evacuation().Zones) })
+		newGauge(h.registry, unknownZones, func() float64 { return float64(s.Evacuation().Unknown) })
+		newGauge(h.registry, strandedServices, func() float64 { return float64(s.Evacuation().Stranded) })
+	}
 }
 
 // Gatherer returns the registry that the metrics route serves.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -66,6 +66,8 @@
 	JobMemory identifier.Bytes
 	// Bodies is the memory in which large jobs are read; nil if it is not bounded.
 	Bodies *reserver.Reserver
+	// Stranded reports whether all targets of a service are in evacuated availability zones. It may be nil.
+	Stranded func(identifier.Service) bool
 }
 
 // workerCount limits how many items one process runs or scores concurrently.
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -23,6 +23,9 @@
 // that has no capacity or can't store the job is passed over. A large job is led where it was submitted: passed on, it would be
 // in the memory of two processes, and hold up the other messages between them.
 func (c *Conductor) Submit(ctx context.Context, s batcher.Spec) Acceptance {
+	if c.stranded(s) {
+		return c.refuse(ctx, s.Team, s.ID, "stranded")
+	}
 	if size := s.Size(); size > batcher.LargeSize {
 		if !c.hasRoom(s.ID, size) {
 			return c.Refuse(ctx, s.Team, s.ID)
@@ -138,6 +141,11 @@
 // Refuse returns the acceptance of a submission for which there is no memory. It is Refused only if the job does not exist: an earlier
 // submission, of which the trainer got no answer, may have been accepted.
 func (c *Conductor) Refuse(ctx context.Context, team identifier.Team, id identifier.Job) Acceptance {
+	return c.refuse(ctx, team, id, "memory")
+}
+
+// refuse returns the acceptance of a submission that is refused for a reason.
+func (c *Conductor) refuse(ctx context.Context, team identifier.Team, id identifier.Job, reason string) Acceptance {
 	record, out, err := c.Recorder.Record(ctx, id)
 	acceptance := Refused
 	switch {
@@ -146,7 +154,7 @@
 	case record.Changed != 0:
 		acceptance = acceptanceOfExisting(record, team)
 	}
-	c.Log.Emit(logger.JobSubmitted, "job", id, "team", team, "outcome", acceptance.String(), "store", out.String(), "reason", "memory", "error", err)
+	c.Log.Emit(logger.JobSubmitted, "job", id, "team", team, "outcome", acceptance.String(), "store", out.String(), "reason", reason, "error", err)
 	return acceptance
 }
 
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -30,6 +30,15 @@
 	UnknownZone
 )
 
+// String returns the name of the effect.
+func (e Effect) String() string {
+	names := [...]string{"none", "evacuated", "taken back", "unknown zone"}
+	if e < 0 || int(e) >= len(names) {
+		return "invalid"
+	}
+	return names[e]
+}
+
 // Change is the effect of an order on one zone. It is immutable.
 type Change struct {
 	Zone   identifier.Zone
--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -89,7 +89,8 @@
 		t, ok := c.leaser.Term(Duty)
 		return ok && t.Fence == term.Fence
 	}
-	nav, reg := &c.plan, registrar.NewRegistrar(c.Regions)
+	zones := newEvacuator(c.Settings)
+	nav, reg := &c.plan, registrar.NewRegistrar(c.Regions).WithEvacuator(zones)
 	up := upgrader.NewUpgrader(upgrader.Dependencies{
 		Navigator: nav, Registrar: reg, Engines: c.platform.Targets, Work: c.modelWork, Clock: c.clock, Log: c.log,
 	}, term, valid)
@@ -99,6 +100,11 @@
 		decoder: c.platform.Decoder, navigator: nav, log: c.log, onDesired: up.SetDesired,
 		onRetire: func(n identifier.Node, status storer.Put) { c.retire(ctx, n, status) },
 	}
+	var written storer.View = operators
+	if zones != nil {
+		orders := &zoneView{decoder: c.platform.Decoder, evacuator: zones, log: c.log, onChange: reg.NotifyEvacuation}
+		written = operatorViews{operatorView: operators, zones: orders, prefix: c.platform.EvacuationPrefix}
+	}
 	targets := &targetView{
 		decoder: c.platform.Decoder, registrar: reg, router: router.NewRouter(), availability: c.availability, clock: c.clock, log: c.log,
 	}
@@ -107,7 +113,7 @@
 	for _, task := range []func(){
 		func() { up.Run(ctx) },
 		func() { report.Run(ctx) },
-		func() { c.follow(ctx, c.platform.OperatorPrefix, constantDelay(0), c.Apply, operators) },
+		func() { c.follow(ctx, c.platform.OperatorPrefix, constantDelay(0), c.Apply, written) },
 		func() {
 			c.follow(ctx, c.platform.TargetPrefix, constantDelay(c.Drain/batchDelayDivisor), c.Drain, targets)
 		},
--- a/internal/hoster/controller_test.go
+++ b/internal/hoster/controller_test.go
@@ -46,6 +46,7 @@
 
 func (stubAdapter) Listing(storer.Entry) (registrar.Listing, error) { return registrar.Listing{}, nil }
 func (stubAdapter) Target(string) identifier.Target                 { return "" }
+func (stubAdapter) EvacuatedZone(string) identifier.Zone            { return "" }
 func (stubAdapter) Report(context.Context, meter.Window, tallier.Counts, identifier.Node, identifier.Fence) tallier.Receipt {
 	return tallier.Accepted
 }
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -15,6 +15,7 @@
 	"github.com/mimosalb/mimosalb/internal/attributor"
 	"github.com/mimosalb/mimosalb/internal/broadcaster"
 	"github.com/mimosalb/mimosalb/internal/conductor"
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/interpreter"
@@ -90,6 +91,9 @@
 	// targets are the listed targets, departures those that said that they leave.
 	targets    *targetView
 	departures registrar.Departures
+	// evacuator holds the orders to evacuate zones; it is nil if evacuation is switched off.
+	evacuator *evacuator.Evacuator
+	stranded  *strandedServices
 	// leaving asks targets that leave for their present start.
 	leaving  startQueue
 	origins  *attributor.Attributor
@@ -120,26 +124,32 @@
 	}
 	e, log := &Entry{base: newBase(s, p, o)}, o.Log
 	sampler := logger.NewSampler(e.clock, logger.DefaultLinesPerSecond)
-	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions).WithDepartures(&e.departures)
+	e.evacuator = newEvacuator(s)
+	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions).WithDepartures(&e.departures).WithEvacuator(e.evacuator)
+	e.stranded = &strandedServices{registrar: reg, log: log}
 	route := router.NewRouter(router.WithPolicy(router.NewCombined()))
 	tally := tallier.NewTallier(
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
-	e.leaving = newStartQueue(p.Targets, &e.departures, e.clock, func() { e.targets.update(nil) })
+	starts := startGate{StartReader: p.Targets, evacuator: e.evacuator}
+	e.leaving = newStartQueue(starts, &e.departures, e.clock, func() { e.targets.update(nil) })
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
-		interpreter.WithDepartures(&e.departures, e.leaving.add))
+		interpreter.WithDepartures(&e.departures, e.leaving.add), interpreter.WithEvacuator(e.evacuator))
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
 	origins := attributor.NewStoreArchive(e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log, s.Node, e.incarnation)
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
-		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Origins: e.origins,
+		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: starts, Origins: e.origins,
 		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
 		p.TargetPrefix: storer.NewChangeBuffer(e.clock, watchWait(e.Drain)+bufferAgeMargin),
 	}
+	if e.evacuator != nil {
+		e.changeBuffers[p.EvacuationPrefix] = storer.NewChangeBuffer(e.clock, watchWait(e.evacuationDelay())+bufferAgeMargin)
+	}
 	e.forwarder = fwd
 	bodies := reserver.NewReserver(s.Memory / bodyMemoryDivisor)
 	e.presence = newPresence(e.base)
@@ -149,10 +159,12 @@
 		Forwarder: fwd, Caller: calls, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
 		StoreReached: e.presence.reachedJustNow, JobMemory: s.Memory / jobMemoryDivisor, Bodies: bodies,
+		Stranded: e.stranded.contains,
 	})
 	e.targets = &targetView{
 		departures: &e.departures, availability: e.availability,
 		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
+			e.stranded.check()
 			e.limiter.Retain(route.View())
 			e.conductor.TriggerAssignment()
 		},
@@ -160,7 +172,7 @@
 	}
 	e.front = newFront(FrontDependencies{
 		Navigator: nav, Forwarder: fwd, Conductor: e.conductor, Clock: e.clock, Log: log,
-		Synced: func() bool { return e.presence.storeReached() && e.targets.synced.Load() },
+		Synced: func() bool { return e.presence.storeReached() && e.targets.synced.Load() && e.evacuator.Synced() },
 		Meter:  o.Metrics, Sampler: sampler, Bodies: bodies,
 	})
 	if err := e.serve(); err != nil {
@@ -169,6 +181,7 @@
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
 		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
+		Evacuation: e.evacuationState(),
 	})
 	if err != nil {
 		return nil, err
@@ -191,6 +204,12 @@
 	e.running.Go(func() {
 		e.followShared(ctx, p.TargetPrefix, e.Drain/batchDelayDivisor, e.Drain, e.targets, regionReader{e}, e.changeBuffers[p.TargetPrefix])
 	})
+	if e.evacuator != nil {
+		orders := &zoneView{decoder: p.Decoder, evacuator: e.evacuator, log: e.log, onChange: func() { e.targets.update(nil) }}
+		e.running.Go(func() {
+			e.followShared(ctx, p.EvacuationPrefix, 0, e.evacuationDelay(), orders, regionReader{e}, e.changeBuffers[p.EvacuationPrefix])
+		})
+	}
 	e.running.Go(func() {
 		e.follow(ctx, recorder.NodePrefix, e.batchDelay, membershipDelay, conductor.NewMembershipView(e.conductor, e.codec))
 	})
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -41,6 +41,8 @@
 	Operator(e storer.Entry) (OperatorEntry, error)
 	Listing(e storer.Entry) (registrar.Listing, error)
 	Target(key string) identifier.Target
+	// EvacuatedZone returns the zone that a key below Platform.EvacuationPrefix names.
+	EvacuatedZone(key string) identifier.Zone
 }
 
 // Targets sends requests and weight switches to targets.
@@ -73,10 +75,11 @@
 	Decoder        Decoder
 	Dial           jobpeer.Dial
 	// OperatorPrefix and TargetPrefix are the prefixes of the keys that Decoder decodes. PlanPrefix is the prefix of the
-	// operators' keys that hold the plan.
-	OperatorPrefix string
-	PlanPrefix     string
-	TargetPrefix   string
+	// operators' keys that hold the plan, EvacuationPrefix that of the orders to evacuate zones.
+	OperatorPrefix   string
+	PlanPrefix       string
+	EvacuationPrefix string
+	TargetPrefix     string
 }
 
 // Settings configure a process.
@@ -109,6 +112,9 @@
 	Apply  time.Duration
 	Drain  time.Duration
 	Cancel time.Duration
+	// Evacuate is the time within which an order to evacuate a zone takes effect in all processes. Zero switches evacuation off: the
+	// orders are not read.
+	Evacuate time.Duration
 }
 
 const (
--- a/internal/hoster/view_test.go
+++ b/internal/hoster/view_test.go
@@ -24,6 +24,8 @@
 
 func (keyDecoder) Target(key string) identifier.Target { return identifier.Target(key) }
 
+func (keyDecoder) EvacuatedZone(key string) identifier.Zone { return identifier.Zone(key) }
+
 func (keyDecoder) Listing(e storer.Entry) (registrar.Listing, error) {
 	return registrar.Listing{ID: identifier.Target(e.Key), Service: "s", Zone: "z", Slots: 1, Release: "v1"}, nil
 }
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
@@ -20,8 +21,10 @@
 	// departures holds the targets that leave; onLeaving is called when one is added.
 	departures *registrar.Departures
 	onLeaving  func(router.Target)
-	clock      timer.Service
-	log        *logger.Logger
+	// evacuator says to which zones nothing is sent; it may be nil.
+	evacuator *evacuator.Evacuator
+	clock     timer.Service
+	log       *logger.Logger
 }
 
 // Option sets a property of an Interpreter.
@@ -35,6 +38,10 @@
 	return func(i *Interpreter) { i.departures, i.onLeaving = d, onLeaving }
 }
 
+// WithEvacuator makes calls to targets of zones that e evacuates end unsent. A target that was chosen before the order arrived may be
+// called much later, after a question for its start or on a repeated connection.
+func WithEvacuator(e *evacuator.Evacuator) Option { return func(i *Interpreter) { i.evacuator = e } }
+
 // NewInterpreter returns an Interpreter of the answers that client gets.
 func NewInterpreter(client forwarder.TargetClient, clock timer.Service, log *logger.Logger, opts ...Option) *Interpreter {
 	i := &Interpreter{client: client, clock: clock, log: log}
@@ -46,6 +53,9 @@
 
 // Call sends c and takes in what its answer says.
 func (i *Interpreter) Call(ctx context.Context, c forwarder.Call) (forwarder.Answer, forwarder.Fault) {
+	if i.evacuator.Evacuated(c.Target.Zone) {
+		return forwarder.Answer{}, forwarder.Unsent
+	}
 	sent := i.clock.Monotonic()
 	a, fault := i.client.Call(ctx, c)
 	if fault == forwarder.NoFault && !a.Foreign {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -86,6 +86,22 @@
 		Number: 1311, Level: hclog.Warn, Text: "relay does not answer", Action: "check the VM of the relay if this persists; the node uses another relay",
 	}
 
+	ZoneEvacuated = Event{
+		Number: 1320, Level: hclog.Warn, Text: "availability zone evacuated", Action: "none; its targets get no requests until the zone is taken back",
+	}
+	ZoneTakenBack = Event{Number: 1321, Level: hclog.Info, Text: "availability zone taken back", Action: "none; its targets get requests again"}
+	ZoneUnknown   = Event{
+		Number: 1322, Level: hclog.Error, Text: "order to evacuate an unknown availability zone",
+		Action: "remove the order and write one for a zone of the deployment; this one changes nothing",
+	}
+	ServiceStranded = Event{
+		Number: 1323, Level: hclog.Error, Text: "all targets of a service are in evacuated availability zones",
+		Action: "take a zone back or start targets elsewhere; requests for the service are refused",
+	}
+	ServiceRegained = Event{
+		Number: 1324, Level: hclog.Info, Text: "targets of a service outside the evacuated availability zones again", Action: "none",
+	}
+
 	RequestHeld = Event{
 		Number: 1401, Level: hclog.Warn, Text: "request held back after crashes", Action: "ask the team for the request; check the engine's log",
 	}
@@ -197,7 +213,8 @@
 		ConnectionsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
 		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
-		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
+		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, ZoneEvacuated, ZoneTakenBack, ZoneUnknown, ServiceStranded,
+		ServiceRegained, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted,
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
@@ -24,7 +25,8 @@
 
 // Registrar is the table of targets of one process. The zero value is empty and knows no regions.
 //
-// Invariants: no view contains a draining, leaving, contradictory or removed target; each suspension ends. Lock rank: container.RankRegistrar.
+// Invariants: no view contains a draining, leaving, contradictory or removed target, nor one in an evacuated zone; each suspension
+// ends. Lock rank: container.RankRegistrar.
 type Registrar struct {
 	lock        container.Lock[container.Registrar]
 	records     map[identifier.Target]record
@@ -32,6 +34,7 @@
 	changed     chan struct{}
 	comparisons map[identifier.Service]comparison
 	departures  *Departures
+	evacuator   *evacuator.Evacuator
 }
 
 // record is a target with the results of attempts at it.
@@ -245,19 +248,20 @@
 	return avoid
 }
 
-// Listings returns the listings of all targets, including draining ones, in order of their IDs.
+// Listings returns the listings of all targets, including draining ones, in order of their IDs. Those in evacuated zones are listed as
+// draining.
 func (r *Registrar) Listings() []Listing {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	all := make([]Listing, 0, len(r.records))
 	for _, id := range slices.Sorted(maps.Keys(r.records)) {
-		all = append(all, r.records[id].listing)
+		all = append(all, r.markEvacuated(r.records[id].listing))
 	}
 	return all
 }
 
-// Watch returns a view of the targets that neither drain nor said that they leave, and whose listings agree on their release, and
-// a channel that is closed when a listing changes.
+// Watch returns a view of the targets that neither drain nor said that they leave, whose zones are not evacuated and whose listings
+// agree on their release, and a channel that is closed when a listing changes.
 func (r *Registrar) Watch() (router.View, <-chan struct{}) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -266,7 +270,7 @@
 	}
 	targets := make([]router.Target, 0, len(r.records))
 	for _, rec := range r.records {
-		if l := rec.listing; !l.Draining && !rec.contradictory && !r.departures.Left(l.ID, l.Incarnation) {
+		if l := rec.listing; r.accepts(rec) && !r.evacuator.Evacuated(l.Zone) {
 			targets = append(targets, router.Target{
 				ID: l.ID, Service: l.Service, Zone: l.Zone, Region: r.regions[l.Zone], Incarnation: l.Incarnation,
 				Address: l.Address, Slots: l.Slots, Release: l.Release,
