httpserver, commander: operators evacuate zones on the product's own interface

Operators of the own interface could take a zone out of use only through the platform, or target by target.

The configuration document has the evacuated zones. PUT, GET and DELETE under /v1/zones/{zone}/evacuation and `mimosactl zone` edit and show them, like other edits: the later of two is told apart by the revision, an order that is in force already uses up none, and an edit of the whole document leaves them alone, so that a file from before the order does not take a zone back. Entries leave the targets of evacuated zones out of the router's view; views are made and adopted under one lock, because a probe could put the targets back. The placement plan counts such a zone as lost and orders elsewhere in the region. Stranded services are named in the answer, logged and counted.

--- a/internal/adapter/codec/codec.go
+++ b/internal/adapter/codec/codec.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -16,13 +17,15 @@
 type Document struct {
 	Revision identifier.Revision `json:"revision,omitempty" yaml:"revision,omitempty"`
 	// Write identifies the write that stored the document. Only the stored form has it.
-	Write    identifier.Write    `json:"write,omitempty" yaml:"-"`
-	Preset   configurator.Preset `json:"preset" yaml:"preset"`
-	Zones    []Zone              `json:"zones,omitempty" yaml:"zones,omitempty"`
-	Teams    []Team              `json:"teams,omitempty" yaml:"teams,omitempty"`
-	Keys     []Key               `json:"keys,omitempty" yaml:"keys,omitempty"`
-	Services []Service           `json:"services,omitempty" yaml:"services,omitempty"`
-	Presets  []Rule              `json:"presets,omitempty" yaml:"presets,omitempty"`
+	Write  identifier.Write    `json:"write,omitempty" yaml:"-"`
+	Preset configurator.Preset `json:"preset" yaml:"preset"`
+	Zones  []Zone              `json:"zones,omitempty" yaml:"zones,omitempty"`
+	// Evacuated are the zones to whose targets nothing is sent. An edit of the whole document does not change them.
+	Evacuated []identifier.Zone `json:"evacuated,omitempty" yaml:"evacuated,omitempty"`
+	Teams     []Team            `json:"teams,omitempty" yaml:"teams,omitempty"`
+	Keys      []Key             `json:"keys,omitempty" yaml:"keys,omitempty"`
+	Services  []Service         `json:"services,omitempty" yaml:"services,omitempty"`
+	Presets   []Rule            `json:"presets,omitempty" yaml:"presets,omitempty"`
 }
 
 // Zone is an availability zone and its region.
@@ -94,7 +97,7 @@
 
 // FromDocument returns the form of d without the identity of its write.
 func FromDocument(d configurator.Document) Document {
-	f := Document{Revision: d.Revision(), Preset: d.Preset()}
+	f := Document{Revision: d.Revision(), Preset: d.Preset(), Evacuated: d.Evacuated().Names()}
 	for _, z := range d.Zones() {
 		f.Zones = append(f.Zones, Zone(z))
 	}
@@ -117,7 +120,8 @@
 
 // Document returns the configuration document of the form. It fails on a malformed hash or duration.
 func (f Document) Document() (configurator.Document, error) {
-	d := configurator.Document{}.WithRevision(f.Revision).WithWrite(f.Write).WithPreset(f.Preset)
+	d := configurator.Document{}.WithRevision(f.Revision).WithWrite(f.Write).WithPreset(f.Preset).
+		WithEvacuated(evacuator.NewZones(f.Evacuated...))
 	for _, z := range f.Zones {
 		d = d.WithZones(append(d.Zones(), configurator.Zone(z))...)
 	}
--- a/internal/adapter/exporter/entry.go
+++ b/internal/adapter/exporter/entry.go
@@ -17,6 +17,9 @@
 	Listed      func() map[identifier.Zone]int
 	Serving     func() map[identifier.Zone]int
 	Connections func() int
+	// Evacuated is the number of evacuated zones, Stranded that of services without a target outside of them.
+	Evacuated func() int
+	Stranded  func() int
 }
 
 // Entry holds the metrics of an entry.
@@ -42,6 +45,8 @@
 func (e *Entry) Observe(s EntryState) {
 	newGauge(e.registry, waitingRequests, func() float64 { return float64(s.Waiting()) })
 	newGauge(e.registry, adoptedRevision, func() float64 { return float64(s.Revision()) })
+	newGauge(e.registry, evacuatedZones, func() float64 { return float64(s.Evacuated()) })
+	newGauge(e.registry, strandedServices, func() float64 { return float64(s.Stranded()) })
 	newGauge(e.registry, clientConnections, func() float64 { return float64(s.Connections()) })
 	e.registry.MustRegister(newZoneGauge(listedTargets, s.Listed), newZoneGauge(servingTargets, s.Serving))
 }
--- a/internal/adapter/httpserver/malformed_test.go
+++ b/internal/adapter/httpserver/malformed_test.go
@@ -81,7 +81,7 @@
 
 func newOperators() *httpserver.Server {
 	return httpserver.NewServer(health(), httpserver.NewGuard(token), httpserver.NewOperatorRoutes(unavailableStore{}, config(), []byte(pepper)),
-		httpserver.NewUsageRoutes(unavailableWindows{}, meter.Calendar{}))
+		httpserver.NewUsageRoutes(unavailableWindows{}, meter.Calendar{}), httpserver.NewEvacuationRoutes(unavailableStore{}, config(), nil))
 }
 
 func health() *httpserver.Health {
--- a/internal/adapter/httpserver/operator.go
+++ b/internal/adapter/httpserver/operator.go
@@ -77,7 +77,8 @@
 		if conflicting = d.Revision() != base; conflicting {
 			return d.WithPreset(invalidPreset)
 		}
-		return doc
+		// A configuration that is kept in a file must not take a zone back.
+		return doc.WithEvacuated(d.Evacuated())
 	})
 	if conflicting {
 		result.Edit = configurator.Conflicting
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -38,7 +38,8 @@
 
 	commands := make(map[string]command)
 	for _, add := range []func(*kingpin.Application) []command{
-		documentCommands, presetCommands, teamCommands, keyCommands, serviceCommands, targetCommands, statusCommands, explainCommands,
+		documentCommands, presetCommands, teamCommands, keyCommands, serviceCommands, targetCommands, zoneCommands,
+		statusCommands, explainCommands,
 	} {
 		for _, cmd := range add(app) {
 			commands[cmd.clause.FullCommand()] = cmd
--- a/internal/commander/document.go
+++ b/internal/commander/document.go
@@ -35,6 +35,7 @@
 		return Listing{}, err
 	}
 	base := current.Revision()
+	edited = edited.WithEvacuated(current.Evacuated())
 	if len(edited.Keys()) == 0 {
 		edited = edited.WithKeys(current.Keys()...)
 	}
--- a/internal/commander/server_test.go
+++ b/internal/commander/server_test.go
@@ -17,6 +17,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/distributor"
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/publisher"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -97,6 +98,21 @@
 	})
 }
 
+// documentZones is a httpserver.ZoneStates of the zones of the configuration.
+type documentZones struct{}
+
+func (documentZones) ListedZones() []identifier.Zone { return nil }
+
+func (documentZones) RecordUnknown(identifier.Zone) {}
+
+func (documentZones) ZoneState(d configurator.Document, z identifier.Zone) httpserver.ZoneState {
+	state := httpserver.ZoneState{Zone: z, Region: d.Region(z), Evacuated: d.Evacuated().Contains(z), Revision: d.Revision(), Targets: 2}
+	if d.Evacuated().Len() == len(d.Zones()) {
+		state.Stranded = []identifier.Service{"matcher"}
+	}
+	return state
+}
+
 // server is an operators' API with a memoryStore.
 type server struct {
 	store   *memoryStore
@@ -116,6 +132,7 @@
 		httpserver.NewHealth(func() bool { return true }, prometheus.NewRegistry()),
 		httpserver.NewGuard(token),
 		httpserver.NewOperatorRoutes(s.editor, config, []byte("pepper")),
+		httpserver.NewEvacuationRoutes(s.editor, config, documentZones{}),
 	}, routes...)
 	h := httpserver.NewServer(all...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/configurator/diff.go
+++ b/internal/configurator/diff.go
@@ -20,6 +20,7 @@
 		all = append(all, Change{Field: "preset", Before: string(before.Preset()), After: string(after.Preset())})
 	}
 	all = append(all, diff("zones", before.zones, after.zones, func(z Zone) string { return string(z.Name) }, Zone.String)...)
+	all = append(all, diffEvacuated(before.evacuated, after.evacuated)...)
 	all = append(all, diff("teams", before.teams, after.teams, func(t Team) string { return string(t.Name) }, Team.String)...)
 	all = append(all, diffKeys(before.keys, after.keys)...)
 	all = append(all, diff("services", before.services, after.services, func(s Service) string { return string(s.Name) }, Service.String)...)
--- a/internal/configurator/document.go
+++ b/internal/configurator/document.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -19,6 +20,8 @@
 	keys     []Key
 	services []Service
 	rules    []Rule
+	// evacuated are the zones to whose targets nothing is sent.
+	evacuated evacuator.Zones
 }
 
 // Zone is an availability zone and its region.
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -109,12 +109,14 @@
 	return nil
 }
 
-// followConfig passes each new configuration to the authenticator. The entry is ready once it has a configuration.
-func (e *Entry) followConfig(ctx context.Context, config *configurator.Configurator, auth *authenticator.Authenticator) {
+// followConfig passes each new configuration to the authenticator and its evacuated zones to the membership. The entry is ready once it
+// has a configuration.
+func (e *Entry) followConfig(ctx context.Context, config *configurator.Configurator, auth *authenticator.Authenticator, members *membership) {
 	for {
 		doc, changed := config.Watch()
 		if doc.Revision() > 0 {
 			auth.Adopt(doc)
+			members.adoptEvacuated(doc)
 			e.ready.Store(true)
 			e.log.Emit(logger.ConfigAdopted, "revision", doc.Revision(), "preset", doc.Preset())
 		}
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -130,7 +130,7 @@
 	leases := leaser.NewLeaser(identifier.Node(b.settings.Name), b.store.WithPurpose(storer.PurposeLease), e.clock,
 		leaser.WithEligible(func(identifier.Duty) bool { return e.tree.Candidate() }))
 	e.tree.Start(b.publisher, leases)
-	e.startTask(func() { e.followConfig(b.ctx, b.config, b.auth) })
+	e.startTask(func() { e.followConfig(b.ctx, b.config, b.auth, b.members) })
 	e.startTask(func() { b.members.run(b.ctx) })
 	e.startTask(func() { e.shareEvidence(b.ctx, b.platform) })
 	stored := persister.NewPersister(e.isolator, b.store.WithPurpose(storer.PurposeRun), codec.Jobs{}, e.clock, b.log)
@@ -152,7 +152,8 @@
 		httpserver.NewTrainerRoutes(e.rollouts.collector, e.rollouts.weights, b.auth, b.config))
 	e.operators = httpserver.NewServer(b.metrics.Listener("operators"), health, httpserver.NewGuard(b.token),
 		httpserver.NewOperatorRoutes(b.editor, b.config, b.pepper),
-		httpserver.NewUsageRoutes(b.usage.reporter, b.usage.calendar), httpserver.NewTargetRoutes(b.planner))
+		httpserver.NewUsageRoutes(b.usage.reporter, b.usage.calendar), httpserver.NewTargetRoutes(b.planner),
+		httpserver.NewEvacuationRoutes(b.editor, b.config, zoneStates{b.members}))
 	for _, server := range []*httpserver.Server{e.callers, e.operators} {
 		server.OnPanic(func(stack string) { b.log.Emit(logger.HandlerPanicked, "stack", stack) })
 	}
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -8,6 +8,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -29,6 +30,10 @@
 	router    *router.Router
 	period    time.Duration
 
+	// adopting is held from the making of a view to its adoption.
+	adopting sync.Mutex
+	// stranded are the services without a target outside the evacuated zones, as of the last refresh.
+	stranded evacuator.Stranded
 	// listed holds the targets of the last VM list.
 	listed atomic.Pointer[[]tracker.Member]
 	probes map[string]context.CancelFunc
@@ -75,7 +80,8 @@
 	}
 	m.tracker.AdoptSummaries(m.assembler.Summaries(func(z identifier.Zone) bool { return z != m.zone }))
 	m.updateProbes(ctx, m.tracker.Probes(m.zone, m.region, m.seed, tracker.DefaultProbes, now, m.period))
-	m.router.Adopt(m.tracker.View())
+	m.adoptView()
+	m.logStranded()
 }
 
 // updateProbes starts a probe for each member of list that has none and cancels the probes of members that are not in
@@ -126,7 +132,7 @@
 		before, after := m.tracker.RecordFailure(member.Target)
 		if before != after {
 			m.logStatus(member.Target, after, err)
-			m.router.Adopt(m.tracker.View())
+			m.adoptView()
 		}
 		return
 	}
@@ -137,7 +143,7 @@
 	if before != after {
 		m.logStatus(member.Target, after, nil)
 	}
-	m.router.Adopt(m.tracker.View())
+	m.adoptView()
 }
 
 func (m *membership) logStatus(target identifier.Target, after tracker.Status, err error) {
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -14,6 +14,8 @@
 		Waiting:     e.dispatcher.Waiting,
 		Revision:    func() identifier.Revision { return config.Current().Revision() },
 		Connections: e.peers.Connections,
+		Evacuated:   func() int { return tracker.Evacuated().Len() },
+		Stranded:    func() int { return len(tracker.Stranded(tracker.Evacuated())) },
 		Listed: func() map[identifier.Zone]int {
 			zones := make(map[identifier.Zone]int)
 			for _, m := range tracker.Members() {
@@ -23,7 +25,7 @@
 		},
 		Serving: func() map[identifier.Zone]int {
 			zones := make(map[identifier.Zone]int)
-			for _, t := range tracker.View().Targets() {
+			for _, t := range tracker.RoutedView().Targets() {
 				zones[t.Zone]++
 			}
 			return zones
--- a/internal/runner/planner.go
+++ b/internal/runner/planner.go
@@ -104,7 +104,10 @@
 	v := placer.View{Now: p.clock.Monotonic(), Settings: p.placerSettings(), Rule: doc.Rule()}
 	for _, z := range doc.Zones() {
 		if z.Region == p.region {
-			v.Zones = append(v.Zones, p.placerZone(z.Name))
+			zone := p.placerZone(z.Name)
+			// Targets of an evacuated zone are no capacity; what they served has to find room elsewhere.
+			zone.Lost = doc.Evacuated().Contains(z.Name)
+			v.Zones = append(v.Zones, zone)
 		}
 	}
 	// A service is planned only if it has targets in the region; an operator starts the first one.
--- a/internal/runner/targets.go
+++ b/internal/runner/targets.go
@@ -12,7 +12,7 @@
 // List returns the listed targets with their state in this entry's view.
 func (p *planner) List() []httpserver.Target {
 	serving := make(map[identifier.Target]int)
-	for _, t := range p.tracker.View().Targets() {
+	for _, t := range p.tracker.RoutedView().Targets() {
 		serving[t.ID] = t.Running
 	}
 	members := p.tracker.Members()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
@@ -68,6 +69,7 @@
 	lock      container.Lock[container.Tracker]
 	members   map[identifier.Target]*member
 	summaries map[zoneService]Summary
+	evacuated evacuator.Zones
 }
 
 // zoneService identifies a service in an availability zone.
