httpserver: the list of zones is made with its size

The linter asked for it; lists of zones have a known length. No change of behaviour: the golden files of commander and httpserver are the same.

--- a/internal/adapter/httpserver/evacuation.go
+++ b/internal/adapter/httpserver/evacuation.go
@@ -62,8 +62,9 @@
 
 func (r *EvacuationRoutes) list(c echo.Context) error {
 	doc := r.config.Current()
-	all := []ZoneState{}
-	for _, z := range r.known(doc).Names() {
+	known := r.known(doc).Names()
+	all := make([]ZoneState, 0, len(known))
+	for _, z := range known {
 		all = append(all, r.zones.ZoneState(doc, z))
 	}
 	return c.JSON(http.StatusOK, all)
