--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -28,6 +28,7 @@
 	entry.Observe(exporter.EntryState{
 		Waiting: func() int { return 2 }, Revision: func() identifier.Revision { return 7 },
 		Listed: oneTarget, Serving: oneTarget, Connections: func() int { return 3 },
+		Evacuated: func() int { return 1 }, Stranded: func() int { return 2 },
 	})
 	agent.Observe(exporter.AgentState{Load: func() (int, bool) { return 4, true }, Connections: func() int { return 5 }})
 	entry.Ended(dispatcher.EndedRequest{
@@ -40,6 +41,9 @@
 		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
 		Unusable: func() int64 { return 7 },
+		Evacuation: func() exporter.EvacuationState {
+			return exporter.EvacuationState{Zones: 8, Unknown: 9, Stranded: 10}
+		},
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -29,6 +29,9 @@
 	if !c.servable(plan, s) {
 		return c.refuse(ctx, s.Team, s.ID, "regions")
 	}
+	if c.stranded(s) {
+		return c.refuse(ctx, s.Team, s.ID, "stranded")
+	}
 	if size := s.Size(); size > batcher.LargeSize {
 		if !c.hasRoom(s.ID, size) {
 			return c.Refuse(ctx, s.Team, s.ID)
