--- a/internal/storer/write.go
+++ b/internal/storer/write.go
@@ -30,9 +30,9 @@
 	shared        *sharedState
 }
 
-// sharedState is the state that all Storers of one process share.
+// sharedState is the state that the Storers of one driver share. Those of one process share the budget.
 type sharedState struct {
-	budget  Budget
+	budget  *Budget
 	backoff Backoff
 }
 
@@ -50,7 +50,7 @@
 
 // NewStorer returns a Storer that calls the service through driver with the purpose PurposeUsage.
 func NewStorer(driver Driver, clock timer.Service, opts ...Option) *Storer {
-	s := &Storer{driver: driver, clock: clock, purpose: PurposeUsage, timeout: callTimeout, shared: &sharedState{}}
+	s := &Storer{driver: driver, clock: clock, purpose: PurposeUsage, timeout: callTimeout, shared: &sharedState{budget: &Budget{}}}
 	for _, o := range opts {
 		o(s)
 	}
