relayer: an entry that is cut off from the key-value service calls it through another entry

Cause: an entry that leads a job was cut off from the service for 8 s while it reached the other entries. Change: package relayer, between storer and the driver. A call that was certainly not executed, or that may be repeated, is made by another entry; a commit whose answer was lost stays unknown and is read back by storer as before. jobpeer carries the questions on connections of their own, hoster uses it for registration, jobs, origins and watches; usage and evidence stay direct. --no-relay switches it off. Events E1208 and E1209, two metrics.

--- a/cmd/mimosalb-node/main.go
+++ b/cmd/mimosalb-node/main.go
@@ -43,6 +43,7 @@
 	path := app.Flag("config", "Settings file of the platform.").Short('c').Envar(platform.SettingsVariable).Required().String()
 	level := app.Flag("log", "Lowest level of logged events: debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
 	metrics := app.Flag("metrics", "Port at the VM's address that serves the metrics; they are not served if it is not set.").Int()
+	relay := app.Flag("relay", "Let an entry that does not reach the key-value service make its calls through another entry.").Default("true").Bool()
 	entry := app.Command("entry", "Serve callers and trainers.")
 	app.Command("controller", "Campaign for the duty of switching weight versions and reporting usage.")
 	check := app.Command("check", "Check the settings file and start nothing.")
@@ -59,7 +60,9 @@
 	}
 	lines := logger.NewBoundedWriter(os.Stdout)
 	log := logger.NewLogger(string(settings.Node), *level, lines)
-	process, err := start(command == entry.FullCommand(), settings, address(settings, *metrics), hoster.Observers{
+	hosted := settings.Hosted(address(settings, *metrics))
+	hosted.WithoutRelay = !*relay
+	process, err := start(command == entry.FullCommand(), settings, hosted, hoster.Observers{
 		Log: log, Lines: lines, Metrics: exporter.NewHosted(),
 	})
 	exitOnError(err)
@@ -77,11 +80,11 @@
 }
 
 // start starts an entry or a controller.
-func start(entry bool, s platform.Settings, metrics string, o hoster.Observers) (stopper, error) {
+func start(entry bool, s platform.Settings, h hoster.Settings, o hoster.Observers) (stopper, error) {
 	if entry {
-		return hoster.StartEntry(s.Hosted(metrics), platform.New(s, o.Log, o.Metrics), platform.NewFront, o)
+		return hoster.StartEntry(h, platform.New(s, o.Log, o.Metrics), platform.NewFront, o)
 	}
-	return hoster.StartController(s.Hosted(metrics), platform.New(s, o.Log, o.Metrics), o)
+	return hoster.StartController(h, platform.New(s, o.Log, o.Metrics), o)
 }
 
 // address returns the VM's address with the given port, or an empty string if the port is 0.
--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -147,6 +147,14 @@
 		"mimosalb_registrar_unusable_listings", Gauge, "",
 		"Entries among the listings of targets that name no target to use.",
 	}
+	relayedCalls = Definition{
+		"mimosalb_relayer_calls_total", Counter, "role, outcome",
+		"Calls to the key-value service that another process was asked to make, or that this one executed for another.",
+	}
+	relayingState = Definition{
+		"mimosalb_relayer_relaying_state", Gauge, "",
+		"1 while calls to the key-value service go through another process, else 0.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -161,6 +169,7 @@
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
+		relayedCalls, relayingState,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -39,11 +39,12 @@
 	hosted.Observe(exporter.HostedState{
 		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
-		Unusable: func() int64 { return 7 },
+		Unusable: func() int64 { return 7 }, Relaying: func() bool { return true },
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
 	hosted.Call("store", "applied", 4*time.Millisecond)
+	hosted.Relayed("asked", "applied")
 	return []prometheus.Gatherer{entry.Gatherer(), agent.Gatherer(), hosted.Gatherer()}
 }
 
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -17,6 +17,7 @@
 	Held     func() int
 	Limited  func() int
 	Unusable func() int64
+	Relaying func() bool
 }
 
 // Hosted holds the metrics of a process that runs on the users' own platform.
@@ -28,6 +29,7 @@
 	itemDuration    *prometheus.HistogramVec
 	calls           *prometheus.CounterVec
 	callDuration    *prometheus.HistogramVec
+	relayed         *prometheus.CounterVec
 }
 
 // NewHosted returns the metrics of a hosted process.
@@ -37,6 +39,7 @@
 		registry: r, requests: newCounter(r, forwardedRequests), requestDuration: newHistogram(r, forwardedDuration),
 		items: newCounter(r, itemAttempts), itemDuration: newHistogram(r, itemAttemptDuration),
 		calls: newCounter(r, dependencyCalls), callDuration: newHistogram(r, dependencyCallDuration),
+		relayed: newCounter(r, relayedCalls),
 	}
 }
 
@@ -48,6 +51,12 @@
 	newGauge(h.registry, heldRequests, func() float64 { return float64(s.Held()) })
 	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
 	newGauge(h.registry, unusableListings, func() float64 { return float64(s.Unusable()) })
+	newGauge(h.registry, relayingState, func() float64 {
+		if s.Relaying() {
+			return 1
+		}
+		return 0
+	})
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
 }
 
@@ -72,3 +81,7 @@
 	h.calls.WithLabelValues(dependency, outcome).Inc()
 	h.callDuration.WithLabelValues(dependency).Observe(took.Seconds())
 }
+
+// Relayed counts a call to the key-value service that another process made for this one (role "asked") or this one for another
+// (role "executed").
+func (h *Hosted) Relayed(role, outcome string) { h.relayed.WithLabelValues(role, outcome).Inc() }
--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -18,7 +18,7 @@
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
-	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/relayer"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
@@ -164,23 +164,6 @@
 	return nil
 }
 
-// Departures takes in which targets leave.
-type Departures interface {
-	ApplyDepartures(n registrar.DepartureNotices)
-}
-
-// Targets is the net/rpc receiver that takes in what answers to other processes said of targets.
-type Targets struct {
-	departures Departures
-}
-
-// Left takes in which targets leave.
-func (t *Targets) Left(n registrar.DepartureNotices, received *bool) error {
-	t.departures.ApplyDepartures(n)
-	*received = true
-	return nil
-}
-
 // Services are what a process does for others. The zero value does nothing.
 type Services struct {
 	Jobs Handler
@@ -196,6 +179,8 @@
 	Departures Departures
 	// Attributor keeps the origins of streams. It needs Clock.
 	Attributor *attributor.Attributor
+	// Relays makes calls to the key-value service for processes that do not reach it.
+	Relays *relayer.Executor
 }
 
 // receivers returns the net/rpc receivers of the services that there are.
@@ -216,6 +201,9 @@
 	if s.Attributor != nil {
 		all = append(all, &Origins{attributor: s.Attributor, clock: s.Clock})
 	}
+	if s.Relays != nil {
+		all = append(all, &Relays{executor: s.Relays})
+	}
 	return all
 }
 
@@ -326,12 +314,6 @@
 	return c.call(ctx, address, "Limits.Notify", n, &received, informTimeout) && received
 }
 
-// NotifyDepartures tells the process at address which targets leave, and reports whether that process received it.
-func (c *Client) NotifyDepartures(ctx context.Context, address string, n registrar.DepartureNotices) bool {
-	var received bool
-	return c.call(ctx, address, "Targets.Left", n, &received, informTimeout) && received
-}
-
 // allotTimeout limits an ask for a permit, which the receiver answers at once.
 const allotTimeout = 300 * time.Millisecond
 
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -94,6 +94,7 @@
 	leaving  startQueue
 	origins  *attributor.Attributor
 	presence *presence
+	relay    relay
 	servers  []*http.Server
 	peers    net.Listener
 	client   *jobpeer.Client
@@ -119,11 +120,12 @@
 		return nil, fmt.Errorf("start entry at %s, %s and %s: %w", s.Callers, s.Ready, s.Peer, errSharedAddress)
 	}
 	e, log := &Entry{base: newBase(s, p, o)}, o.Log
+	e.useRelay(p.KeyValue)
 	sampler := logger.NewSampler(e.clock, logger.DefaultLinesPerSecond)
 	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions).WithDepartures(&e.departures)
 	route := router.NewRouter(router.WithPolicy(router.NewCombined()))
 	tally := tallier.NewTallier(
-		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
+		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.relay.direct.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
 	e.leaving = newStartQueue(p.Targets, &e.departures, e.clock, func() { e.targets.update(nil) })
@@ -169,6 +171,7 @@
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
 		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
+		Relaying: e.relay.relaying,
 	})
 	if err != nil {
 		return nil, err
@@ -207,7 +210,7 @@
 	e.running.Go(func() { departures.Run(ctx) })
 	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
 	e.running.Go(func() { limits.Run(ctx) })
-	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
+	stored := persister.NewPersister(e.observer.Isolator, e.relay.direct.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.running.Go(func() { e.origins.Run(ctx) })
 }
@@ -241,6 +244,7 @@
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
 			Limiter: e.limiter, Departures: departureSource{e}, Attributor: e.origins, Clock: e.clock,
+			Relays: e.relay.executor,
 		}
 		if err := jobpeer.Serve(l, services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
@@ -322,6 +326,7 @@
 	e.cancel()
 	_ = e.peers.Close() // the listener is not used again
 	e.running.Wait()
+	e.relay.close()
 	e.stopMetrics()
 	e.log.Emit(logger.ProcessStopped, "took", e.clock.Monotonic()-began)
 }
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -109,6 +109,8 @@
 	Apply  time.Duration
 	Drain  time.Duration
 	Cancel time.Duration
+	// WithoutRelay makes an entry that does not reach the key-value service wait, instead of making its calls through another entry.
+	WithoutRelay bool
 }
 
 const (
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -133,6 +133,11 @@
 	RecordUnreadable   = Event{
 		Number: 1207, Level: hclog.Error, Text: "stored value not readable", Action: "compare the program versions",
 	}
+	StoreRelayed = Event{
+		Number: 1208, Level: hclog.Warn, Text: "calls to the key-value service go through another entry",
+		Action: "check this machine's network path to the service",
+	}
+	StoreDirect       = Event{Number: 1209, Level: hclog.Info, Text: "calls to the key-value service go directly again", Action: "none"}
 	TargetListed      = Event{Number: 1304, Level: hclog.Info, Text: "target listed", Action: "none"}
 	TargetUnlisted    = Event{Number: 1305, Level: hclog.Info, Text: "target no longer listed", Action: "none"}
 	ListingUnreadable = Event{
@@ -196,7 +201,7 @@
 		CertificateUnreadable, PeerRefused, HandlerPanicked, SettingsReloaded, SettingsInvalid, LinesDropped,
 		ConnectionsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
 		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
-		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
+		RecordUnreadable, StoreRelayed, StoreDirect, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
