--- a/internal/relayer/executor.go
+++ b/internal/relayer/executor.go
@@ -18,6 +18,8 @@
 	smallBytes identifier.Bytes = 64 << 10
 	// maxExecuting bounds the calls that a process makes for others at a time.
 	maxExecuting = 32
+	// maxRanges bounds those of them that read ranges, as their answers may be large.
+	maxRanges = 2
 	// reservationTTL is the time after which a reservation ends whose call has not come.
 	reservationTTL = 2 * time.Second
 	// maxPatience bounds the time of one call.
@@ -44,6 +46,7 @@
 	// store holds the budget and the back-off of the calls.
 	store        *storer.Storer
 	executing    int
+	ranges       int
 	reservations map[int64]reservation
 	lastTicket   int64
 	observe      func(outcome string)
@@ -115,11 +118,14 @@
 		r.taken = true
 		e.reservations[q.Ticket] = r
 	}
-	if e.executing >= maxExecuting {
+	if e.executing >= maxExecuting || q.Kind.ranged() && e.ranges >= maxRanges {
 		delete(e.reservations, q.Ticket)
 		return false
 	}
 	e.executing++
+	if q.Kind.ranged() {
+		e.ranges++
+	}
 	return true
 }
 
@@ -128,5 +134,8 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	e.executing--
+	if q.Kind.ranged() {
+		e.ranges--
+	}
 	delete(e.reservations, q.Ticket)
 }
--- a/internal/relayer/path.go
+++ b/internal/relayer/path.go
@@ -13,11 +13,13 @@
 // Path knows whether this process reaches the key-value service itself.
 //
 // Invariants: the path is lost from a call without an answer until one has an answer; a call that began before the path was
-// restored does not lose it again. Lock rank: container.RankStorer.
+// restored does not lose it again; calls are relayed only while it is lost. Lock rank: container.RankStorer.
 type Path struct {
-	lock     container.Lock[container.Storer]
-	clock    timer.Service
-	lost     bool
+	lock  container.Lock[container.Storer]
+	clock timer.Service
+	lost  bool
+	// relayed is set while the path is lost and another process has answered a call.
+	relayed  bool
 	restored time.Duration
 	// losing is closed when the path is lost; nil if nobody waits for it.
 	losing chan struct{}
@@ -33,6 +35,22 @@
 	return p.lost
 }
 
+// Relayed reports whether the path is lost and another process answers calls.
+func (p *Path) Relayed() bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.relayed
+}
+
+// relay records that another process has answered a call, and reports whether it is the first one since the path was lost.
+func (p *Path) relay() (first bool) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	first = p.lost && !p.relayed
+	p.relayed = p.lost
+	return first
+}
+
 // losingChannel returns a channel that is closed when the path is lost.
 func (p *Path) losingChannel() <-chan struct{} {
 	p.lock.Lock()
@@ -59,20 +77,21 @@
 	}
 }
 
-// restore records an answer and reports whether the path was lost before.
-func (p *Path) restore() bool {
+// restore records an answer and reports whether calls were relayed before.
+func (p *Path) restore() (wasRelayed bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	if !p.lost {
 		return false
 	}
-	p.lost, p.losing, p.restored = false, nil, p.clock.Monotonic()
-	return true
+	wasRelayed = p.relayed
+	p.lost, p.relayed, p.losing, p.restored = false, false, nil, p.clock.Monotonic()
+	return wasRelayed
 }
 
-// record records the answer to a call of this process that began at a time, and reports whether it restored the path. A call
-// that its caller cancelled shows nothing.
-func (p *Path) record(ctx context.Context, began time.Duration, a Answer) (restored bool) {
+// record records the answer to a call of this process that began at a time, and reports whether it ended a time of
+// relayed calls. A call that its caller cancelled shows nothing.
+func (p *Path) record(ctx context.Context, began time.Duration, a Answer) (wasRelayed bool) {
 	switch {
 	case a.answered():
 		return p.restore()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -67,11 +67,9 @@
 	// probes holds the probes of the service back.
 	probes  storer.Backoff
 	probing atomic.Bool
-	// relaying is set while calls go through another process.
-	relaying atomic.Bool
-	ctx      context.Context //nolint:containedctx // it ends the probes when the process stops
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	ctx     context.Context //nolint:containedctx // it ends the probes when the process stops
+	cancel  context.CancelFunc
+	running sync.WaitGroup
 }
 
 // NewRelayer returns a Relayer.
@@ -87,7 +85,7 @@
 }
 
 // Relaying reports whether calls go through another process.
-func (r *Relayer) Relaying() bool { return r.relaying.Load() }
+func (r *Relayer) Relaying() bool { return r.Path.Relayed() }
 
 // call makes one call on the way that works.
 func (r *Relayer) call(ctx context.Context, q Question) Answer {
@@ -119,7 +117,7 @@
 	}
 	began := r.Clock.Monotonic()
 	a := execute(ctx, r.Service, q)
-	if r.Path.record(ctx, began, a) && r.relaying.CompareAndSwap(true, false) {
+	if r.Path.record(ctx, began, a) {
 		r.Log.Emit(logger.StoreDirect)
 	}
 	return a
@@ -212,7 +210,7 @@
 		r.observe(a, delivery)
 		switch {
 		case a.answered():
-			if r.relaying.CompareAndSwap(false, true) {
+			if r.Path.relay() {
 				r.Log.Emit(logger.StoreRelayed, "address", address)
 			}
 			r.probe()
