--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -159,6 +159,14 @@
 		"mimosalb_evacuator_stranded_services", Gauge, "",
 		"Services all of whose targets are in evacuated zones; their requests are refused.",
 	}
+	relayedCalls = Definition{
+		"mimosalb_relayer_calls_total", Counter, "role, outcome",
+		"Calls to the key-value service that another process was asked to make, or that this one executed for another.",
+	}
+	relayingState = Definition{
+		"mimosalb_relayer_relaying_state", Gauge, "",
+		"1 while calls to the key-value service go through another process, else 0.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -174,6 +182,7 @@
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
 		evacuatedZones, unknownZones, strandedServices,
+		relayedCalls, relayingState,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -44,10 +44,12 @@
 		Evacuation: func() exporter.EvacuationState {
 			return exporter.EvacuationState{Zones: 8, Unknown: 9, Stranded: 10}
 		},
+		Relaying: func() bool { return true },
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
 	hosted.Call("store", "applied", 4*time.Millisecond)
+	hosted.Relayed("asked", "applied")
 	return []prometheus.Gatherer{entry.Gatherer(), agent.Gatherer(), hosted.Gatherer()}
 }
 
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -115,6 +115,8 @@
 	// Evacuate is the time within which an order to evacuate a zone takes effect in all processes. Zero switches evacuation off: the
 	// orders are not read.
 	Evacuate time.Duration
+	// WithoutRelay makes an entry that does not reach the key-value service wait, instead of making its calls through another entry.
+	WithoutRelay bool
 }
 
 const (
