--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -14,6 +14,8 @@
 	RankAdmitter      Rank = 60
 	RankScheduler     Rank = 70
 	RankRouter        Rank = 80
+	RankEstimator     Rank = 85
+	RankAnnouncer     Rank = 87
 	RankRetrier       Rank = 90
 	RankClaimer       Rank = 95
 	RankIsolator      Rank = 100
@@ -73,6 +75,10 @@
 	Scheduler struct{}
 	// Router ranks the lock of the target view and the load counts.
 	Router struct{}
+	// Estimator ranks the lock of the observed work.
+	Estimator struct{}
+	// Announcer ranks the lock of what leading entries tell each other.
+	Announcer struct{}
 	// Retrier ranks the locks of the retry budget and the latency statistics.
 	Retrier struct{}
 	// Claimer ranks the lock of the claims.
@@ -129,6 +135,12 @@
 // Rank returns RankRouter.
 func (Router) Rank() Rank { return RankRouter }
 
+// Rank returns RankEstimator.
+func (Estimator) Rank() Rank { return RankEstimator }
+
+// Rank returns RankAnnouncer.
+func (Announcer) Rank() Rank { return RankAnnouncer }
+
 // Rank returns RankRetrier.
 func (Retrier) Rank() Rank { return RankRetrier }
 
