router: outstanding work per target, and placement by the time until an attempt is done

Cause: items go to the target with the lowest share of slots that this entry has taken, whatever is left there, and whatever others sent. Change: Choose counts Requirements.Work beside the attempts in flight, Reduce corrects it; Cost chooses by outstanding work, measured speed and shared prompt parts; free slots come first, and an entry goes beyond known full slots only up to its share. Measured: tests of router pass with the race detector and lock checks. Conclusion: attempts of unknown work are placed as before; no entry uses Cost yet.

--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -152,14 +152,20 @@
 	return best, best >= 0
 }
 
-// Combined uses Spread for attempts whose requirements ask for it, and Balanced for all others.
+// Combined uses a policy of its own for attempts whose requirements ask for it, and Balanced for all others.
 type Combined struct {
 	balanced Balanced
-	spread   Spread
+	spread   Policy
 }
 
 // NewCombined returns the policy for entries that serve both single requests and batch jobs.
-func NewCombined() Combined { return Combined{balanced: NewBalanced()} }
+func NewCombined() Combined { return Combined{balanced: NewBalanced(), spread: Spread{}} }
+
+// WithSpread returns a copy of b that uses a policy, such as Cost, for the items of batch jobs.
+func (b Combined) WithSpread(p Policy) Combined {
+	b.spread = p
+	return b
+}
 
 // Decide returns the choice of the policy that the requirements ask for.
 func (b Combined) Decide(c *Choice) (int, bool) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -21,6 +22,7 @@
 	random   *rand.Rand
 	// choice is a field so that a decision allocates nothing.
 	choice Choice
+	work   workTable
 }
 
 // ownLoad counts this entry's attempts at one target.
@@ -28,6 +30,8 @@
 	inFlight int
 	// sinceReport is the change of inFlight since the target's last report.
 	sinceReport int
+	// work is the remaining work of the attempts in flight, as far as it is known.
+	work time.Duration
 }
 
 // Option sets a property of a Router.
@@ -66,6 +70,7 @@
 		r.ownLoads[id] = own
 	}
 	r.view = v
+	r.rebuildRows()
 }
 
 // Choose chooses a target that meets the requirements and counts an attempt as in flight there until Release.
@@ -86,7 +91,11 @@
 	own := r.ownLoads[t.ID]
 	own.inFlight++
 	own.sinceReport++
+	t.Work, t.Held = r.countedWork(required, t.ID)
+	own.work += t.Work
 	r.ownLoads[t.ID] = own
+	r.updateRow(i)
+	r.work.shared.add(required.Shared.Key, t.ID)
 	r.prefixes.addAll(required.Prefix, t.ID)
 	return t, true
 }
@@ -101,6 +110,10 @@
 	}
 	own.inFlight--
 	own.sinceReport--
+	if own.inFlight == 0 {
+		own.work = 0
+	}
+	defer r.updateTarget(id)
 	if own.inFlight == 0 && own.sinceReport == 0 {
 		delete(r.ownLoads, id)
 		return
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -25,6 +25,10 @@
 	Version identifier.Version
 	// Reported is when the last report arrived, on the entry's monotonic clock.
 	Reported time.Duration
+	// Work is the work that Choose counted for an attempt at the target, and Held whether the target probably had the shared part of
+	// its prompt. Both are zero in a view.
+	Work time.Duration
+	Held bool
 }
 
 // WithReport returns a copy of t with the load and version of a newer report.
@@ -48,6 +52,10 @@
 	// Spread selects the target with the lowest share of slots in use, in any zone, and none if this entry has taken
 	// every slot that it knows of.
 	Spread bool
+	// Work is the expected work of the attempt, as the time that it takes at a target of the usual speed; zero if it is unknown.
+	Work time.Duration
+	// Shared is the part of its prompt that other attempts have too.
+	Shared SharedPart
 	// Avoid lists targets that must not be chosen, such as those of earlier attempts.
 	Avoid []identifier.Target
 }
