conductor, forwarder: attempts have an expected work, corrected as texts grow

Cause: the router can weigh work only if it is told. Change: an item's cost is predicted before its target is chosen, reduced in eighths as its text grows, and what is left is released with the attempt; whole attempts are observed. Everyday requests count with their predicted time. The order in which items start is unchanged: Peek returns what Next starts. Measured: tests of batcher, conductor, forwarder, limiter, registrar and router pass with the race detector and lock checks.

--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -112,16 +112,36 @@
 func (j *Job) Next(now time.Duration, c Constraint) (Task, bool) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	if j.finished {
+	i, ok := j.next(now, c)
+	if !ok {
 		return Task{}, false
 	}
+	j.items[i].stage = stageRunning
+	return j.task(i), true
+}
+
+// Peek returns the item that Next would start, and does not start it.
+func (j *Job) Peek(now time.Duration, c Constraint) (Task, bool) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	i, ok := j.next(now, c)
+	if !ok {
+		return Task{}, false
+	}
+	return j.task(i), true
+}
+
+// next returns the index of the next due item that needs what c says. The caller holds the lock.
+func (j *Job) next(now time.Duration, c Constraint) (int, bool) {
+	if j.finished {
+		return 0, false
+	}
 	for _, i := range j.startOrder {
 		if p := &j.items[i]; p.stage == stageWaiting && p.notBefore <= now && p.constraint() == c {
-			p.stage = stageRunning
-			return j.task(i), true
+			return i, true
 		}
 	}
-	return Task{}, false
+	return 0, false
 }
 
 // Due returns how many items are due, by what they need of their target and in the order in which they start, and the time at
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -39,6 +39,8 @@
 // eventTimings records when the events of an attempt arrived, by the monotonic clock. The zero value has no events.
 type eventTimings struct {
 	events, first, last atomic.Int64
+	// left is the outstanding work that the router counts for the attempt. Only the attempt's own goroutine uses it.
+	left time.Duration
 }
 
 // record adds an event and returns the time since the previous one, or zero for the first.
@@ -162,6 +164,7 @@
 		if gap := t.record(now); gap > 0 {
 			c.Registrar.RecordInterval(a.target.ID, gap, now)
 		}
+		c.recordProgress(a, t)
 		if !job.Append(a.task.Index, e.Number, e.Data, version, a.route.SingleVersion) {
 			if job.Finished() {
 				return attemptStopped, router.Target{}
@@ -179,10 +182,11 @@
 // chooseFasterTarget reserves a slot on a target that is not slow and can continue the text.
 func (c *Conductor) chooseFasterTarget(a assignment, now time.Duration) (router.Target, bool) {
 	spec := a.ledJob.job.Spec()
-	return c.Forwarder.Limiter.Choose(c.Router, router.Requirements{
+	cost := a.cost.withEvents(a.ledJob.job.CurrentTask(a.task.Index).Events)
+	return c.Forwarder.Limiter.Choose(c.Router, cost.add(router.Requirements{
 		Service: a.target.Service, Zone: c.Zone, Region: c.Region, Release: a.target.Release, Spread: true,
 		Avoid: append(c.Registrar.TargetsToAvoid(a.target.Service, spec.Model, spec.Least, now), c.Registrar.SlowTargets(a.target.Service, now)...),
-	})
+	}))
 }
 
 // watchAttempt cancels an attempt whose next event is overdue or whose job has finished.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -10,6 +10,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
@@ -62,6 +63,10 @@
 	// calls are logged. Both may be nil.
 	ObserveAttempt func(end string, took time.Duration)
 	Sampler        *logger.Sampler
+	// Estimator predicts the work of items, and Shape reads what the headers of an item say about its size. Items are placed without regard
+	// to their work if one of them is nil.
+	Estimator *estimator.Estimator
+	Shape     func(header func(name string) string) estimator.Shape
 	// JobMemory bounds the bodies of the large jobs that this process accepts; zero if they are not bounded.
 	JobMemory identifier.Bytes
 	// Bodies is the memory in which large jobs are read; nil if it is not bounded.
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -38,6 +38,7 @@
 	task   batcher.Task
 	target router.Target
 	route  navigator.Route
+	cost   itemCost
 }
 
 // assignItems assigns due items to targets with a free slot until ctx ends.
@@ -46,7 +47,7 @@
 		a, ok, next := c.nextAssignment()
 		if ok {
 			if !c.queue.Offer(a) {
-				c.Router.Release(a.target.ID)
+				c.release(a.target, a.target.Work)
 				a.ledJob.job.Retry(a.task.Index, c.Clock.Monotonic()+retryDelay)
 			}
 			continue
@@ -114,9 +115,11 @@
 
 // assign starts the next item of a demand on a target of a service. A text that no target continues begins anew.
 func (c *Conductor) assign(l *ledJob, route navigator.Route, service identifier.Service, d batcher.Demand, now time.Duration) (assignment, bool) {
-	target, ok := c.chooseTarget(service, l.job.Spec(), d.Release, now)
+	cost := c.expectNext(l, route, service, d.Constraint, now)
+	target, ok := c.chooseTarget(service, l.job.Spec(), d.Release, cost, now)
 	if !ok && d.Continues {
-		target, ok = c.restartText(l, service, d, now)
+		cost = cost.withoutText()
+		target, ok = c.restartText(l, service, d, cost, now)
 		d.Constraint = batcher.Constraint{}
 	}
 	if !ok {
@@ -124,10 +127,10 @@
 	}
 	task, ok := l.job.Next(now, d.Constraint)
 	if !ok {
-		c.Router.Release(target.ID)
+		c.release(target, target.Work)
 		return assignment{}, false
 	}
-	return assignment{ledJob: l, task: task, target: target, route: route}, true
+	return assignment{ledJob: l, task: task, target: target, route: route, cost: cost}, true
 }
 
 // maxContinuationWait is how long a text waits for a target of the software version that generated it, while one is listed.
@@ -135,17 +138,19 @@
 
 // restartText reserves a slot on a target of any release for one text of a demand, and drops that text. It drops none while no
 // target has a free slot, and none that has not waited for maxContinuationWait while its release is listed.
-func (c *Conductor) restartText(l *ledJob, service identifier.Service, d batcher.Demand, now time.Duration) (router.Target, bool) {
+func (c *Conductor) restartText(
+	l *ledJob, service identifier.Service, d batcher.Demand, cost itemCost, now time.Duration,
+) (router.Target, bool) {
 	since, served := now, c.Router.View().Serves(service, d.Release)
 	if served {
 		since = now - maxContinuationWait
 	}
-	target, ok := c.chooseTarget(service, l.job.Spec(), "", now)
+	target, ok := c.chooseTarget(service, l.job.Spec(), "", cost, now)
 	if !ok {
 		return target, false
 	}
 	if !l.job.RestartText(d.Constraint, since) {
-		c.Router.Release(target.ID)
+		c.release(target, target.Work)
 		return target, false
 	}
 	c.Log.Emit(logger.TextRestarted, "job", l.id, "release", d.Release, "served", served)
@@ -155,9 +160,9 @@
 // chooseTarget reserves a slot on a target for an item of a job, on one of a release unless that is empty. Slow targets are
 // used only if there is no other.
 func (c *Conductor) chooseTarget(
-	service identifier.Service, spec batcher.Spec, release identifier.Release, now time.Duration,
+	service identifier.Service, spec batcher.Spec, release identifier.Release, cost itemCost, now time.Duration,
 ) (router.Target, bool) {
-	need := router.Requirements{Service: service, Zone: c.Zone, Region: c.Region, Release: release, Spread: true}
+	need := cost.add(router.Requirements{Service: service, Zone: c.Zone, Region: c.Region, Release: release, Spread: true})
 	avoid := c.Registrar.TargetsToAvoid(service, spec.Model, spec.Least, now)
 	need.Avoid = append(c.Registrar.SlowTargets(service, now), avoid...)
 	if target, ok := c.Forwarder.Limiter.Choose(c.Router, need); ok {
@@ -176,7 +181,7 @@
 // runItem runs an item until its text is complete, it is queued again or it is abandoned. A complete text is scored.
 func (c *Conductor) runItem(ctx context.Context, a assignment) {
 	if a.task.TextComplete {
-		c.Router.Release(a.target.ID)
+		c.release(a.target, a.target.Work)
 		if a.ledJob.job.CompleteText(a.task.Index) {
 			c.scoreItem(ctx, a)
 		}
@@ -184,16 +189,17 @@
 	}
 	if serving, ok := c.Router.View().Target(a.target.ID); !ok || serving.Incarnation != a.target.Incarnation {
 		// The target left or restarted while the assignment waited for a worker.
-		c.Router.Release(a.target.ID)
+		c.release(a.target, a.target.Work)
 		a.ledJob.job.Retry(a.task.Index, c.Clock.Monotonic())
 		c.TriggerAssignment()
 		return
 	}
 	for {
 		began, sent := c.Clock.Monotonic(), c.Clock.Now()
-		var timings eventTimings
+		timings := eventTimings{left: a.target.Work}
 		outcome, next := c.runAttempt(ctx, a, &timings)
-		c.Router.Release(a.target.ID)
+		c.release(a.target, timings.left)
+		c.observeCost(a, outcome, &timings, began)
 		c.applyOutcome(a, outcome)
 		c.observeAttempt(a, outcome, sent)
 		c.reportAttempt(a, outcome, &timings, began)
@@ -205,6 +211,7 @@
 			return
 		}
 		a.target, a.task = next, a.ledJob.job.CurrentTask(a.task.Index)
+		a.cost = a.cost.withEvents(a.task.Events)
 		c.TriggerAssignment()
 	}
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
@@ -34,6 +35,8 @@
 	Elapsed time.Duration
 	// Continuation is set if the caller continues a stream.
 	Continuation Continuation
+	// Shape is what the request says about its size.
+	Shape estimator.Shape
 	// Internal marks a request of mimosalb itself: it needs no key and is counted for no team.
 	Internal bool
 }
--- a/internal/forwarder/continuation.go
+++ b/internal/forwarder/continuation.go
@@ -52,7 +52,7 @@
 		if !ok || !x.route.Resumable || x.ConfirmStart(ctx, target, x.continues) {
 			return target, ok
 		}
-		x.Router.Release(target.ID)
+		x.endAttempt(target)
 		if ctx.Err() != nil {
 			return target, false
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
@@ -62,6 +63,8 @@
 	Counter RequestCounter
 	// Observer holds the evidence of which requests crash targets; if it is nil, the forwarder keeps its own.
 	Observer *isolator.Observer
+	// Estimator predicts the work of requests; if it is nil, their work counts for nothing.
+	Estimator *estimator.Estimator
 	// Limiter keeps to the rates that targets name; if it is nil, nothing is limited.
 	Limiter *limiter.Limiter
 	Clock   timer.Service
@@ -226,6 +229,7 @@
 		return router.Target{}, false
 	}
 	requirements := router.Requirements{Service: x.service, Zone: x.Zone, Region: x.Region, Release: x.release}
+	requirements.Work = x.expectedWork()
 	requirements.Avoid = append(x.Registrar.TargetsToAvoid(x.service, "", 0, x.Clock.Monotonic()), x.triedTargets...)
 	target, ok := x.Limiter.Choose(x.Router, requirements)
 	if !ok {
@@ -269,6 +273,7 @@
 	if a.Fault == Broken {
 		x.result.Fingerprint = x.fingerprint()
 	}
+	x.observeCost(s.target, a)
 	now := x.Clock.Monotonic()
 	switch {
 	case abandoned:
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -87,7 +87,7 @@
 	if !ok {
 		return false, false
 	}
-	defer x.Router.Release(target.ID)
+	defer x.endAttempt(target)
 	began, sent := x.Clock.Monotonic(), sentAttempt{target: target, at: x.Clock.Now()}
 	a, fault, stale := Send(ctx, x.TargetClient, func() Call {
 		call := x.newCall(target)
--- a/internal/forwarder/unary.go
+++ b/internal/forwarder/unary.go
@@ -179,7 +179,7 @@
 			e = e.read()
 		}
 		e.attempt.Took = x.Clock.Monotonic() - began
-		x.Router.Release(id)
+		x.endAttempt(sent.target)
 		endedAttempts <- e
 	}()
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -200,6 +200,7 @@
 			return t, ok
 		}
 		// Another request has taken the permit since.
+		r.Reduce(t.ID, t.Work)
 		r.Release(t.ID)
 	}
 }
