announcer, hoster: leading entries tell each other what they have in flight; items are placed by cost

Cause: entries that lead jobs do not know what the others have sent, so that targets reject arrivals and a few of them are overloaded.

--- a/cmd/mimosalb-node/main.go
+++ b/cmd/mimosalb-node/main.go
@@ -43,6 +43,8 @@
 	path := app.Flag("config", "Settings file of the platform.").Short('c').Envar(platform.SettingsVariable).Required().String()
 	level := app.Flag("log", "Lowest level of logged events: debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
 	metrics := app.Flag("metrics", "Port at the VM's address that serves the metrics; they are not served if it is not set.").Int()
+	placement := app.Flag("placement", "How an entry places the items of batch jobs: by expected cost, or by free slots alone.").
+		Default(string(hoster.PlaceByCost)).Enum(string(hoster.PlaceByCost), string(hoster.PlaceBySlots))
 	entry := app.Command("entry", "Serve callers and trainers.")
 	app.Command("controller", "Campaign for the duty of switching weight versions and reporting usage.")
 	check := app.Command("check", "Check the settings file and start nothing.")
@@ -52,6 +54,7 @@
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
 	settings := load(*path)
+	settings.Placement = hoster.Placement(*placement)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(settings.Memory) * memoryPercent / 100)
 	if command == check.FullCommand() {
--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -147,6 +147,14 @@
 		"mimosalb_registrar_unusable_listings", Gauge, "",
 		"Entries among the listings of targets that name no target to use.",
 	}
+	estimatorKinds = Definition{
+		"mimosalb_estimator_known_kinds", Gauge, "",
+		"Kinds of attempts of which this process has observed the work.",
+	}
+	estimatorDeviation = Definition{
+		"mimosalb_estimator_deviation_ratio", Gauge, "",
+		"Mean error of the latest predictions of the work of attempts, as a share of the actual work.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -161,6 +169,7 @@
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
+		estimatorKinds, estimatorDeviation,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -17,6 +17,9 @@
 	Held     func() int
 	Limited  func() int
 	Unusable func() int64
+	// Kinds and Deviation describe the estimator of an entry; both are nil in a controller.
+	Kinds     func() int
+	Deviation func() float64
 }
 
 // Hosted holds the metrics of a process that runs on the users' own platform.
@@ -48,6 +51,10 @@
 	newGauge(h.registry, heldRequests, func() float64 { return float64(s.Held()) })
 	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
 	newGauge(h.registry, unusableListings, func() float64 { return float64(s.Unusable()) })
+	if s.Kinds != nil {
+		newGauge(h.registry, estimatorKinds, func() float64 { return float64(s.Kinds()) })
+		newGauge(h.registry, estimatorDeviation, s.Deviation)
+	}
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
 }
 
--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -194,6 +194,8 @@
 	Limiter  *limiter.Limiter
 	// Departures takes in which targets leave.
 	Departures Departures
+	// Placements takes in what other leading entries have in flight.
+	Placements PlacementReceiver
 	// Attributor keeps the origins of streams. It needs Clock.
 	Attributor *attributor.Attributor
 }
@@ -213,6 +215,9 @@
 	if s.Departures != nil {
 		all = append(all, &Targets{departures: s.Departures})
 	}
+	if s.Placements != nil {
+		all = append(all, &Placements{receiver: s.Placements})
+	}
 	if s.Attributor != nil {
 		all = append(all, &Origins{attributor: s.Attributor, clock: s.Clock})
 	}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -89,6 +89,7 @@
 	allotter limiter.Allotter
 	// targets are the listed targets, departures those that said that they leave.
 	targets    *targetView
+	placer     *itemPlacer
 	departures registrar.Departures
 	// leaving asks targets that leave for their present start.
 	leaving  startQueue
@@ -121,7 +122,9 @@
 	e, log := &Entry{base: newBase(s, p, o)}, o.Log
 	sampler := logger.NewSampler(e.clock, logger.DefaultLinesPerSecond)
 	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions).WithDepartures(&e.departures)
-	route := router.NewRouter(router.WithPolicy(router.NewCombined()))
+	placer, policy := newPlacer(e)
+	route := router.NewRouter(router.WithPolicy(policy))
+	e.placer, placer.router, placer.registrar = placer, route, reg
 	tally := tallier.NewTallier(
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
@@ -135,6 +138,7 @@
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Origins: e.origins,
 		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
+		Estimator: placer.estimator,
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
@@ -149,6 +153,7 @@
 		Forwarder: fwd, Caller: calls, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
 		StoreReached: e.presence.reachedJustNow, JobMemory: s.Memory / jobMemoryDivisor, Bodies: bodies,
+		Estimator: placer.estimator, Shape: p.Shape,
 	})
 	e.targets = &targetView{
 		departures: &e.departures, availability: e.availability,
@@ -169,6 +174,7 @@
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
 		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
+		Kinds: placer.estimator.Count, Deviation: placer.estimator.Deviation,
 	})
 	if err != nil {
 		return nil, err
@@ -210,6 +216,7 @@
 	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.running.Go(func() { e.origins.Run(ctx) })
+	e.placer.start(ctx)
 }
 
 // serve opens the listeners for callers, readiness checks and peers, and serves them.
@@ -240,7 +247,7 @@
 	e.running.Go(func() {
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
-			Limiter: e.limiter, Departures: departureSource{e}, Attributor: e.origins, Clock: e.clock,
+			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Attributor: e.origins, Clock: e.clock,
 		}
 		if err := jobpeer.Serve(l, services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -14,6 +14,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
+	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
@@ -72,6 +73,8 @@
 	ReportReceiver tallier.ReportReceiver
 	Decoder        Decoder
 	Dial           jobpeer.Dial
+	// Shape reads what the headers of a request say about its size.
+	Shape func(header func(name string) string) estimator.Shape
 	// OperatorPrefix and TargetPrefix are the prefixes of the keys that Decoder decodes. PlanPrefix is the prefix of the
 	// operators' keys that hold the plan.
 	OperatorPrefix string
@@ -109,6 +112,8 @@
 	Apply  time.Duration
 	Drain  time.Duration
 	Cancel time.Duration
+	// Placement is how an entry places the items of batch jobs; the empty one is PlaceByCost.
+	Placement Placement
 }
 
 const (
--- /dev/null
+++ b/internal/hoster/placement.go
@@ -0,0 +1,128 @@
+package hoster
+
+import (
+	"context"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/announcer"
+	"github.com/mimosalb/mimosalb/internal/broadcaster"
+	"github.com/mimosalb/mimosalb/internal/conductor"
+	"github.com/mimosalb/mimosalb/internal/estimator"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/recorder"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// Placement is how an entry places the items of batch jobs.
+type Placement string
+
+const (
+	// PlaceByCost places an item where it is expected to be done first. It is in force where the settings name nothing else.
+	PlaceByCost Placement = "cost"
+	// PlaceBySlots places an item at the target with the lowest share of slots that the entry itself has taken.
+	PlaceBySlots Placement = "slots"
+)
+
+const (
+	// placementPeriod is the time between two looks at what there is to tell other leading entries.
+	placementPeriod = 250 * time.Millisecond
+	// adoptionPause is the shortest time between two uses of what others told: one takes a fraction of a millisecond at 2,700 targets.
+	adoptionPause = 50 * time.Millisecond
+)
+
+// itemPlacer keeps what an entry needs to place items by cost. Its fields are nil, and its methods do nothing, where items are placed by slots.
+type itemPlacer struct {
+	*Entry
+	estimator *estimator.Estimator
+	announcer *announcer.Announcer
+	router    *router.Router
+	registrar *registrar.Registrar
+	heard     chan struct{}
+	// leaders is the number of other leading entries that were heard last. Only run uses it.
+	leaders int
+}
+
+// newPlacer returns the placer of an entry and the policy by which its router chooses targets.
+func newPlacer(e *Entry) (*itemPlacer, router.Policy) {
+	if e.Placement == PlaceBySlots {
+		return &itemPlacer{Entry: e}, router.NewCombined()
+	}
+	self := recorder.Registration{Owner: e.owner(), Address: e.Peer, Region: e.Region, Cores: e.Cores}
+	return &itemPlacer{
+		Entry: e, estimator: estimator.NewEstimator(), announcer: announcer.NewAnnouncer(self), heard: make(chan struct{}, 1),
+	}, router.NewCombined().WithSpread(router.Cost{})
+}
+
+// ApplyNotice takes in what another leading entry has in flight.
+func (p *itemPlacer) ApplyNotice(n announcer.Notice) {
+	if p.announcer == nil || !p.announcer.Apply(n, p.clock.Monotonic()) {
+		return
+	}
+	select {
+	case p.heard <- struct{}{}:
+	default:
+	}
+}
+
+// start tells other leading entries what this one has in flight, and uses what they tell, until ctx ends.
+func (p *itemPlacer) start(ctx context.Context) {
+	if p.announcer == nil {
+		return
+	}
+	introduction := announcer.Introduction{Announcer: p.announcer}
+	introductions := broadcaster.NewBroadcaster(introduction, p.conductor.OtherMembers, p.client.TellPlacements, p.clock)
+	p.running.Go(func() { introductions.Run(ctx) })
+	loads := broadcaster.NewBroadcaster(p.announcer, p.leadersToTell, p.client.TellPlacements, p.clock)
+	p.running.Go(func() { loads.Run(ctx) })
+	p.running.Go(func() { p.run(ctx) })
+}
+
+// leadersToTell returns the other leading entries.
+func (p *itemPlacer) leadersToTell() []recorder.Registration {
+	return p.announcer.Leaders(p.conductor.OtherMembers())
+}
+
+// run looks at what there is to tell and to use until ctx ends.
+func (p *itemPlacer) run(ctx context.Context) {
+	ticks := p.clock.Every(placementPeriod)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C():
+			p.update(p.conductor)
+		case <-p.heard:
+			p.adopt()
+			p.conductor.TriggerAssignment()
+			timer.Wait(ctx, p.clock, adoptionPause)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// update tells what this entry has in flight if it leads a job, and drops what silent entries told.
+func (p *itemPlacer) update(c *conductor.Conductor) {
+	now, leading := p.clock.Monotonic(), c.LeadsUnfinished()
+	var loads []router.Load
+	if leading {
+		p.router.AdoptSpeeds(p.registrar.Speeds(now))
+		loads = p.router.OwnLoads()
+	}
+	p.announcer.Update(leading, loads, now)
+	p.adopt()
+}
+
+// adopt uses what the other leading entries told.
+func (p *itemPlacer) adopt() {
+	n, loads := p.announcer.PeerLoads(p.clock.Monotonic())
+	if n == 0 && p.leaders == 0 {
+		return
+	}
+	if n != p.leaders {
+		p.log.Emit(logger.LeadersHeard, "entries", n, "before", p.leaders)
+	}
+	p.leaders = n
+	p.router.AdoptPeerLoads(n, loads)
+}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -142,6 +142,7 @@
 	PeerFailed  = Event{
 		Number: 1308, Level: hclog.Warn, Text: "process of the deployment unreachable", Action: "check the VM of the process if this persists",
 	}
+	LeadersHeard    = Event{Number: 1309, Level: hclog.Info, Text: "number of other entries that lead jobs and tell their load changed", Action: "none"}
 	RequestAnswered = Event{Number: 1402, Level: hclog.Info, Text: "request answered by a target", Action: "none"}
 	RequestRefused  = Event{
 		Number: 1403, Level: hclog.Warn, Text: "request refused", Action: "see its fields reason and tries",
@@ -197,7 +198,7 @@
 		ConnectionsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
 		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
-		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
+		ListingUnreadable, PeerChanged, PeerFailed, LeadersHeard, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted,
