--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -11,8 +11,8 @@
 	"github.com/mimosalb/mimosalb/internal/router"
 )
 
-// Announcer holds what this entry told the other leading entries, and what they told. While this entry leads no unfinished job it tells
-// nothing.
+// Announcer holds what this entry told the other leading entries, and what they told. While this entry leads no unfinished job, and has
+// led none for lingerTime, it tells nothing.
 //
 // Invariants: an entry counts as leading only until its last notice expires; a notice never replaces a later one of the same start.
 // Lock rank: container.RankAnnouncer.
@@ -22,8 +22,10 @@
 	lock    container.Lock[container.Announcer]
 	leaders map[identifier.Node]leader
 	leading bool
-	// told are the loads of the last notice, toldAt is when it was made and number its number. period is the number of the first
-	// notice since this entry began to lead.
+	// ledAt is when this entry last led an unfinished job.
+	ledAt time.Duration
+	// told are the loads of the last notice, toldAt is when it was made and number its number. period is the number of the introduction
+	// with which this entry began to lead.
 	told   []router.Load
 	toldAt time.Duration
 	number int
@@ -39,8 +41,10 @@
 	at     time.Duration
 }
 
-// live reports whether what the entry told still counts.
-func (l leader) live(now time.Duration) bool { return l.notice.Leading && now-l.at < l.notice.Valid }
+// live reports whether the entry has something in flight, as far as what it told still counts.
+func (l leader) live(now time.Duration) bool {
+	return len(l.notice.Loads) > 0 && now-l.at < l.notice.Valid
+}
 
 // NewAnnouncer returns an Announcer of the entry with a registration.
 func NewAnnouncer(self recorder.Registration) *Announcer {
@@ -52,31 +56,39 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.forget(now)
+	if leading {
+		a.ledAt = now
+	}
+	leading = leading || a.leading && now-a.ledAt < lingerTime
 	switch {
-	case leading != a.leading:
-		a.leading = leading
-		if leading {
-			a.period = a.number + 1
-			defer renew(&a.began)
-		}
-	case !leading:
+	case leading && !a.leading:
+		a.number++
+		a.period = a.number
+		defer renew(&a.began)
+	case !leading && !a.leading:
 		return
 	}
+	a.leading = leading
 	pause, most := pace(len(a.leaders), len(loads))
 	loads = largest(loads, most)
-	age := now - a.toldAt
-	ended := !leading
-	if !ended && a.number >= a.period && (age < pause || age < max(refreshPeriod, pause) && !differ(a.told, loads)) {
+	if !leading {
+		loads = nil
+	} else if a.number > a.period && !a.worthTelling(loads, pause, now-a.toldAt) {
 		return
 	}
 	a.told, a.toldAt, a.pause = loads, now, pause
-	if ended {
-		a.told = nil
-	}
 	a.number++
 	renew(&a.changed)
 }
 
+// worthTelling reports whether loads are to be told at a time after the last notice. The caller holds the lock.
+func (a *Announcer) worthTelling(loads []router.Load, pause, age time.Duration) bool {
+	if age < pause {
+		return false
+	}
+	return differ(a.told, loads) || len(loads) > 0 && age >= max(refreshPeriod, pause)
+}
+
 // renew closes a channel and puts a new one in its place.
 func renew(c *chan struct{}) {
 	close(*c)
@@ -124,14 +136,14 @@
 	}
 }
 
-// PeerLoads returns the number of other entries that lead jobs, and what they told.
+// PeerLoads returns the number of other leading entries that have something in flight, and what is expected to be left of that.
 func (a *Announcer) PeerLoads(now time.Duration) (int, [][]router.Load) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	var all [][]router.Load
 	for _, l := range a.leaders {
 		if l.live(now) {
-			all = append(all, l.notice.Loads)
+			all = append(all, expected(l.notice.Loads, now-l.at))
 		}
 	}
 	return len(all), all
@@ -157,12 +169,7 @@
 	if after == a.number || after == 0 && !a.leading {
 		return Notice{}, a.number
 	}
-	return a.notice(), a.number
-}
-
-// notice returns the last notice. The caller holds the lock.
-func (a *Announcer) notice() Notice {
-	return Notice{From: a.self, Number: a.number, Leading: a.leading, Valid: valid(a.pause), Loads: a.told}
+	return Notice{From: a.self, Number: a.number, Leading: a.leading, Valid: valid(a.pause), Loads: a.told}, a.number
 }
 
 // Changed returns a channel that is closed at the next notice.
@@ -183,14 +190,14 @@
 // what they have in flight, so that it learns who they are.
 type Introduction struct{ *Announcer }
 
-// Observed returns the last notice if this entry has begun to lead after the notice with the given number.
+// Observed returns a notice without loads if this entry has begun to lead after the one with the given number.
 func (i Introduction) Observed(after int) (Notice, int) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
 	if !i.leading || after >= i.period {
 		return Notice{}, after
 	}
-	return i.notice(), i.number
+	return Notice{From: i.self, Number: i.period, Leading: true, Valid: minValid}, i.period
 }
 
 // Changed returns a channel that is closed when this entry begins to lead.
--- a/internal/announcer/notice.go
+++ b/internal/announcer/notice.go
@@ -3,6 +3,7 @@
 package announcer
 
 import (
+	"math"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -14,7 +15,7 @@
 	From recorder.Registration
 	// Number rises with each notice of one start of an entry, so that late ones are ignored.
 	Number int
-	// Leading is false if the entry leads no unfinished job any more.
+	// Leading is false if the entry has not led an unfinished job for a while.
 	Leading bool
 	// Valid is the time for which the notice counts unless another follows.
 	Valid time.Duration
@@ -43,7 +44,10 @@
 	// maxLeaders bounds the other entries that are remembered. More would each be told so rarely that it helps nobody.
 	maxLeaders = 64
 	// leaderTTL is the time after which an entry that has told nothing is not told anything either.
-	leaderTTL = 30 * time.Second
+	leaderTTL = time.Minute
+	// lingerTime is the time after the last unfinished job for which an entry counts as leading: trainers submit jobs every few seconds, and
+	// each beginning costs a call to every entry.
+	lingerTime = 30 * time.Second
 )
 
 // pace returns how often a notice may be sent to a number of peers, and how many loads it may have.
@@ -59,6 +63,21 @@
 // valid returns the time for which a notice counts when notices follow each other at a pause.
 func valid(pause time.Duration) time.Duration { return max(minValid, validPauses*pause) }
 
+// expected returns what is left of the loads of another entry after a time, if it sends nothing more: its attempts are taken to be spread
+// evenly between just begun and nearly done.
+func expected(loads []router.Load, age time.Duration) []router.Load {
+	left := make([]router.Load, 0, len(loads))
+	for _, l := range loads {
+		if l.Count > 0 && l.Work > 0 {
+			mean := float64(l.Work) / float64(l.Count)
+			share := max(0, 1-float64(age)/(2*mean))
+			l.Count, l.Work = int(math.Round(float64(l.Count)*share)), time.Duration(float64(l.Work)*share*share)
+		}
+		left = append(left, l)
+	}
+	return left
+}
+
 // changedShare is the inverse of the part by which the work at a target has to change to be told again on its own.
 const changedShare = 4
 
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -12,6 +12,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
+	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/navigator"
@@ -195,7 +196,7 @@
 // restart adds a process in the given incarnation of its node.
 func (cl *cluster) restart(node identifier.Node, incarnation identifier.Incarnation) *process {
 	l := &link{Service: cl.kv, engine: cl.engine, clock: cl.clock, refuseWrites: &cl.refuseWrites}
-	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(nil), router.NewRouter(router.WithPolicy(router.NewCombined()))
+	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(nil), router.NewRouter(router.WithPolicy(router.NewCombined().WithSpread(router.Cost{})))
 	nav.Adopt(testPlan())
 	for i := range 6 {
 		reg.Put(registrar.Listing{
@@ -206,14 +207,17 @@
 	view, _ := reg.Watch()
 	route.Adopt(view)
 	store := storer.NewStorer(l, cl.clock, storer.WithMaxPause(50*time.Millisecond), storer.WithCallTimeout(500*time.Millisecond))
+	learned := estimator.NewEstimator()
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: l, Opener: cl.engine, Clock: cl.clock, Zone: "z",
+		Estimator: learned,
 	})
 	me := recorder.Owner{Node: node, Incarnation: incarnation}
 	p := &process{link: l, navigator: nav, owner: me, node: node, Conductor: conductor.NewConductor(conductor.Dependencies{
 		Self: me, Recorder: recorder.NewRecorder(store.WithPurpose(storer.PurposeRun), codec.Jobs{}), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: l, Opener: cl.engine, Peers: peers{cluster: cl}, Clock: cl.clock, Zone: "z", Retention: 2 * time.Minute,
 		StoreReached: l.reachesStore, JobMemory: cl.jobMemory,
+		Estimator: learned, Shape: func(func(string) string) estimator.Shape { return estimator.Shape{} },
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/hoster/placement.go
+++ b/internal/hoster/placement.go
@@ -12,7 +12,6 @@
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/router"
-	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
 // Placement is how an entry places the items of batch jobs.
@@ -28,8 +27,9 @@
 const (
 	// placementPeriod is the time between two looks at what there is to tell other leading entries.
 	placementPeriod = 250 * time.Millisecond
-	// adoptionPause is the shortest time between two uses of what others told: one takes a fraction of a millisecond at 2,700 targets.
-	adoptionPause = 50 * time.Millisecond
+	// adoptionPeriod is the time between two looks at what is left of what others told. One takes a fraction of a millisecond at 2,700
+	// targets.
+	adoptionPeriod = 100 * time.Millisecond
 )
 
 // itemPlacer keeps what an entry needs to place items by cost. Its fields are nil, and its methods do nothing, where items are placed by slots.
@@ -39,7 +39,6 @@
 	announcer *announcer.Announcer
 	router    *router.Router
 	registrar *registrar.Registrar
-	heard     chan struct{}
 	// leaders is the number of other leading entries that were heard last. Only run uses it.
 	leaders int
 }
@@ -51,18 +50,14 @@
 	}
 	self := recorder.Registration{Owner: e.owner(), Address: e.Peer, Region: e.Region, Cores: e.Cores}
 	return &itemPlacer{
-		Entry: e, estimator: estimator.NewEstimator(), announcer: announcer.NewAnnouncer(self), heard: make(chan struct{}, 1),
+		Entry: e, estimator: estimator.NewEstimator(), announcer: announcer.NewAnnouncer(self),
 	}, router.NewCombined().WithSpread(router.Cost{})
 }
 
 // ApplyNotice takes in what another leading entry has in flight.
 func (p *itemPlacer) ApplyNotice(n announcer.Notice) {
-	if p.announcer == nil || !p.announcer.Apply(n, p.clock.Monotonic()) {
-		return
-	}
-	select {
-	case p.heard <- struct{}{}:
-	default:
+	if p.announcer != nil {
+		p.announcer.Apply(n, p.clock.Monotonic())
 	}
 }
 
@@ -86,23 +81,22 @@
 
 // run looks at what there is to tell and to use until ctx ends.
 func (p *itemPlacer) run(ctx context.Context) {
-	ticks := p.clock.Every(placementPeriod)
-	defer ticks.Stop()
+	updates, adoptions := p.clock.Every(placementPeriod), p.clock.Every(adoptionPeriod)
+	defer updates.Stop()
+	defer adoptions.Stop()
 	for {
 		select {
-		case <-ticks.C():
+		case <-updates.C():
 			p.update(p.conductor)
-		case <-p.heard:
+		case <-adoptions.C():
 			p.adopt()
-			p.conductor.TriggerAssignment()
-			timer.Wait(ctx, p.clock, adoptionPause)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// update tells what this entry has in flight if it leads a job, and drops what silent entries told.
+// update tells what this entry has in flight if it leads a job.
 func (p *itemPlacer) update(c *conductor.Conductor) {
 	now, leading := p.clock.Monotonic(), c.LeadsUnfinished()
 	var loads []router.Load
@@ -111,10 +105,9 @@
 		loads = p.router.OwnLoads()
 	}
 	p.announcer.Update(leading, loads, now)
-	p.adopt()
 }
 
-// adopt uses what the other leading entries told.
+// adopt uses what is expected to be left of what the other leading entries told. An item may find a slot then.
 func (p *itemPlacer) adopt() {
 	n, loads := p.announcer.PeerLoads(p.clock.Monotonic())
 	if n == 0 && p.leaders == 0 {
@@ -125,4 +118,5 @@
 	}
 	p.leaders = n
 	p.router.AdoptPeerLoads(n, loads)
+	p.conductor.TriggerAssignment()
 }
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -142,7 +142,7 @@
 	PeerFailed  = Event{
 		Number: 1308, Level: hclog.Warn, Text: "process of the deployment unreachable", Action: "check the VM of the process if this persists",
 	}
-	LeadersHeard    = Event{Number: 1309, Level: hclog.Info, Text: "number of other entries that lead jobs and tell their load changed", Action: "none"}
+	LeadersHeard    = Event{Number: 1309, Level: hclog.Debug, Text: "number of other leading entries with attempts in flight changed", Action: "none"}
 	RequestAnswered = Event{Number: 1402, Level: hclog.Info, Text: "request answered by a target", Action: "none"}
 	RequestRefused  = Event{
 		Number: 1403, Level: hclog.Warn, Text: "request refused", Action: "see its fields reason and tries",
--- a/internal/router/alloc_test.go
+++ b/internal/router/alloc_test.go
@@ -23,3 +23,14 @@
 	})
 	qt.Assert(t, allocs, qt.Equals, 0.0)
 }
+
+// Guards against allocations in a choice by cost among all targets of the design size.
+func TestCostChoiceAllocatesNothing(t *testing.T) {
+	r, n := newDesignSizeRouter(17)
+	allocs := testing.AllocsPerRun(100, func() {
+		chosen, _ := r.Choose(n)
+		r.Reduce(chosen.ID, chosen.Work)
+		r.Release(chosen.ID)
+	})
+	qt.Assert(t, allocs, qt.Equals, 0.0)
+}
--- a/internal/router/cost.go
+++ b/internal/router/cost.go
@@ -9,6 +9,10 @@
 	regionTime = 40 * time.Millisecond
 )
 
+// earlyTime is the expected wait for a slot below which an attempt is sent to a target whose slots are all taken, as far as is known, beyond
+// this entry's share. One that comes too early is refused, which keeps the target from the entry for 150 ms, twice as long.
+const earlyTime = 75 * time.Millisecond
+
 // Cost chooses the target at which an attempt is expected to be done first: by the outstanding work there, as far as this entry and the
 // others that lead jobs have told, by the work of the attempt, less what the target has in its cache, and by the target's measured
 // speed. Targets with a free slot come before all others, so that a cached part never makes an attempt wait.
@@ -80,13 +84,17 @@
 	row := &c.router.work.rows[i]
 	taken := row.own + row.peers
 	free := taken < row.slots
-	if row.avoided || row.own >= row.slots || !free && row.own >= c.share(row.slots) {
+	if row.avoided || row.own >= row.slots {
 		return expectation{}, false
 	}
 	// The slots advance side by side, so that the work of the others slows the attempt by one slot's share of it.
 	busy := work + row.work/time.Duration(row.slots)
 	if !free {
-		busy += row.work / time.Duration(taken) * time.Duration(taken-row.slots+1) / time.Duration(row.slots)
+		wait := row.work / time.Duration(taken) * time.Duration(taken-row.slots+1) / time.Duration(row.slots)
+		if row.own >= c.share(row.slots) && wait > earlyTime {
+			return expectation{}, false
+		}
+		busy += wait
 	}
 	return expectation{target: i, free: free, done: away + time.Duration(float64(busy)/row.speed)}, true
 }
