--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -196,7 +196,8 @@
 // restart adds a process in the given incarnation of its node.
 func (cl *cluster) restart(node identifier.Node, incarnation identifier.Incarnation) *process {
 	l := &link{Service: cl.kv, engine: cl.engine, clock: cl.clock, refuseWrites: &cl.refuseWrites}
-	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(nil), router.NewRouter(router.WithPolicy(router.NewCombined().WithSpread(router.Cost{})))
+	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(nil)
+	route := router.NewRouter(router.WithPolicy(router.NewCombined().WithSpread(router.Cost{})))
 	nav.Adopt(testPlan())
 	for i := range 6 {
 		reg.Put(registrar.Listing{
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -140,8 +140,11 @@
 }
 
 func (e *Estimator) put(k kind, a average) {
-	if _, known := e.current[k]; !known && len(e.current) >= maxKinds {
-		e.previous, e.current = e.current, nil
+	if _, known := e.current[k]; !known {
+		k = k.owned()
+		if len(e.current) >= maxKinds {
+			e.previous, e.current = e.current, nil
+		}
 	}
 	if e.current == nil {
 		e.current = make(map[kind]average)
--- a/internal/estimator/estimator_test.go
+++ b/internal/estimator/estimator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -67,7 +68,9 @@
 }
 
 // rough hints are right at the median and often far off; lies have nothing to do with the length.
-func rough(r *rand.Rand, events int) int { return max(1, int(float64(events)*math.Exp(0.5*r.NormFloat64()))) }
+func rough(r *rand.Rand, events int) int {
+	return max(1, int(float64(events)*math.Exp(0.5*r.NormFloat64())))
+}
 
 func lie(r *rand.Rand, _ int) int { return 1 + r.IntN(64) }
 
@@ -182,6 +185,20 @@
 			e.Observe(used.features, used.work)
 		}
 	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range 4000 {
+		long := newItem(260, false, 8, i)
+		long.features.Shape.Model = identifier.Model(strings.Repeat(fmt.Sprint(i), 4000))
+		long.features.Path = "/" + strings.Repeat(fmt.Sprint(i), 4000)
+		e.Observe(long.features, long.work)
+		e.Observe(used.features, used.work)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	more := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	c.Assert(more < 4<<20, qt.IsTrue, qt.Commentf("%d bytes more", more))
 	c.Assert(e.Count() <= 2048, qt.IsTrue, qt.Commentf("%d kinds", e.Count()))
 	c.Assert(math.Abs(e.Predict(used.features).Events-8) < 1, qt.IsTrue, qt.Commentf("%+v", e.Predict(used.features)))
 }
@@ -189,7 +206,9 @@
 // Guards against requests of a group that count as having no part in common, and of different groups or models as having one.
 func TestSharedKey(t *testing.T) {
 	c := qt.New(t)
-	shape := func(model identifier.Model, parts ...estimator.Part) estimator.Shape { return estimator.Shape{Model: model, Parts: parts} }
+	shape := func(model identifier.Model, parts ...estimator.Part) estimator.Shape {
+		return estimator.Shape{Model: model, Parts: parts}
+	}
 	a := shape("m", estimator.Part{ID: "a", Tokens: 260}, estimator.Part{ID: "own1", Tokens: 16}).SharedKey()
 	c.Assert(shape("m", estimator.Part{ID: "a", Tokens: 260}, estimator.Part{ID: "own2", Tokens: 16}).SharedKey(), qt.Equals, a)
 	c.Assert(shape("m", estimator.Part{ID: "b", Tokens: 260}, estimator.Part{ID: "own1", Tokens: 16}).SharedKey(), qt.Not(qt.Equals), a)
--- a/internal/estimator/features.go
+++ b/internal/estimator/features.go
@@ -55,14 +55,26 @@
 func (f Features) kinds() [levels]kind {
 	service := kind{service: f.Service}
 	route := service
-	route.route, route.model, route.level = f.Route, f.Shape.Model, 1
+	route.route, route.model, route.level = f.Route, identifier.Model(limited(string(f.Shape.Model))), 1
 	prompt := route
-	prompt.path, prompt.prompt, prompt.held, prompt.level = stem(f.Path), class(f.Shape.Prompt), f.Held, 2
+	prompt.path, prompt.prompt, prompt.held, prompt.level = limited(stem(f.Path)), class(f.Shape.Prompt), f.Held, 2
 	hint := prompt
 	hint.hint, hint.level = class(f.Shape.Hint), 3
 	return [levels]kind{service, route, prompt, hint}
 }
 
+// maxNameBytes bounds the names in a kind, which callers may make up.
+const maxNameBytes = 64
+
+// limited returns the beginning of a name.
+func limited(name string) string { return name[:min(len(name), maxNameBytes)] }
+
+// owned returns a copy of k that does not keep the requests in memory of which its names are parts.
+func (k kind) owned() kind {
+	k.model, k.path = identifier.Model(strings.Clone(string(k.model))), strings.Clone(k.path)
+	return k
+}
+
 // classesPerDoubling is the number of classes between a number of tokens and its double.
 const classesPerDoubling = 2
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -125,3 +125,22 @@
 	}
 	c.Assert(r.SlowTargets("s", time.Second), qt.HasLen, 0)
 }
+
+// Guards against speeds that are not relative to the usual target of the same service, are told of a service with too few targets to compare,
+// or outlive their intervals.
+func TestSpeeds(t *testing.T) {
+	c := qt.New(t)
+	var r registrar.Registrar
+	for id, ms := range map[string]time.Duration{"a": 40, "b": 40, "c": 80, "other": 10} {
+		l := listing(id, 1)
+		if id == "other" {
+			l.Service = "t"
+		}
+		r.Put(l)
+		for range 8 {
+			r.RecordInterval(identifier.Target(id), ms*time.Millisecond, time.Second)
+		}
+	}
+	c.Assert(r.Speeds(2*time.Second), qt.DeepEquals, map[identifier.Target]float64{"a": 1, "b": 1, "c": 0.5})
+	c.Assert(r.Speeds(5*time.Second), qt.HasLen, 0)
+}
