--- a/internal/announcer/placement_test.go
+++ b/internal/announcer/placement_test.go
@@ -30,11 +30,11 @@
 		hint   func(*rand.Rand, int) int
 		change func(*world)
 	}{
-		{"three quarters of the slots are needed", 8, roughHint, nil},
-		{"more than the slots are needed", 14, roughHint, nil},
-		{"a few groups at a time", 3, roughHint, nil},
-		{"hints lie", 8, lyingHint, nil},
-		{"six targets take 1.5 times as long from 10 s on", 8, roughHint, func(w *world) {
+		{"128 items every 4 s at each entry", 8, roughHint, nil},
+		{"224 items every 4 s at each entry", 14, roughHint, nil},
+		{"48 items every 4 s at each entry", 3, roughHint, nil},
+		{"128 items, hints lie", 8, lyingHint, nil},
+		{"128 items, six targets take 1.5 times as long from 10 s on", 8, roughHint, func(w *world) {
 			if w.now == 10e9 {
 				for _, id := range w.order[:6] {
 					w.engines[id].slow = 1.5
--- a/internal/announcer/world_test.go
+++ b/internal/announcer/world_test.go
@@ -311,8 +311,10 @@
 		busiest, sum = max(busiest, n.served), sum+n.served
 	}
 	parts := float64(w.reread) / float64(max(len(w.done), 1))
-	return fmt.Sprintf("waiting p50 %v p99 %v; until done p50 %v p99 %v; busiest/mean %.2f; refused %d of %d; read again %.2f; in time %d of %d",
+	return fmt.Sprintf("waiting p50 %v p99 %v; until done p50 %v p99 %v; busiest/mean %.2f, %.2f of the slots; refused %d of %d; "+
+		"read again %.2f; in time %d of %d",
 		quantile(waits, 0.5), quantile(waits, 0.99), quantile(times, 0.5), quantile(times, 0.99), busiest/(sum/targets),
+		sum/targets/slots/float64((runTime-due)/tick),
 		w.refused, w.refused+total, parts, inTime, total)
 }
 
