router: whatever excludes a candidate excludes it from placement by cost too

Cause: Cost looked at the list of targets to avoid only; a further rule of Choice.candidate, which every other policy asks, would not have bound it. Change: the target found is asked for as a candidate before it is chosen, and left out otherwise. Measured speeds are dropped when an entry leads no job. Conclusion: rules come before cost by construction; where many targets are excluded, marking them first keeps the choice fast.

--- a/internal/hoster/placement.go
+++ b/internal/hoster/placement.go
@@ -39,8 +39,9 @@
 	announcer *announcer.Announcer
 	router    *router.Router
 	registrar *registrar.Registrar
-	// leaders is the number of other leading entries that were heard last. Only run uses it.
+	// leaders is the number of other leading entries that were heard last, and led is set if this entry led a job then. Only run uses them.
 	leaders int
+	led     bool
 }
 
 // newPlacer returns the placer of an entry and the policy by which its router chooses targets.
@@ -100,10 +101,15 @@
 func (p *itemPlacer) update(c *conductor.Conductor) {
 	now, leading := p.clock.Monotonic(), c.LeadsUnfinished()
 	var loads []router.Load
-	if leading {
+	switch {
+	case leading:
 		p.router.AdoptSpeeds(p.registrar.Speeds(now))
 		loads = p.router.OwnLoads()
+	case p.led:
+		// Nothing measures them any more.
+		p.router.AdoptSpeeds(nil)
 	}
+	p.led = leading
 	p.announcer.Update(leading, loads, now)
 }
 
--- a/internal/router/cost.go
+++ b/internal/router/cost.go
@@ -43,8 +43,31 @@
 	if c.Requirements.Work <= 0 {
 		return p.spread.Decide(c)
 	}
-	r := c.router
-	r.markAvoided(c.Requirements.Avoid, true)
+	c.router.markAvoided(c.Requirements.Avoid, true)
+	best := c.earliest()
+	c.router.markAvoided(c.Requirements.Avoid, false)
+	return best, best >= 0
+}
+
+// earliest returns the target at which the attempt is expected to be done first, or -1. Whatever excludes a target as a candidate excludes
+// it here: rules come before cost.
+func (c *Choice) earliest() int {
+	best := c.compare()
+	if best.target < 0 {
+		return -1
+	}
+	if _, allowed := c.candidate(best.target); allowed {
+		return best.target
+	}
+	row := &c.router.work.rows[best.target]
+	row.avoided = true
+	next := c.earliest()
+	row.avoided = false
+	return next
+}
+
+// compare returns the best expectation of all targets that are not marked as avoided.
+func (c *Choice) compare() expectation {
 	best := expectation{target: -1}
 	for z := range c.group.zones {
 		zone := &c.group.zones[z]
@@ -56,10 +79,9 @@
 		}
 	}
 	if best.target >= 0 && c.Requirements.Shared.Key != 0 {
-		best = c.preferHolder(best)
+		return c.preferHolder(best)
 	}
-	r.markAvoided(c.Requirements.Avoid, false)
-	return best.target, best.target >= 0
+	return best
 }
 
 // preferHolder returns the best of an expectation and of those at the targets that probably have the shared part.
