--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -194,6 +194,8 @@
 	Limiter  *limiter.Limiter
 	// Departures takes in which targets leave.
 	Departures Departures
+	// Placements takes in what other leading entries have in flight.
+	Placements PlacementReceiver
 	// Attributor keeps the origins of streams. It needs Clock.
 	Attributor *attributor.Attributor
 }
@@ -213,6 +215,9 @@
 	if s.Departures != nil {
 		all = append(all, &Targets{departures: s.Departures})
 	}
+	if s.Placements != nil {
+		all = append(all, &Placements{receiver: s.Placements})
+	}
 	if s.Attributor != nil {
 		all = append(all, &Origins{attributor: s.Attributor, clock: s.Clock})
 	}
@@ -350,46 +355,3 @@
 	}
 	return err == nil
 }
-
-// callOnce makes one call on the connection to address and closes the connection if the call fails.
-func (c *Client) callOnce(ctx context.Context, address, method string, args, reply any) error {
-	conn, err := c.conn(ctx, address)
-	if err != nil {
-		return err
-	}
-	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		err = call.Error
-	case <-ctx.Done():
-		err = context.Cause(ctx)
-	}
-	if err != nil {
-		c.drop(address, conn)
-	}
-	return err
-}
-
-// conn returns the kept connection to address, or opens one.
-func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
-	if conn, ok := c.conns.Get(address); ok {
-		return conn, nil
-	}
-	raw, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
-	}
-	conn := rpc.NewClient(raw)
-	kept, added := c.conns.PutAbsent(address, conn)
-	if !added {
-		_ = conn.Close() // a concurrent call has opened a connection first
-	}
-	return kept, nil
-}
-
-// drop closes a connection that failed or did not reply in time. Other calls on it fail, and their callers read from
-// the store instead.
-func (c *Client) drop(address string, conn *rpc.Client) {
-	c.conns.Update(address, func(old *rpc.Client, ok bool) (*rpc.Client, bool) { return old, ok && old != conn })
-	_ = conn.Close() // the connection is no longer used
-}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/confiner"
+	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
@@ -35,6 +36,8 @@
 	Elapsed time.Duration
 	// Continuation is set if the caller continues a stream.
 	Continuation Continuation
+	// Shape is what the request says about its size.
+	Shape estimator.Shape
 	// Internal marks a request of mimosalb itself: it needs no key and is counted for no team.
 	Internal bool
 	// Regions are those of the work for which the request is made, such as a batch job. They apply beside those of the route and the team.
