--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -167,6 +167,14 @@
 		"mimosalb_relayer_relaying_state", Gauge, "",
 		"1 while calls to the key-value service go through another process, else 0.",
 	}
+	estimatorKinds = Definition{
+		"mimosalb_estimator_known_kinds", Gauge, "",
+		"Kinds of attempts of which this process has observed the work.",
+	}
+	estimatorDeviation = Definition{
+		"mimosalb_estimator_deviation_ratio", Gauge, "",
+		"Mean error of the latest predictions of the work of attempts, as a share of the actual work.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -183,6 +191,7 @@
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
 		evacuatedZones, unknownZones, strandedServices,
 		relayedCalls, relayingState,
+		estimatorKinds, estimatorDeviation,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -45,6 +45,7 @@
 			return exporter.EvacuationState{Zones: 8, Unknown: 9, Stranded: 10}
 		},
 		Relaying: func() bool { return true },
+		Kinds:    func() int { return 8 }, Deviation: func() float64 { return 0.5 },
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -18,6 +18,9 @@
 	Limited  func() int
 	Unusable func() int64
 	Relaying func() bool
+	// Kinds and Deviation describe the estimator of an entry; both are nil in a controller.
+	Kinds     func() int
+	Deviation func() float64
 	// Evacuation reads the gauges of evacuation; it is nil where evacuation is switched off.
 	Evacuation func() EvacuationState
 }
@@ -66,6 +69,10 @@
 		}
 		return 0
 	})
+	if s.Kinds != nil {
+		newGauge(h.registry, estimatorKinds, func() float64 { return float64(s.Kinds()) })
+		newGauge(h.registry, estimatorDeviation, s.Deviation)
+	}
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
 	if s.Evacuation != nil {
 		newGauge(h.registry, evacuatedZones, func() float64 { return float64(s.Evacuation().Zones) })
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -12,6 +12,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
+	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/navigator"
@@ -208,7 +209,8 @@
 // restart adds a process in the given incarnation of its node.
 func (cl *cluster) restart(node identifier.Node, incarnation identifier.Incarnation) *process {
 	l := &link{Service: cl.kv, engine: cl.engine, clock: cl.clock, refuseWrites: &cl.refuseWrites, bodies: &cl.bodies, region: cl.regions[node]}
-	nav, reg, route := &navigator.Navigator{}, registrar.NewRegistrar(cl.targets), router.NewRouter(router.WithPolicy(router.NewCombined()))
+	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(cl.targets)
+	route := router.NewRouter(router.WithPolicy(router.NewCombined().WithSpread(router.Cost{})))
 	plan := testPlan()
 	if cl.plan != nil {
 		plan = *cl.plan
@@ -228,8 +230,10 @@
 	view, _ := reg.Watch()
 	route.Adopt(view)
 	store := storer.NewStorer(l, cl.clock, storer.WithMaxPause(50*time.Millisecond), storer.WithCallTimeout(500*time.Millisecond))
+	learned := estimator.NewEstimator()
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: l, Opener: cl.engine, Clock: cl.clock, Zone: "z",
+		Estimator: learned,
 	})
 	me := recorder.Owner{Node: node, Incarnation: incarnation}
 	p := &process{link: l, navigator: nav, owner: me, node: node, Conductor: conductor.NewConductor(conductor.Dependencies{
@@ -237,6 +241,7 @@
 		Forwarder: fwd, Caller: l, Opener: cl.engine, Peers: peers{cluster: cl}, Clock: cl.clock, Zone: "z", Retention: 2 * time.Minute,
 		Region:       cl.regions[node],
 		StoreReached: l.reachesStore, JobMemory: cl.jobMemory,
+		Estimator: learned, Shape: func(func(string) string) estimator.Shape { return estimator.Shape{} },
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -163,6 +163,7 @@
 	PeerFailed  = Event{
 		Number: 1308, Level: hclog.Warn, Text: "process of the deployment unreachable", Action: "check the VM of the process if this persists",
 	}
+	LeadersHeard    = Event{Number: 1309, Level: hclog.Debug, Text: "number of other leading entries with attempts in flight changed", Action: "none"}
 	RequestAnswered = Event{Number: 1402, Level: hclog.Info, Text: "request answered by a target", Action: "none"}
 	RequestRefused  = Event{
 		Number: 1403, Level: hclog.Warn, Text: "request refused", Action: "see its fields reason and tries",
@@ -226,8 +227,8 @@
 		ConnectionsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
 		ConfigUnreadable, RegionsUnserved, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, StoreRelayed, StoreDirect, ListUnavailable, TargetSilent, TargetServing, TargetListed,
-		TargetUnlisted, ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, ZoneEvacuated, ZoneTakenBack,
-		ZoneUnknown, ServiceStranded, ServiceRegained, RequestHeld, RequestAnswered, RequestRefused,
+		TargetUnlisted, ListingUnreadable, PeerChanged, PeerFailed, LeadersHeard, ParentSilent, ZoneEvacuated,
+		ZoneTakenBack, ZoneUnknown, ServiceStranded, ServiceRegained, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted, JobWaiting,
