limiter: cold targets need permits, counted over a second

Cause: a target that has just started sustains few requests; all entries together have to stay within a bound in any sliding second, also while some of them restart, are cut off or disagree. Change: SetCold makes a target cold for a time; it then counts as one that names the rate of ColdBound.Rates, the lower of two rates applies. For cold targets permits last 0.25 s, a new allotter pauses for 2 s, and entries that do not reach the responsible one share a tenth of the rate from buckets with random contents. Items go to warm targets first. An answer to an ask for an earlier start grants nothing, an answer of an earlier start lifts nothing. An allotter forgets a target for which another process is responsible.

--- a/internal/limiter/allotter.go
+++ b/internal/limiter/allotter.go
@@ -14,6 +14,8 @@
 	// Rate is the rate that the target named, in requests a second, and Age the time since then.
 	Rate float64
 	Age  time.Duration
+	// Cold is set if the rate applies because the target is cold to the asker.
+	Cold bool
 }
 
 // Grant answers an Ask.
@@ -30,6 +32,30 @@
 	// namedAt is the monotonic time at which the target named the rate of the bucket.
 	namedAt time.Duration
 	askedAt time.Duration
+	// named is the rate that the target named, or zero. cold is the rate of the last ask for a cold target, at coldAt.
+	named  float64
+	cold   float64
+	coldAt time.Duration
+}
+
+// withAsk returns a copy of t that has taken in the rate of an ask.
+func (t allotment) withAsk(q Ask, now time.Duration) allotment {
+	rate, namedAt := Statement{Rate: q.Rate}.effective(), now-q.Age
+	t.askedAt = now
+	if q.Cold {
+		t.cold, t.coldAt = rate, now
+	} else if t.named == 0 || namedAt >= t.namedAt {
+		t.named, t.namedAt = rate, namedAt
+	}
+	return t
+}
+
+// rate returns the rate at which permits are allotted.
+func (t allotment) rate(now time.Duration) float64 {
+	if t.cold > 0 && now-t.coldAt <= coldMemory && (t.named == 0 || t.cold < t.named) {
+		return t.cold
+	}
+	return max(t.named, minRate)
 }
 
 const (
@@ -47,7 +73,7 @@
 // Allotter allots the permits for the targets that its process is responsible for. The zero value works.
 //
 // Invariant: the permits of a target in any span are at most its rate times the span and one burst. A target that is new to
-// the Allotter has no permits for takeoverDelay. Lock rank: container.RankLimiter.
+// the Allotter has no permits for takeoverDelay, or coldTakeoverDelay. Lock rank: container.RankLimiter.
 type Allotter struct {
 	lock    container.Lock[container.Limiter]
 	targets map[identifier.Target]allotment
@@ -68,20 +94,28 @@
 		return Grant{Wait: staleWait}
 	}
 	if !known || t.incarnation != q.Incarnation {
-		t = allotment{incarnation: q.Incarnation, namedAt: now - q.Age}
-		t.bucket = newBucket(Statement{Rate: q.Rate}.effective(), now+takeoverDelay)
-	}
-	rate := t.bucket.rate
-	if namedAt := now - q.Age; namedAt >= t.namedAt {
-		t.namedAt, rate = namedAt, Statement{Rate: q.Rate}.effective()
+		t = allotment{incarnation: q.Incarnation}
+		delay := takeoverDelay
+		if q.Cold {
+			delay = coldTakeoverDelay
+		}
+		t.bucket = newBucket(Statement{Rate: q.Rate}.effective(), now+delay)
 	}
+	t = t.withAsk(q, now)
 	var wait time.Duration
-	t.bucket, wait = t.bucket.withRate(rate, now).take(now)
-	t.askedAt = now
+	t.bucket, wait = t.bucket.withRate(t.rate(now), now).take(now)
 	a.targets[q.Target] = t
 	return Grant{Permit: wait == 0, Wait: wait}
 }
 
+// Withdraw forgets a target for which another process is responsible. If this process becomes responsible again, the target is new
+// to it.
+func (a *Allotter) Withdraw(t identifier.Target) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	delete(a.targets, t)
+}
+
 // forget removes the targets that nobody asked for lately. The caller holds the lock.
 func (a *Allotter) forget(now time.Duration) {
 	for id, t := range a.targets {
--- a/internal/limiter/asker.go
+++ b/internal/limiter/asker.go
@@ -89,7 +89,7 @@
 		if k.service != s || slices.Contains(avoid, id) {
 			continue
 		}
-		permitted = permitted || k.usable(now) > 0
+		permitted = permitted || k.usable(now) > 0 || !k.limits(now)
 		hopeful = hopeful || k.asking || k.nextAsk < end
 	}
 	return l.changed, permitted, hopeful
@@ -116,6 +116,9 @@
 	pool := worker.NewPool(askWorkers, worker.Source[identifier.Target](queue), l.ask)
 	defer pool.Close()
 	for ctx.Err() == nil {
+		if l.expire() && l.onPermit != nil {
+			l.onPermit()
+		}
 		due, next := l.dueAsks()
 		for _, id := range due {
 			if !queue.Offer(id) {
@@ -149,7 +152,7 @@
 	now := l.clock.Monotonic()
 	missing := l.missing(now)
 	for id, k := range l.targets {
-		if missing[k.service] <= 0 || k.asking {
+		if missing[k.service] <= 0 || k.asking || !k.limits(now) {
 			continue
 		}
 		if k.nextAsk > now {
@@ -183,7 +186,7 @@
 		}
 	}
 	for _, k := range l.targets {
-		if _, ok := missing[k.service]; !ok {
+		if _, ok := missing[k.service]; !ok || !k.limits(now) {
 			continue
 		}
 		missing[k.service] -= k.usable(now)
@@ -202,7 +205,7 @@
 	}
 	ctx, cancel := timer.WithTimeout(ctx, l.clock, askTimeout)
 	defer cancel()
-	a := answeredAsk{sent: sent}
+	a := answeredAsk{ask: q, sent: sent}
 	a.grant, a.reached = l.source.Allot(ctx, q)
 	if !a.reached {
 		a.grant = l.fallBack(id)
@@ -215,6 +218,7 @@
 
 // answeredAsk is the answer to an ask that was sent at a monotonic time. reached is set if it is that of the responsible process.
 type answeredAsk struct {
+	ask     Ask
 	grant   Grant
 	sent    time.Duration
 	reached bool
@@ -228,7 +232,8 @@
 		return Ask{}, 0, false
 	}
 	now := l.clock.Monotonic()
-	return Ask{Target: id, Incarnation: k.incarnation, Rate: k.rate, Age: now - k.namedAt}, now, true
+	rate, at, cold := k.statement(now)
+	return Ask{Target: id, Incarnation: k.incarnation, Rate: rate, Age: now - at, Cold: cold}, now, true
 }
 
 // finishAsk records the answer to an ask.
@@ -238,24 +243,31 @@
 	defer l.trigger()
 	defer l.notify()
 	k, known := l.targets[id]
-	if !known {
+	if !known || a.ask.Target != "" && a.ask.Incarnation != k.incarnation {
 		return
 	}
 	now := l.clock.Monotonic()
 	k.asking = false
 	k.nextAsk = now + a.grant.Wait
-	if a.reached {
+	cold := k.cold.lasts(now)
+	if a.reached && cold {
+		k.fallback = coldFallback(now)
+	} else if a.reached {
 		k.fallback = bucket{at: now}
 	}
-	if a.grant.Permit {
-		k.permits = append(k.permits, a.sent+permitTTL)
+	ttl := permitTTL
+	if cold {
+		ttl = coldPermitTTL
+	}
+	if a.grant.Permit && (a.ask.Cold || !cold) {
+		k.permits = append(k.permits, a.sent+ttl)
 	}
 }
 
 // fallBack takes a permit out of this process's share, because the process that is responsible for the target was not
 // reached.
 func (l *Limiter) fallBack(id identifier.Target) Grant {
-	share := fallbackShare / float64(max(l.source.Processes(), 1))
+	processes := float64(max(l.source.Processes(), 1))
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	k, known := l.targets[id]
@@ -263,7 +275,16 @@
 		return Grant{Wait: unreachableWait}
 	}
 	now := l.clock.Monotonic()
+	rate := k.rate * fallbackShare
+	if k.cold.lasts(now) {
+		if rate = min(k.cold.fallback, rate); !k.named {
+			rate = k.cold.fallback
+		}
+		if rate == 0 {
+			return Grant{Wait: idleWait}
+		}
+	}
 	var wait time.Duration
-	k.fallback, wait = k.fallback.withRate(k.rate*share, now).take(now)
+	k.fallback, wait = k.fallback.withRate(rate/processes, now).take(now)
 	return Grant{Permit: wait == 0, Wait: max(unreachableWait, min(wait, idleWait))}
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -33,13 +33,16 @@
 	Processes() int
 }
 
-// limited is what this process knows of a target that names a rate.
+// limited is what this process knows of a target that names a rate or is cold.
 type limited struct {
 	incarnation identifier.Incarnation
 	service     identifier.Service
-	// rate is the limit in requests a second. namedAt is the monotonic time of the last answer that named it.
+	// named is set if the target names a rate: rate, in requests a second. namedAt is the monotonic time of the last answer that
+	// named it.
+	named   bool
 	rate    float64
 	namedAt time.Duration
+	cold    coldState
 	// permits holds the times at which unused permits expire.
 	permits []time.Duration
 	// asking is set while a permit is being asked for. nextAsk is when to ask again.
@@ -73,7 +76,7 @@
 	source Source
 	clock  timer.Service
 	lock   container.Lock[container.Limiter]
-	// active is set while any target names a rate. It is read without the lock, since nearly always none does.
+	// active is set while any target names a rate or is cold. It is read without the lock, since nearly always none does.
 	active  atomic.Bool
 	targets map[identifier.Target]*limited
 	waiting map[identifier.Service]demand
@@ -124,6 +127,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	old, known := l.targets[t.ID]
+	told := known && (old.named && old.incarnation == t.Incarnation || old.incarnation > t.Incarnation)
 	now := l.clock.Monotonic()
 	notice := Notice{Target: t.ID, Incarnation: t.Incarnation, Service: t.Service, Named: s.limits(), Rate: s.Rate}
 	switch {
@@ -131,16 +135,16 @@
 		return l.recordUnreadable(t)
 	case s.limits():
 		l.limit(notice, now)
-		if o, told := l.observed[t.ID]; !told || !o.notice.Named || o.notice.Incarnation != t.Incarnation {
+		if o, observed := l.observed[t.ID]; !observed || !o.notice.Named || o.notice.Incarnation != t.Incarnation {
 			// A notice of another entry is passed on too: that entry may stop before later entries start.
 			l.observe(notice, now)
 		}
-		if known && old.incarnation == t.Incarnation {
+		if told {
 			return NoChange
 		}
 		return Limited
-	case known && (old.incarnation != t.Incarnation || old.namedAt <= sent):
-		l.remove(t.ID)
+	case known && old.namedBefore(t.Incarnation, sent):
+		l.unname(t.ID, now)
 		l.observe(notice, now)
 		return Lifted
 	}
@@ -156,15 +160,16 @@
 	return Unreadable
 }
 
-// Retain forgets the targets that are not in the view, or are there as another start.
+// Retain forgets the targets that are not in the view or are there as a later start, and those that have become warm and name no rate.
 func (l *Limiter) Retain(v router.View) {
 	if l == nil {
 		return
 	}
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	now := l.clock.Monotonic()
 	for id, k := range l.targets {
-		if t, listed := v.Target(id); !listed || t.Incarnation != k.incarnation {
+		if t, listed := v.Target(id); !listed || t.Incarnation > k.incarnation || !k.limits(now) {
 			l.remove(id)
 		}
 	}
@@ -187,15 +192,25 @@
 	l.notify()
 }
 
-// Choose chooses a target as r does, and takes a permit where the target needs one. Targets without one at hand are avoided.
+// Choose chooses a target as r does, and takes a permit where the target needs one. Targets without one at hand are avoided. Work that
+// can wait goes to cold targets only if no other has a free slot.
 func (l *Limiter) Choose(r *router.Router, required router.Requirements) (router.Target, bool) {
 	if l == nil || !l.active.Load() {
 		return r.Choose(required)
 	}
 	for {
 		limitedRequirements := required
-		limitedRequirements.Avoid = append(slices.Clone(required.Avoid), l.blocked(required.Service)...)
-		t, ok := r.Choose(limitedRequirements)
+		blocked, cold := l.blocked(required.Service)
+		limitedRequirements.Avoid = slices.Concat(required.Avoid, blocked, cold)
+		var t router.Target
+		var ok bool
+		if required.Spread && len(cold) > 0 {
+			t, ok = r.Choose(limitedRequirements)
+		}
+		if !ok {
+			limitedRequirements.Avoid = limitedRequirements.Avoid[:len(required.Avoid)+len(blocked)]
+			t, ok = r.Choose(limitedRequirements)
+		}
 		if !ok || l.take(t) {
 			return t, ok
 		}
@@ -204,18 +219,21 @@
 	}
 }
 
-// blocked returns the targets of a service that need a permit of which none is at hand.
-func (l *Limiter) blocked(s identifier.Service) []identifier.Target {
+// blocked returns the targets of a service that need a permit of which none is at hand, and the cold ones with a permit.
+func (l *Limiter) blocked(s identifier.Service) (blocked, cold []identifier.Target) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	now := l.clock.Monotonic()
-	var ids []identifier.Target
 	for id, k := range l.targets {
-		if k.service == s && k.usable(now) == 0 {
-			ids = append(ids, id)
+		switch {
+		case k.service != s || !k.limits(now):
+		case k.usable(now) == 0:
+			blocked = append(blocked, id)
+		case k.cold.lasts(now):
+			cold = append(cold, id)
 		}
 	}
-	return ids
+	return blocked, cold
 }
 
 // take takes a permit for a target, if it needs one, and reports whether a request may be sent.
@@ -223,15 +241,16 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	k, known := l.targets[t.ID]
-	if !known {
+	now := l.clock.Monotonic()
+	if !known || !k.limits(now) {
 		return true
 	}
-	if k.incarnation != t.Incarnation {
+	if k.incarnation < t.Incarnation {
 		// The target started again and has named no rate since.
 		l.remove(t.ID)
 		return true
 	}
-	if k.usable(l.clock.Monotonic()) == 0 {
+	if k.usable(now) == 0 {
 		return false
 	}
 	k.permits = k.permits[1:]
@@ -248,5 +267,11 @@
 func (l *Limiter) Count() int {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	return len(l.targets)
+	n := 0
+	for _, k := range l.targets {
+		if k.named {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -203,12 +203,16 @@
 	}
 }
 
+// maxPerStep bounds the requests of an entry in one step, so that a target that is not limited fails a test and does not stop it. It is
+// above all permits of a step.
+const maxPerStep = 100
+
 // step lets 20 ms pass, in which each entry sends what it may.
 func (s *sharing) step(ctx context.Context) {
 	for i, entry := range s.entries {
 		entry.SetDemand("s", 8)
 		entry.Step(ctx)
-		for {
+		for range maxPerStep {
 			t, ok := entry.Choose(s.routers[i], router.Requirements{Service: "s", Zone: "z"})
 			if !ok {
 				break
--- a/internal/limiter/notice.go
+++ b/internal/limiter/notice.go
@@ -93,8 +93,8 @@
 		case known != nil && (known.incarnation > n.Incarnation || known.incarnation == n.Incarnation && known.namedAt > at):
 		case n.Named:
 			l.limit(n, at)
-		case known != nil:
-			l.remove(n.Target)
+		case known != nil && known.named:
+			l.unname(n.Target, now)
 		}
 	}
 }
@@ -102,10 +102,17 @@
 // limit begins or goes on to limit a target. The caller holds the lock.
 func (l *Limiter) limit(n Notice, at time.Duration) {
 	k := l.targets[n.Target]
-	if k == nil || k.incarnation != n.Incarnation {
+	switch {
+	case k != nil && k.incarnation > n.Incarnation:
+		return
+	case k == nil:
 		k = &limited{incarnation: n.Incarnation, service: n.Service, fallback: bucket{at: l.clock.Monotonic()}}
 		l.targets[n.Target] = k
+	case k.incarnation < n.Incarnation:
+		// Whether the new start is cold is not known before its listing is read.
+		k = &limited{incarnation: n.Incarnation, service: n.Service, fallback: coldFallback(l.clock.Monotonic()), cold: k.cold}
+		l.targets[n.Target] = k
 	}
-	k.rate, k.namedAt = Statement{Rate: n.Rate}.effective(), at
+	k.named, k.rate, k.namedAt = true, Statement{Rate: n.Rate}.effective(), at
 	l.active.Store(true)
 }
