hoster, platform: targets are cold by their listings, their service and their restarts

Cause: a cold target has to be limited before its first request, whichever of its listing and the plan is read first. Change: cold-left-ms of listings, cold-s and cold-per-s of services, cold-overage and cold-slack of the settings. coldTargets tells the limiter before a view or a plan is adopted, and when a start or a foreign answer shows a restart. Views and what the limiter retains are adopted under one lock. Conclusion: "cold again" without a restart is known only once the listing is read.

--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -143,6 +143,10 @@
 		"mimosalb_limiter_limited_targets", Gauge, "",
 		"Targets that name a rate of requests to this process.",
 	}
+	coldTargets = Definition{
+		"mimosalb_limiter_cold_targets", Gauge, "",
+		"Targets that are cold to this process.",
+	}
 	unusableListings = Definition{
 		"mimosalb_registrar_unusable_listings", Gauge, "",
 		"Entries among the listings of targets that name no target to use.",
@@ -160,7 +164,8 @@
 		listedTargets, servingTargets, clientConnections, responses,
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
-		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
+		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, coldTargets,
+		unusableListings,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -39,6 +39,7 @@
 	hosted.Observe(exporter.HostedState{
 		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
+		Cold:     func() int { return 8 },
 		Unusable: func() int64 { return 7 },
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -16,6 +16,7 @@
 	Omitted  func() int64
 	Held     func() int
 	Limited  func() int
+	Cold     func() int
 	Unusable func() int64
 }
 
@@ -47,6 +48,7 @@
 	newGauge(h.registry, droppedLogLines, func() float64 { return float64(s.Dropped()) })
 	newGauge(h.registry, heldRequests, func() float64 { return float64(s.Held()) })
 	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
+	newGauge(h.registry, coldTargets, func() float64 { return float64(s.Cold()) })
 	newGauge(h.registry, unusableListings, func() float64 { return float64(s.Unusable()) })
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
 }
--- /dev/null
+++ b/internal/hoster/cold.go
@@ -0,0 +1,102 @@
+package hoster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mimosalb/mimosalb/internal/forwarder"
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/limiter"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/router"
+)
+
+// coldTargets tells the limiter which targets are cold: by their listings, before a view with them is adopted, by the plan, before it
+// is adopted, and by what shows that a target has restarted. A nil coldTargets does nothing.
+type coldTargets struct {
+	bound   limiter.ColdBound
+	limiter *limiter.Limiter
+	log     *logger.Logger
+	lock    sync.Mutex
+	plan    navigator.Plan
+}
+
+// planned takes in a plan, and returns whether targets of any of its services go cold, or did so by the plan before.
+func (c *coldTargets) planned(p navigator.Plan) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	before := c.plan
+	c.plan = p
+	return goesCold(before) || goesCold(p)
+}
+
+func goesCold(p navigator.Plan) bool {
+	for _, s := range p.Services() {
+		if s.GoesCold() {
+			return true
+		}
+	}
+	return false
+}
+
+// service returns a service of the present plan if its targets go cold.
+func (c *coldTargets) service(name identifier.Service) (navigator.Service, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	s, ok := c.plan.Service(name)
+	return s, ok && s.GoesCold()
+}
+
+// listed takes in a listing. ended holds the listings of the incarnations that it and others replaced: a target that restarted is cold
+// also if the first listing of its new start does not say so.
+func (c *coldTargets) listed(l registrar.Listing, ended []registrar.Listing) {
+	if c == nil {
+		return
+	}
+	s, ok := c.service(l.Service)
+	left := l.Cold
+	if !ok || l.Draining {
+		left = 0
+	} else if left == 0 {
+		for _, e := range ended {
+			if e.ID == l.ID && e.Incarnation < l.Incarnation {
+				left = s.ColdFor
+			}
+		}
+	}
+	c.set(s, limiter.Coldness{Target: l.ID, Incarnation: l.Incarnation, Service: l.Service, Left: left})
+}
+
+// restarted takes in that an answer shows that a target, as it is listed, has ended. What serves under its ID until its new
+// listing is read is cold.
+func (c *coldTargets) restarted(t router.Target) {
+	if s, ok := c.service(t.Service); ok {
+		c.set(s, limiter.Coldness{Target: t.ID, Incarnation: t.Incarnation, Service: t.Service, Left: s.ColdFor, Assumed: true})
+	}
+}
+
+func (c *coldTargets) set(s navigator.Service, k limiter.Coldness) {
+	k.Rate, k.Fallback = c.bound.Rates(s.ColdRate)
+	if c.limiter.SetCold(k) == limiter.Limited {
+		c.log.Emit(logger.TargetCold, "target", k.Target, "incarnation", k.Incarnation, "left", k.Left, "rate", k.Rate, "restarted", k.Assumed)
+	}
+}
+
+// startObserver is a forwarder.StartReader that takes in which targets have restarted.
+type startObserver struct {
+	forwarder.StartReader
+
+	cold *coldTargets
+}
+
+// Start asks a target for its start.
+func (o startObserver) Start(ctx context.Context, t router.Target) (identifier.Incarnation, time.Time, bool) {
+	serving, asked, ok := o.StartReader.Start(ctx, t)
+	if ok && serving > t.Incarnation {
+		o.cold.restarted(t)
+	}
+	return serving, asked, ok
+}
--- /dev/null
+++ b/internal/hoster/cold_test.go
@@ -0,0 +1,116 @@
+package hoster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/limiter"
+	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/storer"
+	"github.com/mimosalb/mimosalb/internal/timer"
+)
+
+// coldDecoder reads the start and the time for which the target "a" is cold from the value of an entry.
+type coldDecoder struct{ keyDecoder }
+
+func (coldDecoder) Listing(e storer.Entry) (registrar.Listing, error) {
+	l, _ := keyDecoder{}.Listing(e)
+	var seconds int
+	_, err := fmt.Sscan(string(e.Value), &l.Incarnation, &seconds, &l.Draining)
+	l.Cold = time.Duration(seconds) * time.Second
+	return l, err
+}
+
+// laterStart is a forwarder.StartReader of a target that serves as a later start than the listed one.
+type laterStart struct{}
+
+func (laterStart) Start(_ context.Context, t router.Target) (identifier.Incarnation, time.Time, bool) {
+	return t.Incarnation + 1, time.Time{}, true
+}
+
+// noPermits is a limiter.Source without permits.
+type noPermits struct{}
+
+func (noPermits) Allot(context.Context, limiter.Ask) (limiter.Grant, bool) {
+	return limiter.Grant{}, true
+}
+
+func (noPermits) Processes() int { return 1 }
+
+// Guards against a cold target that gets its first requests without a permit, because its listing or the plan was taken in too late,
+// its first listing after a start does not say that it is cold, or its restart is known before its listing, and against one that is
+// limited although its service never goes cold.
+func TestColdListings(t *testing.T) {
+	clock := &timer.Manual{}
+	clock.Advance(time.Second)
+	var out strings.Builder
+	l := limiter.NewLimiter(noPermits{}, clock, nil)
+	log := logger.NewLogger("test", "error", io.Discard)
+	cold := &coldTargets{bound: limiter.ColdBound{Overage: 1.5, Slack: 5}, limiter: l, log: log}
+	route := router.NewRouter()
+	v := &targetView{
+		decoder: coldDecoder{}, registrar: registrar.NewRegistrar(nil), router: route, clock: clock, log: log, cold: cold, onAdopt: l.Retain,
+	}
+	show := func(what string) {
+		chosen, free := l.Choose(route, router.Requirements{Service: "s"})
+		if free {
+			route.Release(chosen.ID)
+		}
+		fmt.Fprintf(&out, "%-56s needs a permit: %-5v cold %d\n", what, !free, l.ColdCount())
+	}
+	list := func(value string) { v.Apply(storer.Change{Entry: storer.Entry{Key: "a", Value: []byte(value)}}) }
+	plan := func(revision int, rate float64) {
+		s := navigator.Service{Name: "s", ColdFor: 20 * time.Second, ColdRate: rate}
+		v.replan(navigator.NewPlan(identifier.Revision(revision)).WithServices(s))
+	}
+	list("1 9 false")
+	show("no plan yet, the listing says 9 s")
+	plan(1, 0)
+	show("a plan by which no target goes cold")
+	plan(2, 12)
+	show("a plan by which targets go cold")
+	list("1 0 false")
+	show("the listing says that it is warm")
+	list("1 3 false")
+	show("cold again for 3 s")
+	clock.Advance(3 * time.Second)
+	show("3 s later")
+	l.Record(router.Target{ID: "a", Service: "s", Incarnation: 1}, limiter.Statement{Named: true, Rate: 3}, clock.Monotonic())
+	show("it names 3 a second")
+	list("1 5 false")
+	show("and is cold")
+	l.Record(router.Target{ID: "a", Service: "s", Incarnation: 1}, limiter.Statement{Named: true, Rate: 40}, clock.Monotonic())
+	show("it names 40 a second")
+	l.Record(router.Target{ID: "a", Service: "s", Incarnation: 1}, limiter.Statement{}, clock.Monotonic())
+	show("it names none")
+	list("1 0 false")
+	list("2 0 false")
+	show("another start whose first listing does not say")
+	list("2 0 false")
+	show("nor does its second")
+	seen, _ := route.View().Target("a")
+	startObserver{StartReader: laterStart{}, cold: cold}.Start(t.Context(), seen)
+	list("2 0 false")
+	show("it serves as a later start than the listed one")
+	list("3 4 false")
+	show("the listing of that start says 4 s")
+	v.Reset(nil)
+	v.Reset([]storer.Entry{{Key: "a", Value: []byte("3 2 false")}})
+	show("unlisted and listed for 2 s by a snapshot")
+	clock.Advance(2 * time.Second)
+	show("2 s later")
+	list("3 5 false")
+	list("3 5 true")
+	fmt.Fprintf(&out, "draining: cold %d\n", l.ColdCount())
+	goldie.New(t).Assert(t, "cold", []byte(out.String()))
+}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -126,14 +126,16 @@
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
-	e.leaving = newStartQueue(p.Targets, &e.departures, e.clock, func() { e.targets.update(nil) })
+	cold := &coldTargets{bound: s.ColdBound, limiter: e.limiter, log: log}
+	starts := startObserver{StartReader: p.Targets, cold: cold}
+	e.leaving = newStartQueue(starts, &e.departures, e.clock, func() { e.targets.update(nil) })
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
-		interpreter.WithDepartures(&e.departures, e.leaving.add))
+		interpreter.WithDepartures(&e.departures, e.leaving.add), interpreter.WithRestarts(cold.restarted))
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
 	origins := attributor.NewStoreArchive(e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log, s.Node, e.incarnation)
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
-		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Origins: e.origins,
+		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: starts, Origins: e.origins,
 		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
@@ -152,10 +154,8 @@
 	})
 	e.targets = &targetView{
 		departures: &e.departures, availability: e.availability,
-		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
-			e.limiter.Retain(route.View())
-			e.conductor.TriggerAssignment()
-		},
+		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log,
+		cold: cold, onAdopt: e.limiter.Retain, onChange: e.conductor.TriggerAssignment,
 		onEnd: func(l registrar.Listing) { e.observer.TargetEnded(l.ID, l.Incarnation, e.clock.Now()) },
 	}
 	e.front = newFront(FrontDependencies{
@@ -168,13 +168,14 @@
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
+		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Cold: e.limiter.ColdCount,
+		Unusable: e.targets.unusableCount.Load,
 	})
 	if err != nil {
 		return nil, err
 	}
 	e.stopMetrics = stopMetrics
-	e.startBackground(&operatorView{decoder: p.Decoder, navigator: nav, log: log}, tally)
+	e.startBackground(&operatorView{decoder: p.Decoder, navigator: nav, log: log, onPlan: e.targets.replan}, tally)
 	e.conductor.Start()
 	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
 	return e, nil
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -16,6 +16,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -109,6 +110,8 @@
 	Apply  time.Duration
 	Drain  time.Duration
 	Cancel time.Duration
+	// ColdBound bounds the requests that a cold target may get.
+	ColdBound limiter.ColdBound
 }
 
 const (
--- a/internal/hoster/permits.go
+++ b/internal/hoster/permits.go
@@ -19,8 +19,9 @@
 		return limiter.Grant{}, false
 	}
 	if p.Owner == s.owner() {
-		return s.allotter.Allot(q, s.clock.Monotonic()), true
+		return s.allotOwn(q)
 	}
+	s.allotter.Withdraw(q.Target)
 	return s.client.Allot(ctx, p.Address, q)
 }
 
@@ -32,6 +33,17 @@
 func (s permitSource) AllotToPeer(q limiter.Ask) (limiter.Grant, bool) {
 	p, ok := s.conductor.ResponsibleFor(permitKey + string(q.Target))
 	if !ok || p.Owner != s.owner() {
+		s.allotter.Withdraw(q.Target)
+		return limiter.Grant{}, false
+	}
+	return s.allotOwn(q)
+}
+
+// allotOwn answers an ask for a target that this entry is responsible for as far as it knows. While it does not reach the key-value
+// service, others may know of an entry that it does not know; for a cold target it then leaves the askers to their fallback.
+func (s permitSource) allotOwn(q limiter.Ask) (limiter.Grant, bool) {
+	if q.Cold && !s.presence.reachedJustNow() {
+		s.allotter.Withdraw(q.Target)
 		return limiter.Grant{}, false
 	}
 	return s.allotter.Allot(q, s.clock.Monotonic()), true
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -22,6 +22,8 @@
 	decoder   Decoder
 	navigator *navigator.Navigator
 	log       *logger.Logger
+	// onPlan is called with a plan before it is adopted; it may be nil.
+	onPlan func(navigator.Plan)
 	// onDesired is called with desired versions and onRetire with VMs to retire; either may be nil.
 	onDesired func(upgrader.DesiredVersion)
 	onRetire  func(n identifier.Node, status storer.Put)
@@ -63,6 +65,9 @@
 	case err != nil:
 		v.log.Emit(logger.ConfigUnreadable, "key", c.Key, "error", err)
 	case o.Plan != nil:
+		if v.onPlan != nil && o.Plan.Revision() > v.navigator.Current().Revision() {
+			v.onPlan(*o.Plan)
+		}
 		if v.navigator.Adopt(*o.Plan) {
 			v.log.Emit(logger.ConfigAdopted, "revision", o.Plan.Revision(), "changed", c.Changed)
 		}
@@ -94,6 +99,10 @@
 	departures *registrar.Departures
 	// adopting is held from the making of a view to its adoption, so that no earlier view replaces a later one.
 	adopting sync.Mutex
+	// cold takes in listings before a view with them is adopted; it may be nil. onAdopt is called with each view that was adopted, in
+	// their order; it may be nil.
+	cold    *coldTargets
+	onAdopt func(router.View)
 	// onChange is called after the targets of the router have changed, and onEnd for each incarnation of a target that has
 	// ended without having announced it. Both may be nil.
 	onChange func()
@@ -118,9 +127,13 @@
 	}
 	v.unusableCount.Store(int64(len(v.unusable)))
 	if v.mayHaveLapsed() {
-		v.update(v.registrar.ReplaceAfterOutage(all, v.clock.Monotonic()))
+		v.update(v.put(all, func() []registrar.Listing { return v.registrar.ReplaceAfterOutage(all, v.clock.Monotonic()) }))
 	} else {
-		ended, removed := v.registrar.Replace(all)
+		var removed []identifier.Target
+		ended := v.put(all, func() (ended []registrar.Listing) {
+			ended, removed = v.registrar.Replace(all)
+			return ended
+		})
 		for _, id := range removed {
 			v.log.Emit(logger.TargetUnlisted, "target", id, "lapsed", false)
 		}
@@ -146,7 +159,7 @@
 	defer func() { v.unusableCount.Store(int64(len(v.unusable))) }()
 	if !c.Removed {
 		if l, ok := v.decode(c.Entry, logged); ok {
-			replaced := v.registrar.Put(l)
+			replaced := v.put([]registrar.Listing{l}, func() []registrar.Listing { return v.registrar.Put(l) })
 			v.log.Emit(logger.TargetListed, "target", l.ID, "service", l.Service, "release", l.Release, "draining", l.Draining,
 				"incarnation", l.Incarnation, "versions", l.Versions, "changed", c.Changed)
 			if v.registrar.Contradictory(l.ID) {
@@ -167,6 +180,29 @@
 	v.update(removed)
 }
 
+// put puts listings into the registrar and takes in which of their targets are cold, before a view with them can be adopted. It
+// returns the listings that have ended.
+func (v *targetView) put(all []registrar.Listing, put func() []registrar.Listing) []registrar.Listing {
+	v.adopting.Lock()
+	defer v.adopting.Unlock()
+	ended := put()
+	for _, l := range all {
+		v.cold.listed(l, ended)
+	}
+	return ended
+}
+
+// replan takes in a plan before it is adopted: which targets are cold depends on it.
+func (v *targetView) replan(p navigator.Plan) {
+	v.adopting.Lock()
+	defer v.adopting.Unlock()
+	if v.cold.planned(p) {
+		for _, l := range v.registrar.Listings() {
+			v.cold.listed(l, nil)
+		}
+	}
+}
+
 // expire drops the targets whose listings were lost and did not return in time.
 func (v *targetView) expire() {
 	if dropped := v.registrar.Expire(v.clock.Monotonic()); len(dropped) > 0 {
@@ -196,6 +232,9 @@
 	v.adopting.Lock()
 	view, _ := v.registrar.Watch()
 	v.router.Adopt(view)
+	if v.onAdopt != nil {
+		v.onAdopt(view)
+	}
 	v.adopting.Unlock()
 	if v.onChange != nil {
 		v.onChange()
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -20,8 +20,10 @@
 	// departures holds the targets that leave; onLeaving is called when one is added.
 	departures *registrar.Departures
 	onLeaving  func(router.Target)
-	clock      timer.Service
-	log        *logger.Logger
+	// onRestart is called with each target in whose place another one answered; it may be nil.
+	onRestart func(router.Target)
+	clock     timer.Service
+	log       *logger.Logger
 }
 
 // Option sets a property of an Interpreter.
@@ -35,6 +37,11 @@
 	return func(i *Interpreter) { i.departures, i.onLeaving = d, onLeaving }
 }
 
+// WithRestarts calls onRestart with each target in whose place another one answered.
+func WithRestarts(onRestart func(router.Target)) Option {
+	return func(i *Interpreter) { i.onRestart = onRestart }
+}
+
 // NewInterpreter returns an Interpreter of the answers that client gets.
 func NewInterpreter(client forwarder.TargetClient, clock timer.Service, log *logger.Logger, opts ...Option) *Interpreter {
 	i := &Interpreter{client: client, clock: clock, log: log}
@@ -52,6 +59,9 @@
 		i.recordRate(c, a, sent)
 		i.recordDeparture(c, a)
 	}
+	if fault == forwarder.NoFault && a.Foreign && i.onRestart != nil {
+		i.onRestart(c.Target)
+	}
 	return a, fault
 }
 
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -105,6 +105,10 @@
 
 	TargetLeaving = Event{Number: 1608, Level: hclog.Info, Text: "target says that it leaves", Action: "none; it gets no more requests"}
 
+	TargetCold = Event{
+		Number: 1609, Level: hclog.Info, Text: "target is cold", Action: "none; requests are limited until it is warm",
+	}
+
 	LinesDropped = Event{
 		Number: 1011, Level: hclog.Warn, Text: "log lines dropped", Action: "make the log reader faster; a metric counts the dropped lines",
 	}
@@ -202,6 +206,6 @@
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
-		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
+		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, TargetCold, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
 }
--- a/internal/navigator/bounds.go
+++ b/internal/navigator/bounds.go
@@ -31,6 +31,16 @@
 	return r
 }
 
+// withinBounds returns a copy of s that is cold for zero to maxTime, at a rate from zero on.
+func (s Service) withinBounds() Service {
+	s.ColdFor = min(max(s.ColdFor, 0), maxTime)
+	if math.IsNaN(s.ColdRate) {
+		s.ColdRate = 0
+	}
+	s.ColdRate = min(max(s.ColdRate, 0), math.MaxFloat32)
+	return s
+}
+
 // withinBounds returns a copy of l without negative limits.
 func (l Limits) withinBounds() Limits {
 	l.Header, l.Body = max(l.Header, 0), max(l.Body, 0)
--- a/internal/navigator/plan.go
+++ b/internal/navigator/plan.go
@@ -77,8 +77,15 @@
 	// MinTargets and MaxTargets bound the number of targets in each availability zone that may be ordered; MaxTargets
 	// is zero where none may.
 	MinTargets, MaxTargets int
+	// ColdFor is how long a target is cold after its start, and ColdRate the requests a second that a cold target sustains. If either
+	// is zero, no target of the service is ever cold.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
+// GoesCold reports whether targets of the service are cold after their start.
+func (s Service) GoesCold() bool { return s.ColdFor > 0 && s.ColdRate > 0 }
+
 // Team holds the API keys and the priority of a team.
 type Team struct {
 	Name identifier.Team
@@ -127,7 +134,7 @@
 	}
 	for _, s := range services {
 		s.Models = slices.Clone(s.Models)
-		p.services[s.Name] = s
+		p.services[s.Name] = s.withinBounds()
 	}
 	return p
 }
--- a/internal/registrar/check.go
+++ b/internal/registrar/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 const (
@@ -12,6 +13,8 @@
 	maxSlots = 4096
 	// maxModels is the largest number of models of a target.
 	maxModels = 256
+	// maxCold is the longest time for which a target may say that it is cold. One that says longer names the wrong unit.
+	maxCold = time.Hour
 )
 
 // ErrUnusable is the error of a listing that names no target to use.
@@ -31,6 +34,9 @@
 	if l.Slots < 1 || l.Slots > maxSlots {
 		return fmt.Errorf("%w: %d slots, want 1 to %d", ErrUnusable, l.Slots, maxSlots)
 	}
+	if l.Cold < 0 || l.Cold > maxCold {
+		return fmt.Errorf("%w: cold for %v, want 0 to %v", ErrUnusable, l.Cold, maxCold)
+	}
 	if len(l.Versions) > maxModels {
 		return fmt.Errorf("%w: %d models, want at most %d", ErrUnusable, len(l.Versions), maxModels)
 	}
--- a/internal/registrar/listing.go
+++ b/internal/registrar/listing.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
@@ -23,6 +24,8 @@
 	Release identifier.Release
 	// Versions are the weight versions of the models that the target serves.
 	Versions map[identifier.Model]identifier.Version
+	// Cold is the time for which the target was still cold when the listing was read.
+	Cold time.Duration
 }
 
 // WithVersion returns a copy of l with the given version of a model.
