platform: an answer whose status the protocol does not allow is a broken answer

Cause: net/http passes on any status of three digits. The server panics when one below 100 is written to a caller, so the caller's connection ended without an answer; 101 and 600 to 999 were passed on; orders counted as rejected and writes of the store as not made. A status outside 200 to 599, and an interim one other than 100, 102 and 103, is a broken answer: E1408 with its value, mimosalb_inspector_invalid_statuses_total, the connection closed.

--- a/internal/adapter/exporter/agent.go
+++ b/internal/adapter/exporter/agent.go
@@ -17,12 +17,15 @@
 	registry *prometheus.Registry
 	attempts *prometheus.CounterVec
 	duration *prometheus.HistogramVec
+	statusCounter
 }
 
 // NewAgent returns the metrics of an agent.
 func NewAgent() *Agent {
 	r := newRegistry()
-	return &Agent{registry: r, attempts: newCounter(r, targetAttempts), duration: newHistogram(r, targetAttemptDuration)}
+	return &Agent{
+		registry: r, attempts: newCounter(r, targetAttempts), duration: newHistogram(r, targetAttemptDuration), statusCounter: newStatusCounter(r),
+	}
 }
 
 // Observe registers the gauges whose values s provides.
--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -127,6 +127,10 @@
 		"mimosalb_hoster_call_seconds", Histogram, "dependency",
 		"Time of such a call; waiting watches are left out.",
 	}
+	invalidStatuses = Definition{
+		"mimosalb_inspector_invalid_statuses_total", Counter, "dependency",
+		"Answers of targets, the key-value service or the platform whose status the protocol does not allow.",
+	}
 	planRevision = Definition{
 		"mimosalb_navigator_plan_revision", Gauge, "",
 		"Revision of the configuration in force at this process.",
@@ -165,7 +169,7 @@
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, coldTargets,
-		unusableListings,
+		unusableListings, invalidStatuses,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/entry.go
+++ b/internal/adapter/exporter/entry.go
@@ -27,6 +27,7 @@
 	duration  *prometheus.HistogramVec
 	wait      *prometheus.HistogramVec
 	responses *prometheus.CounterVec
+	statusCounter
 }
 
 // NewEntry returns the metrics of an entry.
@@ -35,6 +36,7 @@
 	return &Entry{
 		registry: r, requests: newCounter(r, requests), attempts: newCounter(r, requestAttempts),
 		duration: newHistogram(r, requestDuration), wait: newHistogram(r, queueWait), responses: newCounter(r, responses),
+		statusCounter: newStatusCounter(r),
 	}
 }
 
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -45,6 +45,7 @@
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
 	hosted.Call("store", "applied", 4*time.Millisecond)
+	hosted.InvalidStatus("target")
 	return []prometheus.Gatherer{entry.Gatherer(), agent.Gatherer(), hosted.Gatherer()}
 }
 
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -29,6 +29,7 @@
 	itemDuration    *prometheus.HistogramVec
 	calls           *prometheus.CounterVec
 	callDuration    *prometheus.HistogramVec
+	statusCounter
 }
 
 // NewHosted returns the metrics of a hosted process.
@@ -38,6 +39,7 @@
 		registry: r, requests: newCounter(r, forwardedRequests), requestDuration: newHistogram(r, forwardedDuration),
 		items: newCounter(r, itemAttempts), itemDuration: newHistogram(r, itemAttemptDuration),
 		calls: newCounter(r, dependencyCalls), callDuration: newHistogram(r, dependencyCallDuration),
+		statusCounter: newStatusCounter(r),
 	}
 }
 
--- /dev/null
+++ b/internal/adapter/inspector/inspector.go
@@ -0,0 +1,81 @@
+// Package inspector rejects HTTP responses whose status the protocol does not allow. net/http passes on any status of three digits.
+package inspector
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+)
+
+// StatusError is the error of a response whose status the protocol does not allow. Its request may have been executed.
+type StatusError struct {
+	Status int
+}
+
+// Error returns the status with its three digits.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("response status %03d is not allowed", e.Status)
+}
+
+// Final returns an error if a status is not that of a final response: 200 to 599. No request of this system asks for another
+// protocol (101).
+func Final(status int) error {
+	if status < 200 || status > 599 {
+		return &StatusError{Status: status}
+	}
+	return nil
+}
+
+// Interim returns an error if a status is not that of a known interim response. Otherwise a final response with such a status would
+// be waited for until the time of the request is up.
+func Interim(status int) error {
+	switch status {
+	case http.StatusContinue, http.StatusProcessing, http.StatusEarlyHints:
+		return nil
+	default:
+		return &StatusError{Status: status}
+	}
+}
+
+// Report is called for each response whose status the protocol does not allow.
+type Report func(r *http.Request, status int)
+
+// Transport is an http.RoundTripper that returns a StatusError for a response with such a status and closes its connection.
+type Transport struct {
+	base    http.RoundTripper
+	reports []Report
+}
+
+// NewTransport returns a Transport over base, with what is called for each such response.
+func NewTransport(base http.RoundTripper, reports ...Report) *Transport {
+	return &Transport{base: base, reports: reports}
+}
+
+// RoundTrip sends a request.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(status int, _ textproto.MIMEHeader) error { return Interim(status) },
+	})
+	resp, err := t.base.RoundTrip(r.WithContext(ctx))
+	if err == nil {
+		if err = Final(resp.StatusCode); err == nil {
+			return resp, nil
+		}
+		_ = resp.Body.Close() // the response is not used
+		if conn != nil {
+			_ = conn.Close() // an empty response would leave it open
+		}
+	}
+	var invalid *StatusError
+	if errors.As(err, &invalid) {
+		for _, report := range t.reports {
+			report(r, invalid.Status)
+		}
+	}
+	return nil, err
+}
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -59,11 +59,13 @@
 	Drain()
 }
 
-// Meter counts requests, batch items and calls to dependencies.
+// Meter counts requests, batch items, calls to dependencies and answers of these with an invalid status.
 type Meter interface {
 	Request(kind, outcome, reason string, took time.Duration)
 	Item(end string, took time.Duration)
 	Call(dependency, outcome string, took time.Duration)
+	// InvalidStatus counts an answer of a dependency whose status the protocol does not allow.
+	InvalidStatus(dependency string)
 }
 
 // Platform holds the interfaces and key prefixes that the adapter of a platform provides.
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -159,6 +159,10 @@
 	ConnectionStale = Event{
 		Number: 1407, Level: hclog.Info, Text: "call not sent, target had closed the connection", Action: "none; it is sent on a new connection",
 	}
+	StatusInvalid = Event{
+		Number: 1408, Level: hclog.Warn, Text: "answer with a status that the protocol does not allow",
+		Action: "check the target or service that its fields name; the answer is not used",
+	}
 	OriginsUnsaved = Event{
 		Number: 1410, Level: hclog.Warn, Text: "origins of streams not stored", Action: "check the key-value service if this persists",
 	}
@@ -202,10 +206,11 @@
 		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
-		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
+		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, StatusInvalid, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
-		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, TargetCold, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
+		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, TargetCold,
+		DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
 }
