engineclient, kvclient, platformclient, commander, client: the same rule for statuses

Cause: the product's own clients took the same statuses; a service's answer with status 42 was complete and passed on as such. Change: their HTTP clients use inspector.Transport. An attempt at a target ends as failed with reason status-NNN. The counter counts at entries and agents for targets, the store and the VM list; the clients of the usage receiver, of the weight store and of an agent's platform calls log only. Conclusion: mimosactl and pkg/client report such an answer as one without a reply.

--- a/internal/adapter/engineclient/engine.go
+++ b/internal/adapter/engineclient/engine.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/streamer"
@@ -28,8 +29,9 @@
 }
 
 // NewEngine returns the engine at address, such as http://127.0.0.1:30000.
-func NewEngine(address string) *Engine {
-	return &Engine{address: address, client: newHTTPClient()}
+// reports are called for answers with an invalid status.
+func NewEngine(address string, reports ...inspector.Report) *Engine {
+	return &Engine{address: address, client: newHTTPClient(newTransport(), reports)}
 }
 
 // Version returns the weight version that the engine reported last; zero before its first report.
--- a/internal/adapter/engineclient/engineclient.go
+++ b/internal/adapter/engineclient/engineclient.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/streamer"
 )
@@ -37,14 +39,18 @@
 	return tracer.Start(ctx, "engine", trace.WithAttributes(attribute.String("mimosalb.attempt", id.String())))
 }
 
-func newHTTPClient() *http.Client {
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConns:           idleConnections,
+		MaxIdleConnsPerHost:    idleConnections,
+		ResponseHeaderTimeout:  headerTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
+}
+
+func newHTTPClient(t *http.Transport, reports []inspector.Report) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			MaxIdleConns:           idleConnections,
-			MaxIdleConnsPerHost:    idleConnections,
-			ResponseHeaderTimeout:  headerTimeout,
-			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		Transport:     inspector.NewTransport(t, reports...),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -54,7 +60,10 @@
 func connectionFailure(ctx context.Context, err error) streamer.Final {
 	var opErr *net.OpError
 	var netErr net.Error
+	var invalid *inspector.StatusError
 	switch {
+	case errors.As(err, &invalid):
+		return streamer.Final{}.WithEnd(streamer.Failed, fmt.Sprintf("status-%03d", invalid.Status))
 	case errors.As(err, &opErr) && opErr.Op == "dial":
 		return streamer.Final{}.WithEnd(streamer.Unreached, "connection-refused")
 	case ctx.Err() != nil:
--- a/internal/adapter/engineclient/service.go
+++ b/internal/adapter/engineclient/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/streamer"
@@ -18,13 +19,12 @@
 }
 
 // NewService returns the plain service at address, such as http://127.0.0.1:7000.
-func NewService(address string) *Service {
-	client := newHTTPClient()
-	if t, ok := client.Transport.(*http.Transport); ok {
-		// net/http resends a request when a reused connection breaks, which would repeat a call that must not be repeated.
-		t.DisableKeepAlives = true
-	}
-	return &Service{address: address, client: client}
+// reports are called for answers with an invalid status.
+func NewService(address string, reports ...inspector.Report) *Service {
+	t := newTransport()
+	// net/http resends a request when a reused connection breaks, which would repeat a call that must not be repeated.
+	t.DisableKeepAlives = true
+	return &Service{address: address, client: newHTTPClient(t, reports)}
 }
 
 // Version returns zero: a plain service has no weights.
--- a/internal/adapter/engineclient/weights.go
+++ b/internal/adapter/engineclient/weights.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/updater"
 )
@@ -52,8 +53,10 @@
 	client  *http.Client
 }
 
-// NewOrigin returns the weight store at address.
-func NewOrigin(address string) *Origin { return &Origin{address: address, client: newHTTPClient()} }
+// NewOrigin returns the weight store at address. reports are called for answers with an invalid status.
+func NewOrigin(address string, reports ...inspector.Report) *Origin {
+	return &Origin{address: address, client: newHTTPClient(newTransport(), reports)}
+}
 
 // Chunk fetches chunk i of the weights that m describes. The last result is false when the fetch fails.
 func (o *Origin) Chunk(ctx context.Context, m updater.Manifest, i int) ([]byte, bool) {
--- a/internal/adapter/kvclient/kvclient.go
+++ b/internal/adapter/kvclient/kvclient.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 	"github.com/mimosalb/mimosalb/internal/storer"
 )
 
@@ -28,8 +29,10 @@
 }
 
 // NewDriver returns the driver of the key-value service at address, such as http://127.0.0.1:2379.
-func NewDriver(address string) storer.Driver {
-	return &driver{address: address, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}}}
+// reports are called for answers with an invalid status.
+func NewDriver(address string, reports ...inspector.Report) storer.Driver {
+	t := inspector.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnections}, reports...)
+	return &driver{address: address, client: &http.Client{Transport: t}}
 }
 
 func (d *driver) Get(ctx context.Context, key string) (storer.Entry, storer.Outcome) {
--- a/internal/adapter/platformclient/platformclient.go
+++ b/internal/adapter/platformclient/platformclient.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
@@ -56,11 +57,15 @@
 	address string
 	clock   timer.Service
 	http    *http.Client
+	reports []inspector.Report
 }
 
 // NewClient returns the client of the platform at address, such as http://127.0.0.1:2380.
-func NewClient(address string, clock timer.Service) *Client {
-	return &Client{address: address, clock: clock, http: &http.Client{}}
+// reports are called for answers with an invalid status.
+func NewClient(address string, clock timer.Service, reports ...inspector.Report) *Client {
+	return &Client{
+		address: address, clock: clock, reports: reports, http: &http.Client{Transport: inspector.NewTransport(http.DefaultTransport, reports...)},
+	}
 }
 
 // VMs returns the VM list.
--- a/internal/adapter/platformclient/usage.go
+++ b/internal/adapter/platformclient/usage.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/reporter"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -69,7 +70,7 @@
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(FenceHeader, strconv.FormatUint(uint64(fence), 10))
-	resp, err := (&http.Client{Transport: transport}).Do(req)
+	resp, err := (&http.Client{Transport: inspector.NewTransport(transport, c.reports...)}).Do(req)
 	if err != nil {
 		return postResult{sent: guarded != nil && guarded.hasWritten.Load()}
 	}
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"os"
 	"strings"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 )
 
 // maxReplyBytes is the largest reply in bytes that the client reads. A configuration has at most 1 MB.
@@ -36,7 +38,7 @@
 	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
 		return nil, &Failure{Code: BadInput, Text: "--address: want a URL such as http://127.0.0.1:8090"}
 	}
-	c := &client{address: strings.TrimSuffix(address, "/"), http: &http.Client{}}
+	c := &client{address: strings.TrimSuffix(address, "/"), http: &http.Client{Transport: inspector.NewTransport(http.DefaultTransport)}}
 	if tokenFile != "" {
 		token, err := os.ReadFile(tokenFile) //nolint:gosec // the operator names the file
 		if err != nil {
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -63,11 +63,12 @@
 	// The start time makes the incarnation unique: a process can't start twice in one nanosecond.
 	incarnation := identifier.Incarnation(a.clock.Now().UnixNano())
 	a.gatekeeper = gatekeeper.NewGatekeeper(incarnation, gatekeeper.WithConcurrency(concurrency))
-	var backEnd target = engineclient.NewEngine(s.Target.Address)
+	metrics := exporter.NewAgent()
+	statuses := reportStatuses(log, metrics, "target")
+	var backEnd target = engineclient.NewEngine(s.Target.Address, statuses)
 	if s.Target.Kind == "plain" {
-		backEnd = engineclient.NewService(s.Target.Address)
+		backEnd = engineclient.NewService(s.Target.Address, statuses)
 	}
-	metrics := exporter.NewAgent()
 	a.records = &meter.RecordBuffer{}
 	a.executor = executor.NewExecutor(a.gatekeeper, backEnd, a.clock, concurrency, executor.WithRegion(identifier.Region(s.Region)),
 		executor.WithEndHandler(metrics.Ended), executor.WithEndHandler(newRecordHandler(a.records, a.clock)))
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -68,16 +68,18 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	metrics := exporter.NewEntry()
 	b := &entryBuilder{
 		entry: &Entry{
 			log: log, clock: clock, period: period(s), linger: time.Duration(s.Linger), cancel: cancel,
-			isolator: &isolator.Isolator{}, broadcasts: make(chan chan<- struct{}), platform: platformclient.NewClient(s.Platform, clock),
+			isolator: &isolator.Isolator{}, broadcasts: make(chan chan<- struct{}),
+			platform: platformclient.NewClient(s.Platform, clock, reportStatuses(log, metrics, "platform")),
 		},
 		settings: s, log: log, ctx: ctx, pepper: pepper, token: token, peers: peers,
 		config:  &configurator.Configurator{},
 		router:  router.NewRouter(router.WithSeed(seed(s.Name))),
-		store:   storer.NewStorer(kvclient.NewDriver(s.Store), clock),
-		metrics: exporter.NewEntry(),
+		store:   storer.NewStorer(kvclient.NewDriver(s.Store, reportStatuses(log, metrics, "store")), clock),
+		metrics: metrics,
 	}
 	e := b.entry
 	b.platform = e.platform
--- a/internal/runner/usage.go
+++ b/internal/runner/usage.go
@@ -59,8 +59,9 @@
 	// The name of a meter is unique to one start of the process. Records that an earlier start left are recovered.
 	node := identifier.Node(s.Name + "." + strconv.FormatInt(clock.Now().UnixNano(), 16))
 	u := &usage{
-		clock: clock, log: log, store: store.WithPurpose(storer.PurposeUsage), platform: platformclient.NewClient(s.Platform, clock),
-		agents: rpcclient.NewUsage(peers), candidacy: &candidacy{name: identifier.Node(s.Name), region: identifier.Region(s.Region)},
+		clock: clock, log: log, store: store.WithPurpose(storer.PurposeUsage),
+		platform: platformclient.NewClient(s.Platform, clock, reportStatuses(log, nil, "platform")),
+		agents:   rpcclient.NewUsage(peers), candidacy: &candidacy{name: identifier.Node(s.Name), region: identifier.Region(s.Region)},
 		calendar: meter.Calendar{Length: time.Duration(s.Usage.Window)}, settings: s.Usage,
 		origin: executor.Origin{Meter: node, Region: identifier.Region(s.Region)},
 	}
--- a/pkg/client/trainer.go
+++ b/pkg/client/trainer.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/inspector"
 )
 
 // ErrStale is returned when the run has received a later statement, because another process pulls for the same run.
@@ -53,7 +55,9 @@
 
 // Open opens a run, or resumes an existing one, at the entries with the given base URLs.
 func Open(ctx context.Context, addresses []string, key string, s Spec, opts ...Option) (*Trainer, error) {
-	t := &Trainer{addresses: addresses, key: key, http: &http.Client{}, run: s.Run, state: State{Next: 1}}
+	t := &Trainer{
+		addresses: addresses, key: key, http: &http.Client{Transport: inspector.NewTransport(http.DefaultTransport)}, run: s.Run, state: State{Next: 1},
+	}
 	for _, o := range opts {
 		o(t)
 	}
