limiter, tests: cold targets that name a rate

Cause: no test held the lower of two rates, nor an entry that knows only the rate that the target names. Change: TestColdTargetsThatNameARate. Measured: without the lower rate in asks it fails, as it does without the memory of cold asks in the allotter: 60 requests in a second, 23 allowed. Conclusion: both passed before; no code changes.

--- a/internal/limiter/cold_test.go
+++ b/internal/limiter/cold_test.go
@@ -118,6 +118,30 @@
 	s.checkCold(t, "calm", c)
 }
 
+// Guards against a cold target that gets more than the rate that it names, and against one that gets more than it sustains because
+// some entries know only the higher rate that it names and not that it is cold.
+func TestColdTargetsThatNameARate(t *testing.T) {
+	c := coldCases[0]
+	for _, rate := range []float64{2, 60} {
+		s := newColdSharing(4, 1, c)
+		if rate > c.sustained {
+			s.restart(3) // has not read the listings
+		}
+		for range steps {
+			for _, entry := range s.entries {
+				for n := range limitedTargets {
+					entry.Record(target(n), limiter.Statement{Named: true, Rate: rate}, s.clock.Monotonic())
+				}
+			}
+			s.step(t.Context())
+		}
+		s.checkCold(t, fmt.Sprint("named ", rate), c)
+		for id, times := range s.sent {
+			qt.Check(t, most(times) <= allowed(rate), qt.IsTrue, qt.Commentf("%s got %d requests in %v, it names %v", id, most(times), span, rate))
+		}
+	}
+}
+
 // Guards against entries that are cut off together and send their first requests together.
 func TestManyEntriesThatAreCutOff(t *testing.T) {
 	const entries, cutOffSteps = 60, 3000
