hoster: a target whose calls broke counts as cold until it confirms its start

Cause: a target that crashes and returns under its address got all it got before until its new listing was read, in an outage of the store for good. "A target that restarts is cold" held only for restarts that other answers showed. The time of a later start counts from the first time that it was seen. Measured: TestColdListings fails without each of: the limit after a broken call, the confirmation, the difference for closed connections, the later start. Services without cold-s cost one look-up for each failed call. Conclusion: left open is a restart that breaks no call of an entry and closes no connection of its own.

--- a/internal/hoster/cold.go
+++ b/internal/hoster/cold.go
@@ -12,6 +12,7 @@
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/router"
+	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
 // coldTargets tells the limiter which targets are cold: by their listings, before a view with them is adopted, by the plan, before it
@@ -20,8 +21,21 @@
 	bound   limiter.ColdBound
 	limiter *limiter.Limiter
 	log     *logger.Logger
+	clock   timer.Service
 	lock    sync.Mutex
 	plan    navigator.Plan
+	// suspects are the targets that may have restarted, with the time until which they are asked for their start.
+	suspects map[identifier.Target]suspect
+	wake     chan struct{}
+	// starts are the later starts as which targets were seen to serve before their listings.
+	starts map[identifier.Target]identifier.Incarnation
+}
+
+func newColdTargets(b limiter.ColdBound, l *limiter.Limiter, clock timer.Service, log *logger.Logger) *coldTargets {
+	return &coldTargets{
+		bound: b, limiter: l, clock: clock, log: log, suspects: make(map[identifier.Target]suspect), wake: make(chan struct{}, 1),
+		starts: make(map[identifier.Target]identifier.Incarnation),
+	}
 }
 
 // planned takes in a plan, and returns whether targets of any of its services go cold, or did so by the plan before.
@@ -68,6 +82,25 @@
 		}
 	}
 	c.set(s, limiter.Coldness{Target: l.ID, Incarnation: l.Incarnation, Service: l.Service, Left: left})
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.starts[l.ID] <= l.Incarnation {
+		delete(c.starts, l.ID)
+	}
+}
+
+// servesAs takes in that a target serves as a later start than the listed one. Its time is counted from the first time that this
+// start is seen.
+func (c *coldTargets) servesAs(t router.Target, serving identifier.Incarnation) {
+	c.lock.Lock()
+	known := c.starts[t.ID] >= serving
+	if !known {
+		c.starts[t.ID] = serving
+	}
+	c.lock.Unlock()
+	if !known {
+		c.restarted(t)
+	}
 }
 
 // restarted takes in that an answer shows that a target, as it is listed, has ended. What serves under its ID until its new
@@ -95,8 +128,11 @@
 // Start asks a target for its start.
 func (o startObserver) Start(ctx context.Context, t router.Target) (identifier.Incarnation, time.Time, bool) {
 	serving, asked, ok := o.StartReader.Start(ctx, t)
-	if ok && serving > t.Incarnation {
-		o.cold.restarted(t)
+	switch {
+	case ok && serving > t.Incarnation:
+		o.cold.servesAs(t, serving)
+	case ok:
+		o.cold.limiter.Confirm(t.ID, t.Incarnation)
 	}
 	return serving, asked, ok
 }
--- a/internal/hoster/cold_test.go
+++ b/internal/hoster/cold_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
@@ -32,10 +33,12 @@
 }
 
 // laterStart is a forwarder.StartReader of a target that serves as a later start than the listed one.
-type laterStart struct{}
+type laterStart struct {
+	by identifier.Incarnation
+}
 
-func (laterStart) Start(_ context.Context, t router.Target) (identifier.Incarnation, time.Time, bool) {
-	return t.Incarnation + 1, time.Time{}, true
+func (s laterStart) Start(_ context.Context, t router.Target) (identifier.Incarnation, time.Time, bool) {
+	return t.Incarnation + s.by, time.Time{}, true
 }
 
 // noPermits is a limiter.Source without permits.
@@ -56,7 +59,7 @@
 	var out strings.Builder
 	l := limiter.NewLimiter(noPermits{}, clock, nil)
 	log := logger.NewLogger("test", "error", io.Discard)
-	cold := &coldTargets{bound: limiter.ColdBound{Overage: 1.5, Slack: 5}, limiter: l, log: log}
+	cold := newColdTargets(limiter.ColdBound{Overage: 1.5, Slack: 5}, l, clock, log)
 	route := router.NewRouter()
 	v := &targetView{
 		decoder: coldDecoder{}, registrar: registrar.NewRegistrar(nil), router: route, clock: clock, log: log, cold: cold, onAdopt: l.Retain,
@@ -99,7 +102,26 @@
 	list("2 0 false")
 	show("nor does its second")
 	seen, _ := route.View().Target("a")
-	startObserver{StartReader: laterStart{}, cold: cold}.Start(t.Context(), seen)
+	answers := func(by identifier.Incarnation) {
+		for _, suspected := range cold.due() {
+			cold.ask(t.Context(), startObserver{StartReader: laterStart{by: by}, cold: cold}, suspected)
+		}
+	}
+	cold.failed(seen, forwarder.Stale)
+	show("its connection was closed")
+	answers(0)
+	cold.failed(seen, forwarder.Broken)
+	show("a call to it broke")
+	clock.Advance(suspicionTime - 1)
+	cold.due()
+	clock.Advance(suspicionTime - 1)
+	show("and it has not answered for 4 s")
+	answers(0)
+	show("it is still the listed start")
+	cold.failed(seen, forwarder.Unsent)
+	answers(1)
+	clock.Advance(19 * time.Second)
+	answers(1)
 	list("2 0 false")
 	show("it serves as a later start than the listed one")
 	list("3 4 false")
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -87,6 +87,9 @@
 	limiter   *limiter.Limiter
 	// allotter allots the permits for the limited targets that this process is responsible for.
 	allotter limiter.Allotter
+	// cold knows which targets are cold, and starts asks targets for their starts.
+	cold   *coldTargets
+	starts startObserver
 	// targets are the listed targets, departures those that said that they leave.
 	targets    *targetView
 	departures registrar.Departures
@@ -126,11 +129,12 @@
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
-	cold := &coldTargets{bound: s.ColdBound, limiter: e.limiter, log: log}
+	cold := newColdTargets(s.ColdBound, e.limiter, e.clock, log)
 	starts := startObserver{StartReader: p.Targets, cold: cold}
+	e.cold, e.starts = cold, starts
 	e.leaving = newStartQueue(starts, &e.departures, e.clock, func() { e.targets.update(nil) })
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
-		interpreter.WithDepartures(&e.departures, e.leaving.add), interpreter.WithRestarts(cold.restarted))
+		interpreter.WithDepartures(&e.departures, e.leaving.add), interpreter.WithRestarts(cold.restarted), interpreter.WithFaults(cold.failed))
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
 	origins := attributor.NewStoreArchive(e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log, s.Node, e.incarnation)
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
@@ -202,6 +206,7 @@
 	e.running.Go(func() { e.expireListings(ctx, e.targets) })
 	e.running.Go(func() { e.limiter.Run(ctx) })
 	e.running.Go(func() { e.leaving.run(ctx) })
+	e.running.Go(func() { e.cold.run(ctx, e.starts) })
 	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
 	e.running.Go(func() { crashes.Run(ctx) })
 	departures := broadcaster.NewBroadcaster(departureSource{e}, e.conductor.OtherMembers, e.client.NotifyDepartures, e.clock)
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -22,8 +22,10 @@
 	onLeaving  func(router.Target)
 	// onRestart is called with each target in whose place another one answered; it may be nil.
 	onRestart func(router.Target)
-	clock     timer.Service
-	log       *logger.Logger
+	// onFault is called with each target to which a call failed other than by its time or its caller; it may be nil.
+	onFault func(router.Target, forwarder.Fault)
+	clock   timer.Service
+	log     *logger.Logger
 }
 
 // Option sets a property of an Interpreter.
@@ -42,6 +44,11 @@
 	return func(i *Interpreter) { i.onRestart = onRestart }
 }
 
+// WithFaults calls onFault with each target to which a call failed other than by its time or its caller.
+func WithFaults(onFault func(router.Target, forwarder.Fault)) Option {
+	return func(i *Interpreter) { i.onFault = onFault }
+}
+
 // NewInterpreter returns an Interpreter of the answers that client gets.
 func NewInterpreter(client forwarder.TargetClient, clock timer.Service, log *logger.Logger, opts ...Option) *Interpreter {
 	i := &Interpreter{client: client, clock: clock, log: log}
@@ -62,6 +69,9 @@
 	if fault == forwarder.NoFault && a.Foreign && i.onRestart != nil {
 		i.onRestart(c.Target)
 	}
+	if fault != forwarder.NoFault && ctx.Err() == nil && i.onFault != nil {
+		i.onFault(c.Target, fault)
+	}
 	return a, fault
 }
 
--- a/internal/limiter/cold.go
+++ b/internal/limiter/cold.go
@@ -67,6 +67,20 @@
 	fallback float64
 	at       time.Duration
 	assumed  bool
+	// listed is until when the target is cold by its listing, while the rest is assumed.
+	listed time.Duration
+}
+
+// with returns a copy of c that has taken in k. What is assumed shortens nothing.
+func (c coldState) with(k Coldness, now time.Duration) coldState {
+	next := coldState{until: now + k.Left, rate: k.Rate, fallback: k.Fallback, at: now, assumed: k.Assumed}
+	if k.Assumed {
+		next.until = max(next.until, c.until)
+		if next.listed = c.listed; !c.assumed {
+			next.listed = c.until
+		}
+	}
+	return next
 }
 
 // lasts reports whether the target is cold at a monotonic time.
@@ -86,7 +100,11 @@
 	if k == nil && c.Left <= 0 {
 		return NoChange
 	}
-	if k != nil && (c.Incarnation < k.incarnation || k.hasEnded(c.Incarnation, now) && !c.Assumed) {
+	if k != nil && c.Incarnation < k.incarnation {
+		return NoChange
+	}
+	if k != nil && k.hasEnded(c.Incarnation, now) && !c.Assumed {
+		k.cold.listed = now + c.Left
 		return NoChange
 	}
 	if k == nil || c.Incarnation > k.incarnation {
@@ -98,7 +116,7 @@
 		// Permits at the rate that the target names may be more than a cold one sustains.
 		k.permits = nil
 	}
-	k.cold = coldState{until: now + c.Left, rate: c.Rate, fallback: c.Fallback, at: now, assumed: c.Assumed}
+	k.cold = k.cold.with(c, now)
 	if !k.limits(now) {
 		l.remove(c.Target)
 	} else {
@@ -121,6 +139,23 @@
 // limits reports whether requests need a permit at a monotonic time.
 func (t *limited) limits(now time.Duration) bool { return t.named || t.cold.lasts(now) }
 
+// Confirm takes back that an incarnation of a target was assumed to have ended. What its listing says applies.
+func (l *Limiter) Confirm(t identifier.Target, n identifier.Incarnation) {
+	if l == nil || !l.active.Load() {
+		return
+	}
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	k, now := l.targets[t], l.clock.Monotonic()
+	if k == nil || !k.hasEnded(n, now) {
+		return
+	}
+	k.cold.until, k.cold.assumed = k.cold.listed, false
+	if !k.limits(now) {
+		l.remove(t)
+	}
+}
+
 // hasEnded reports whether an incarnation is known to have ended although its listing may still be read.
 func (t *limited) hasEnded(n identifier.Incarnation, now time.Duration) bool {
 	return t.incarnation == n && t.cold.assumed && t.cold.lasts(now)
