inspector: all interim answers to a request together are bounded

Cause: net/http bounds only each interim answer once they are traced, which the rule for statuses began to do; a target could send them without end. Change: inspector.Interims adds up their bytes, 64 KiB at most.

--- a/internal/adapter/inspector/inspector.go
+++ b/internal/adapter/inspector/inspector.go
@@ -29,15 +29,36 @@
 	return nil
 }
 
-// Interim returns an error if a status is not that of a known interim response. Otherwise a final response with such a status would
-// be waited for until the time of the request is up.
-func Interim(status int) error {
+// maxInterimBytes bounds the interim responses of a request. net/http bounds only each of them if they are traced.
+const maxInterimBytes = 64 << 10
+
+// errInterimTooLong is the error of a response after too many bytes of interim ones.
+var errInterimTooLong = errors.New("interim responses are too long")
+
+// Interims checks the interim responses of one request. The zero value has seen none.
+type Interims struct {
+	bytes int
+}
+
+// Check returns an error if a status is not that of a known interim response, or if the interim responses are too long. Without the
+// former a final response with such a status would be waited for until the time of the request is up.
+func (i *Interims) Check(status int, header textproto.MIMEHeader) error {
+	const lineBytes = len("HTTP/1.1 100 \r\n\r\n")
 	switch status {
 	case http.StatusContinue, http.StatusProcessing, http.StatusEarlyHints:
-		return nil
 	default:
 		return &StatusError{Status: status}
 	}
+	i.bytes += lineBytes
+	for name, values := range header {
+		for _, value := range values {
+			i.bytes += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	if i.bytes > maxInterimBytes {
+		return errInterimTooLong
+	}
+	return nil
 }
 
 // Report is called for each response whose status the protocol does not allow.
@@ -57,9 +78,10 @@
 // RoundTrip sends a request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
+	var interims Interims
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
-		Got1xxResponse: func(status int, _ textproto.MIMEHeader) error { return Interim(status) },
+		Got1xxResponse: interims.Check,
 	})
 	resp, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err == nil {
