--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -127,6 +127,10 @@
 		"mimosalb_hoster_call_seconds", Histogram, "dependency",
 		"Time of such a call; waiting watches are left out.",
 	}
+	invalidStatuses = Definition{
+		"mimosalb_inspector_invalid_statuses_total", Counter, "dependency",
+		"Answers of targets, the key-value service or the platform whose status the protocol does not allow.",
+	}
 	planRevision = Definition{
 		"mimosalb_navigator_plan_revision", Gauge, "",
 		"Revision of the configuration in force at this process.",
@@ -143,6 +147,10 @@
 		"mimosalb_limiter_limited_targets", Gauge, "",
 		"Targets that name a rate of requests to this process.",
 	}
+	coldTargets = Definition{
+		"mimosalb_limiter_cold_targets", Gauge, "",
+		"Targets that are cold to this process.",
+	}
 	unusableListings = Definition{
 		"mimosalb_registrar_unusable_listings", Gauge, "",
 		"Entries among the listings of targets that name no target to use.",
@@ -188,10 +196,9 @@
 		listedTargets, servingTargets, clientConnections, responses,
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
-		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
-		evacuatedZones, unknownZones, strandedServices,
-		relayedCalls, relayingState,
-		estimatorKinds, estimatorDeviation,
+		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, coldTargets,
+		unusableListings, invalidStatuses, evacuatedZones, unknownZones, strandedServices,
+		relayedCalls, relayingState, estimatorKinds, estimatorDeviation,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -40,6 +40,7 @@
 	hosted.Observe(exporter.HostedState{
 		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
+		Cold:     func() int { return 8 },
 		Unusable: func() int64 { return 7 },
 		Evacuation: func() exporter.EvacuationState {
 			return exporter.EvacuationState{Zones: 8, Unknown: 9, Stranded: 10}
@@ -51,6 +52,7 @@
 	hosted.Item("whole", time.Second)
 	hosted.Call("store", "applied", 4*time.Millisecond)
 	hosted.Relayed("asked", "applied")
+	hosted.InvalidStatus("target")
 	return []prometheus.Gatherer{entry.Gatherer(), agent.Gatherer(), hosted.Gatherer()}
 }
 
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -16,6 +16,7 @@
 	Omitted  func() int64
 	Held     func() int
 	Limited  func() int
+	Cold     func() int
 	Unusable func() int64
 	Relaying func() bool
 	// Kinds and Deviation describe the estimator of an entry; both are nil in a controller.
@@ -42,6 +43,7 @@
 	calls           *prometheus.CounterVec
 	callDuration    *prometheus.HistogramVec
 	relayed         *prometheus.CounterVec
+	statusCounter
 }
 
 // NewHosted returns the metrics of a hosted process.
@@ -51,7 +53,8 @@
 		registry: r, requests: newCounter(r, forwardedRequests), requestDuration: newHistogram(r, forwardedDuration),
 		items: newCounter(r, itemAttempts), itemDuration: newHistogram(r, itemAttemptDuration),
 		calls: newCounter(r, dependencyCalls), callDuration: newHistogram(r, dependencyCallDuration),
-		relayed: newCounter(r, relayedCalls),
+		relayed:       newCounter(r, relayedCalls),
+		statusCounter: newStatusCounter(r),
 	}
 }
 
@@ -62,6 +65,7 @@
 	newGauge(h.registry, droppedLogLines, func() float64 { return float64(s.Dropped()) })
 	newGauge(h.registry, heldRequests, func() float64 { return float64(s.Held()) })
 	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
+	newGauge(h.registry, coldTargets, func() float64 { return float64(s.Cold()) })
 	newGauge(h.registry, unusableListings, func() float64 { return float64(s.Unusable()) })
 	newGauge(h.registry, relayingState, func() float64 {
 		if s.Relaying() {
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -88,6 +88,9 @@
 	limiter   *limiter.Limiter
 	// allotter allots the permits for the limited targets that this process is responsible for.
 	allotter limiter.Allotter
+	// cold knows which targets are cold, and starts asks targets for their starts.
+	cold   *coldTargets
+	starts startObserver
 	// targets are the listed targets, departures those that said that they leave.
 	targets    *targetView
 	placer     *itemPlacer
@@ -137,10 +140,13 @@
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.relay.direct.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
-	starts := startGate{StartReader: p.Targets, evacuator: e.evacuator}
+	cold := newColdTargets(s.ColdBound, e.limiter, e.clock, log)
+	starts := startObserver{StartReader: startGate{StartReader: p.Targets, evacuator: e.evacuator}, cold: cold}
+	e.cold, e.starts = cold, starts
 	e.leaving = newStartQueue(starts, &e.departures, e.clock, func() { e.targets.update(nil) })
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
-		interpreter.WithDepartures(&e.departures, e.leaving.add), interpreter.WithEvacuator(e.evacuator))
+		interpreter.WithDepartures(&e.departures, e.leaving.add), interpreter.WithEvacuator(e.evacuator),
+		interpreter.WithRestarts(cold.restarted), interpreter.WithFaults(cold.failed))
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
 	origins := attributor.NewStoreArchive(e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log, s.Node, e.incarnation)
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
@@ -170,9 +176,9 @@
 	})
 	e.targets = &targetView{
 		departures: &e.departures, availability: e.availability,
-		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
+		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log,
+		cold: cold, onAdopt: e.limiter.Retain, onChange: func() {
 			e.stranded.check()
-			e.limiter.Retain(route.View())
 			e.conductor.TriggerAssignment()
 		},
 		onEnd: func(l registrar.Listing) { e.observer.TargetEnded(l.ID, l.Incarnation, e.clock.Now()) },
@@ -187,7 +193,8 @@
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
+		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Cold: e.limiter.ColdCount,
+		Unusable:   e.targets.unusableCount.Load,
 		Evacuation: e.evacuationState(),
 		Relaying:   e.relay.relaying,
 		Kinds:      placer.estimator.Count, Deviation: placer.estimator.Deviation,
@@ -196,7 +203,7 @@
 		return nil, err
 	}
 	e.stopMetrics = stopMetrics
-	e.startBackground(&operatorView{decoder: p.Decoder, navigator: nav, log: log}, tally)
+	e.startBackground(&operatorView{decoder: p.Decoder, navigator: nav, log: log, onPlan: e.targets.replan}, tally)
 	e.conductor.Start()
 	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
 	return e, nil
@@ -230,6 +237,7 @@
 	e.running.Go(func() { e.expireListings(ctx, e.targets, &residency) })
 	e.running.Go(func() { e.limiter.Run(ctx) })
 	e.running.Go(func() { e.leaving.run(ctx) })
+	e.running.Go(func() { e.cold.run(ctx, e.starts) })
 	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
 	e.running.Go(func() { crashes.Run(ctx) })
 	departures := broadcaster.NewBroadcaster(departureSource{e}, e.conductor.OtherMembers, e.client.NotifyDepartures, e.clock)
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -17,6 +17,7 @@
 	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -61,11 +62,13 @@
 	Drain()
 }
 
-// Meter counts requests, batch items and calls to dependencies.
+// Meter counts requests, batch items, calls to dependencies and answers of these with an invalid status.
 type Meter interface {
 	Request(kind, outcome, reason string, took time.Duration)
 	Item(end string, took time.Duration)
 	Call(dependency, outcome string, took time.Duration)
+	// InvalidStatus counts an answer of a dependency whose status the protocol does not allow.
+	InvalidStatus(dependency string)
 }
 
 // Platform holds the interfaces and key prefixes that the adapter of a platform provides.
@@ -122,6 +125,8 @@
 	WithoutRelay bool
 	// Placement is how an entry places the items of batch jobs; the empty one is PlaceByCost.
 	Placement Placement
+	// ColdBound bounds the requests that a cold target may get.
+	ColdBound limiter.ColdBound
 }
 
 const (
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -121,6 +121,10 @@
 
 	TargetLeaving = Event{Number: 1608, Level: hclog.Info, Text: "target says that it leaves", Action: "none; it gets no more requests"}
 
+	TargetCold = Event{
+		Number: 1609, Level: hclog.Info, Text: "target is cold", Action: "none; requests are limited until it is warm",
+	}
+
 	LinesDropped = Event{
 		Number: 1011, Level: hclog.Warn, Text: "log lines dropped", Action: "make the log reader faster; a metric counts the dropped lines",
 	}
@@ -177,6 +181,10 @@
 	ConnectionStale = Event{
 		Number: 1407, Level: hclog.Info, Text: "call not sent, target had closed the connection", Action: "none; it is sent on a new connection",
 	}
+	StatusInvalid = Event{
+		Number: 1408, Level: hclog.Warn, Text: "answer with a status that the protocol does not allow",
+		Action: "check the target or service that its fields name; the answer is not used",
+	}
 	OriginsUnsaved = Event{
 		Number: 1410, Level: hclog.Warn, Text: "origins of streams not stored", Action: "check the key-value service if this persists",
 	}
@@ -229,10 +237,11 @@
 		RecordUnreadable, StoreRelayed, StoreDirect, ListUnavailable, TargetSilent, TargetServing, TargetListed,
 		TargetUnlisted, ListingUnreadable, PeerChanged, PeerFailed, LeadersHeard, ParentSilent, ZoneEvacuated,
 		ZoneTakenBack, ZoneUnknown, ServiceStranded, ServiceRegained, RequestHeld, RequestAnswered, RequestRefused,
-		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
+		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, StatusInvalid, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted, JobWaiting,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
-		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
+		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, TargetCold,
+		DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
 }
