--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -127,6 +127,10 @@
 		"mimosalb_hoster_call_seconds", Histogram, "dependency",
 		"Time of such a call; waiting watches are left out.",
 	}
+	invalidStatuses = Definition{
+		"mimosalb_inspector_invalid_statuses_total", Counter, "dependency",
+		"Answers of targets, the key-value service or the platform whose status the protocol does not allow.",
+	}
 	planRevision = Definition{
 		"mimosalb_navigator_plan_revision", Gauge, "",
 		"Revision of the configuration in force at this process.",
@@ -143,6 +147,10 @@
 		"mimosalb_limiter_limited_targets", Gauge, "",
 		"Targets that name a rate of requests to this process.",
 	}
+	coldTargets = Definition{
+		"mimosalb_limiter_cold_targets", Gauge, "",
+		"Targets that are cold to this process.",
+	}
 	unusableListings = Definition{
 		"mimosalb_registrar_unusable_listings", Gauge, "",
 		"Entries among the listings of targets that name no target to use.",
@@ -159,6 +167,22 @@
 		"mimosalb_evacuator_stranded_services", Gauge, "",
 		"Services all of whose targets are in evacuated zones; their requests are refused.",
 	}
+	relayedCalls = Definition{
+		"mimosalb_relayer_calls_total", Counter, "role, outcome",
+		"Calls to the key-value service that another process was asked to make, or that this one executed for another.",
+	}
+	relayingState = Definition{
+		"mimosalb_relayer_relaying_state", Gauge, "",
+		"1 while calls to the key-value service go through another process, else 0.",
+	}
+	estimatorKinds = Definition{
+		"mimosalb_estimator_known_kinds", Gauge, "",
+		"Kinds of attempts of which this process has observed the work.",
+	}
+	estimatorDeviation = Definition{
+		"mimosalb_estimator_deviation_ratio", Gauge, "",
+		"Mean error of the latest predictions of the work of attempts, as a share of the actual work.",
+	}
 	omittedLogLines = Definition{
 		"mimosalb_logger_omitted_lines", Gauge, "",
 		"Log lines of requests that went as they should and were left out under load.",
@@ -172,8 +196,9 @@
 		listedTargets, servingTargets, clientConnections, responses,
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
-		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
-		evacuatedZones, unknownZones, strandedServices,
+		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, coldTargets,
+		unusableListings, invalidStatuses, evacuatedZones, unknownZones, strandedServices,
+		relayedCalls, relayingState, estimatorKinds, estimatorDeviation,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -40,14 +40,19 @@
 	hosted.Observe(exporter.HostedState{
 		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
+		Cold:     func() int { return 8 },
 		Unusable: func() int64 { return 7 },
 		Evacuation: func() exporter.EvacuationState {
 			return exporter.EvacuationState{Zones: 8, Unknown: 9, Stranded: 10}
 		},
+		Relaying: func() bool { return true },
+		Kinds:    func() int { return 8 }, Deviation: func() float64 { return 0.5 },
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
 	hosted.Call("store", "applied", 4*time.Millisecond)
+	hosted.Relayed("asked", "applied")
+	hosted.InvalidStatus("target")
 	return []prometheus.Gatherer{entry.Gatherer(), agent.Gatherer(), hosted.Gatherer()}
 }
 
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -16,7 +16,12 @@
 	Omitted  func() int64
 	Held     func() int
 	Limited  func() int
+	Cold     func() int
 	Unusable func() int64
+	Relaying func() bool
+	// Kinds and Deviation describe the estimator of an entry; both are nil in a controller.
+	Kinds     func() int
+	Deviation func() float64
 	// Evacuation reads the gauges of evacuation; it is nil where evacuation is switched off.
 	Evacuation func() EvacuationState
 }
@@ -37,6 +42,8 @@
 	itemDuration    *prometheus.HistogramVec
 	calls           *prometheus.CounterVec
 	callDuration    *prometheus.HistogramVec
+	relayed         *prometheus.CounterVec
+	statusCounter
 }
 
 // NewHosted returns the metrics of a hosted process.
@@ -46,6 +53,8 @@
 		registry: r, requests: newCounter(r, forwardedRequests), requestDuration: newHistogram(r, forwardedDuration),
 		items: newCounter(r, itemAttempts), itemDuration: newHistogram(r, itemAttemptDuration),
 		calls: newCounter(r, dependencyCalls), callDuration: newHistogram(r, dependencyCallDuration),
+		relayed:       newCounter(r, relayedCalls),
+		statusCounter: newStatusCounter(r),
 	}
 }
 
@@ -56,7 +65,18 @@
 	newGauge(h.registry, droppedLogLines, func() float64 { return float64(s.Dropped()) })
 	newGauge(h.registry, heldRequests, func() float64 { return float64(s.Held()) })
 	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
+	newGauge(h.registry, coldTargets, func() float64 { return float64(s.Cold()) })
 	newGauge(h.registry, unusableListings, func() float64 { return float64(s.Unusable()) })
+	newGauge(h.registry, relayingState, func() float64 {
+		if s.Relaying() {
+			return 1
+		}
+		return 0
+	})
+	if s.Kinds != nil {
+		newGauge(h.registry, estimatorKinds, func() float64 { return float64(s.Kinds()) })
+		newGauge(h.registry, estimatorDeviation, s.Deviation)
+	}
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
 	if s.Evacuation != nil {
 		newGauge(h.registry, evacuatedZones, func() float64 { return float64(s.Evacuation().Zones) })
@@ -86,3 +106,7 @@
 	h.calls.WithLabelValues(dependency, outcome).Inc()
 	h.callDuration.WithLabelValues(dependency).Observe(took.Seconds())
 }
+
+// Relayed counts a call to the key-value service that another process made for this one (role "asked") or this one for another
+// (role "executed").
+func (h *Hosted) Relayed(role, outcome string) { h.relayed.WithLabelValues(role, outcome).Inc() }
--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -18,7 +18,7 @@
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
-	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/relayer"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
@@ -164,23 +164,6 @@
 	return nil
 }
 
-// Departures takes in which targets leave.
-type Departures interface {
-	ApplyDepartures(n registrar.DepartureNotices)
-}
-
-// Targets is the net/rpc receiver that takes in what answers to other processes said of targets.
-type Targets struct {
-	departures Departures
-}
-
-// Left takes in which targets leave.
-func (t *Targets) Left(n registrar.DepartureNotices, received *bool) error {
-	t.departures.ApplyDepartures(n)
-	*received = true
-	return nil
-}
-
 // Services are what a process does for others. The zero value does nothing.
 type Services struct {
 	Jobs Handler
@@ -194,8 +177,12 @@
 	Limiter  *limiter.Limiter
 	// Departures takes in which targets leave.
 	Departures Departures
+	// Placements takes in what other leading entries have in flight.
+	Placements PlacementReceiver
 	// Attributor keeps the origins of streams. It needs Clock.
 	Attributor *attributor.Attributor
+	// Relays makes calls to the key-value service for processes that do not reach it.
+	Relays *relayer.Executor
 }
 
 // receivers returns the net/rpc receivers of the services that there are.
@@ -213,9 +200,15 @@
 	if s.Departures != nil {
 		all = append(all, &Targets{departures: s.Departures})
 	}
+	if s.Placements != nil {
+		all = append(all, &Placements{receiver: s.Placements})
+	}
 	if s.Attributor != nil {
 		all = append(all, &Origins{attributor: s.Attributor, clock: s.Clock})
 	}
+	if s.Relays != nil {
+		all = append(all, &Relays{executor: s.Relays})
+	}
 	return all
 }
 
@@ -326,12 +319,6 @@
 	return c.call(ctx, address, "Limits.Notify", n, &received, informTimeout) && received
 }
 
-// NotifyDepartures tells the process at address which targets leave, and reports whether that process received it.
-func (c *Client) NotifyDepartures(ctx context.Context, address string, n registrar.DepartureNotices) bool {
-	var received bool
-	return c.call(ctx, address, "Targets.Left", n, &received, informTimeout) && received
-}
-
 // allotTimeout limits an ask for a permit, which the receiver answers at once.
 const allotTimeout = 300 * time.Millisecond
 
@@ -350,46 +337,3 @@
 	}
 	return err == nil
 }
-
-// callOnce makes one call on the connection to address and closes the connection if the call fails.
-func (c *Client) callOnce(ctx context.Context, address, method string, args, reply any) error {
-	conn, err := c.conn(ctx, address)
-	if err != nil {
-		return err
-	}
-	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		err = call.Error
-	case <-ctx.Done():
-		err = context.Cause(ctx)
-	}
-	if err != nil {
-		c.drop(address, conn)
-	}
-	return err
-}
-
-// conn returns the kept connection to address, or opens one.
-func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
-	if conn, ok := c.conns.Get(address); ok {
-		return conn, nil
-	}
-	raw, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
-	}
-	conn := rpc.NewClient(raw)
-	kept, added := c.conns.PutAbsent(address, conn)
-	if !added {
-		_ = conn.Close() // a concurrent call has opened a connection first
-	}
-	return kept, nil
-}
-
-// drop closes a connection that failed or did not reply in time. Other calls on it fail, and their callers read from
-// the store instead.
-func (c *Client) drop(address string, conn *rpc.Client) {
-	c.conns.Update(address, func(old *rpc.Client, ok bool) (*rpc.Client, bool) { return old, ok && old != conn })
-	_ = conn.Close() // the connection is no longer used
-}
--- a/internal/forwarder/continuation.go
+++ b/internal/forwarder/continuation.go
@@ -56,7 +56,7 @@
 		if confirmed && x.mayReach(target) {
 			return target, true
 		}
-		x.Router.Release(target.ID)
+		x.endAttempt(target)
 		switch {
 		case ctx.Err() != nil:
 			return target, false
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -88,8 +88,12 @@
 	limiter   *limiter.Limiter
 	// allotter allots the permits for the limited targets that this process is responsible for.
 	allotter limiter.Allotter
+	// cold knows which targets are cold, and starts asks targets for their starts.
+	cold   *coldTargets
+	starts startObserver
 	// targets are the listed targets, departures those that said that they leave.
 	targets    *targetView
+	placer     *itemPlacer
 	departures registrar.Departures
 	// evacuator holds the orders to evacuate zones; it is nil if evacuation is switched off.
 	evacuator *evacuator.Evacuator
@@ -98,6 +102,7 @@
 	leaving  startQueue
 	origins  *attributor.Attributor
 	presence *presence
+	relay    relay
 	servers  []*http.Server
 	peers    net.Listener
 	client   *jobpeer.Client
@@ -123,25 +128,32 @@
 		return nil, fmt.Errorf("start entry at %s, %s and %s: %w", s.Callers, s.Ready, s.Peer, errSharedAddress)
 	}
 	e, log := &Entry{base: newBase(s, p, o)}, o.Log
+	e.useRelay(p.KeyValue)
 	sampler := logger.NewSampler(e.clock, logger.DefaultLinesPerSecond)
 	e.evacuator = newEvacuator(s)
 	nav, reg := &navigator.Navigator{}, registrar.NewRegistrar(s.Regions).WithDepartures(&e.departures).WithEvacuator(e.evacuator)
 	e.stranded = &strandedServices{registrar: reg, log: log}
-	route := router.NewRouter(router.WithPolicy(router.NewCombined()))
+	placer, policy := newPlacer(e)
+	route := router.NewRouter(router.WithPolicy(policy))
+	e.placer, placer.router, placer.registrar = placer, route, reg
 	tally := tallier.NewTallier(
-		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
+		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.relay.direct.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
-	starts := startGate{StartReader: p.Targets, evacuator: e.evacuator}
+	cold := newColdTargets(s.ColdBound, e.limiter, e.clock, log)
+	starts := startObserver{StartReader: startGate{StartReader: p.Targets, evacuator: e.evacuator}, cold: cold}
+	e.cold, e.starts = cold, starts
 	e.leaving = newStartQueue(starts, &e.departures, e.clock, func() { e.targets.update(nil) })
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
-		interpreter.WithDepartures(&e.departures, e.leaving.add), interpreter.WithEvacuator(e.evacuator))
+		interpreter.WithDepartures(&e.departures, e.leaving.add), interpreter.WithEvacuator(e.evacuator),
+		interpreter.WithRestarts(cold.restarted), interpreter.WithFaults(cold.failed))
 	e.client = jobpeer.NewClient(p.Dial, e.clock, log)
 	origins := attributor.NewStoreArchive(e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, log, s.Node, e.incarnation)
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: starts, Origins: e.origins,
 		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
+		Estimator: placer.estimator,
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
@@ -159,13 +171,14 @@
 		Forwarder: fwd, Caller: calls, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
 		StoreReached: e.presence.reachedJustNow, JobMemory: s.Memory / jobMemoryDivisor, Bodies: bodies,
-		Stranded: e.stranded.contains,
+		Stranded:  e.stranded.contains,
+		Estimator: placer.estimator, Shape: p.Shape,
 	})
 	e.targets = &targetView{
 		departures: &e.departures, availability: e.availability,
-		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log, onChange: func() {
+		decoder: p.Decoder, registrar: reg, router: route, clock: e.clock, log: log,
+		cold: cold, onAdopt: e.limiter.Retain, onChange: func() {
 			e.stranded.check()
-			e.limiter.Retain(route.View())
 			e.conductor.TriggerAssignment()
 		},
 		onEnd: func(l registrar.Listing) { e.observer.TargetEnded(l.ID, l.Incarnation, e.clock.Now()) },
@@ -180,14 +193,17 @@
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
+		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Cold: e.limiter.ColdCount,
+		Unusable:   e.targets.unusableCount.Load,
 		Evacuation: e.evacuationState(),
+		Relaying:   e.relay.relaying,
+		Kinds:      placer.estimator.Count, Deviation: placer.estimator.Deviation,
 	})
 	if err != nil {
 		return nil, err
 	}
 	e.stopMetrics = stopMetrics
-	e.startBackground(&operatorView{decoder: p.Decoder, navigator: nav, log: log}, tally)
+	e.startBackground(&operatorView{decoder: p.Decoder, navigator: nav, log: log, onPlan: e.targets.replan}, tally)
 	e.conductor.Start()
 	log.Emit(logger.ProcessStarted, "node", s.Node, "callers", s.Callers, "peer", s.Peer, "incarnation", e.incarnation)
 	return e, nil
@@ -221,15 +237,17 @@
 	e.running.Go(func() { e.expireListings(ctx, e.targets, &residency) })
 	e.running.Go(func() { e.limiter.Run(ctx) })
 	e.running.Go(func() { e.leaving.run(ctx) })
+	e.running.Go(func() { e.cold.run(ctx, e.starts) })
 	crashes := broadcaster.NewBroadcaster(e.observer, e.conductor.OtherMembers, e.client.Inform, e.clock)
 	e.running.Go(func() { crashes.Run(ctx) })
 	departures := broadcaster.NewBroadcaster(departureSource{e}, e.conductor.OtherMembers, e.client.NotifyDepartures, e.clock)
 	e.running.Go(func() { departures.Run(ctx) })
 	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
 	e.running.Go(func() { limits.Run(ctx) })
-	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
+	stored := persister.NewPersister(e.observer.Isolator, e.relay.direct.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.running.Go(func() { e.origins.Run(ctx) })
+	e.placer.start(ctx)
 }
 
 // serve opens the listeners for callers, readiness checks and peers, and serves them.
@@ -260,7 +278,8 @@
 	e.running.Go(func() {
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
-			Limiter: e.limiter, Departures: departureSource{e}, Attributor: e.origins, Clock: e.clock,
+			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Attributor: e.origins, Clock: e.clock,
+			Relays: e.relay.executor,
 		}
 		if err := jobpeer.Serve(l, services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
@@ -343,6 +362,7 @@
 	e.cancel()
 	_ = e.peers.Close() // the listener is not used again
 	e.running.Wait()
+	e.relay.close()
 	e.stopMetrics()
 	e.log.Emit(logger.ProcessStopped, "took", e.clock.Monotonic()-began)
 }
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -14,8 +14,10 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
+	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -60,11 +62,13 @@
 	Drain()
 }
 
-// Meter counts requests, batch items and calls to dependencies.
+// Meter counts requests, batch items, calls to dependencies and answers of these with an invalid status.
 type Meter interface {
 	Request(kind, outcome, reason string, took time.Duration)
 	Item(end string, took time.Duration)
 	Call(dependency, outcome string, took time.Duration)
+	// InvalidStatus counts an answer of a dependency whose status the protocol does not allow.
+	InvalidStatus(dependency string)
 }
 
 // Platform holds the interfaces and key prefixes that the adapter of a platform provides.
@@ -74,6 +78,8 @@
 	ReportReceiver tallier.ReportReceiver
 	Decoder        Decoder
 	Dial           jobpeer.Dial
+	// Shape reads what the headers of a request say about its size.
+	Shape func(header func(name string) string) estimator.Shape
 	// OperatorPrefix and TargetPrefix are the prefixes of the keys that Decoder decodes. PlanPrefix is the prefix of the
 	// operators' keys that hold the plan, EvacuationPrefix that of the orders to evacuate zones.
 	OperatorPrefix   string
@@ -115,6 +121,12 @@
 	// Evacuate is the time within which an order to evacuate a zone takes effect in all processes. Zero switches evacuation off: the
 	// orders are not read.
 	Evacuate time.Duration
+	// WithoutRelay makes an entry that does not reach the key-value service wait, instead of making its calls through another entry.
+	WithoutRelay bool
+	// Placement is how an entry places the items of batch jobs; the empty one is PlaceByCost.
+	Placement Placement
+	// ColdBound bounds the requests that a cold target may get.
+	ColdBound limiter.ColdBound
 }
 
 const (
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -23,8 +23,12 @@
 	onLeaving  func(router.Target)
 	// evacuator says to which zones nothing is sent; it may be nil.
 	evacuator *evacuator.Evacuator
-	clock     timer.Service
-	log       *logger.Logger
+	// onRestart is called with each target in whose place another one answered; it may be nil.
+	onRestart func(router.Target)
+	// onFault is called with each target to which a call failed other than by its time or its caller; it may be nil.
+	onFault func(router.Target, forwarder.Fault)
+	clock   timer.Service
+	log     *logger.Logger
 }
 
 // Option sets a property of an Interpreter.
@@ -42,6 +46,16 @@
 // called much later, after a question for its start or on a repeated connection.
 func WithEvacuator(e *evacuator.Evacuator) Option { return func(i *Interpreter) { i.evacuator = e } }
 
+// WithRestarts calls onRestart with each target in whose place another one answered.
+func WithRestarts(onRestart func(router.Target)) Option {
+	return func(i *Interpreter) { i.onRestart = onRestart }
+}
+
+// WithFaults calls onFault with each target to which a call failed other than by its time or its caller.
+func WithFaults(onFault func(router.Target, forwarder.Fault)) Option {
+	return func(i *Interpreter) { i.onFault = onFault }
+}
+
 // NewInterpreter returns an Interpreter of the answers that client gets.
 func NewInterpreter(client forwarder.TargetClient, clock timer.Service, log *logger.Logger, opts ...Option) *Interpreter {
 	i := &Interpreter{client: client, clock: clock, log: log}
@@ -62,6 +76,12 @@
 		i.recordRate(c, a, sent)
 		i.recordDeparture(c, a)
 	}
+	if fault == forwarder.NoFault && a.Foreign && i.onRestart != nil {
+		i.onRestart(c.Target)
+	}
+	if fault != forwarder.NoFault && ctx.Err() == nil && i.onFault != nil {
+		i.onFault(c.Target, fault)
+	}
 	return a, fault
 }
 
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -121,6 +121,10 @@
 
 	TargetLeaving = Event{Number: 1608, Level: hclog.Info, Text: "target says that it leaves", Action: "none; it gets no more requests"}
 
+	TargetCold = Event{
+		Number: 1609, Level: hclog.Info, Text: "target is cold", Action: "none; requests are limited until it is warm",
+	}
+
 	LinesDropped = Event{
 		Number: 1011, Level: hclog.Warn, Text: "log lines dropped", Action: "make the log reader faster; a metric counts the dropped lines",
 	}
@@ -149,6 +153,11 @@
 	RecordUnreadable   = Event{
 		Number: 1207, Level: hclog.Error, Text: "stored value not readable", Action: "compare the program versions",
 	}
+	StoreRelayed = Event{
+		Number: 1208, Level: hclog.Warn, Text: "calls to the key-value service go through another entry",
+		Action: "check this machine's network path to the service",
+	}
+	StoreDirect       = Event{Number: 1209, Level: hclog.Info, Text: "calls to the key-value service go directly again", Action: "none"}
 	TargetListed      = Event{Number: 1304, Level: hclog.Info, Text: "target listed", Action: "none"}
 	TargetUnlisted    = Event{Number: 1305, Level: hclog.Info, Text: "target no longer listed", Action: "none"}
 	ListingUnreadable = Event{
@@ -158,6 +167,7 @@
 	PeerFailed  = Event{
 		Number: 1308, Level: hclog.Warn, Text: "process of the deployment unreachable", Action: "check the VM of the process if this persists",
 	}
+	LeadersHeard    = Event{Number: 1309, Level: hclog.Debug, Text: "number of other leading entries with attempts in flight changed", Action: "none"}
 	RequestAnswered = Event{Number: 1402, Level: hclog.Info, Text: "request answered by a target", Action: "none"}
 	RequestRefused  = Event{
 		Number: 1403, Level: hclog.Warn, Text: "request refused", Action: "see its fields reason and tries",
@@ -171,6 +181,10 @@
 	ConnectionStale = Event{
 		Number: 1407, Level: hclog.Info, Text: "call not sent, target had closed the connection", Action: "none; it is sent on a new connection",
 	}
+	StatusInvalid = Event{
+		Number: 1408, Level: hclog.Warn, Text: "answer with a status that the protocol does not allow",
+		Action: "check the target or service that its fields name; the answer is not used",
+	}
 	OriginsUnsaved = Event{
 		Number: 1410, Level: hclog.Warn, Text: "origins of streams not stored", Action: "check the key-value service if this persists",
 	}
@@ -220,13 +234,14 @@
 		CertificateUnreadable, PeerRefused, HandlerPanicked, SettingsReloaded, SettingsInvalid, LinesDropped,
 		ConnectionsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
 		ConfigUnreadable, RegionsUnserved, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
-		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
-		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, ZoneEvacuated, ZoneTakenBack, ZoneUnknown, ServiceStranded,
-		ServiceRegained, RequestHeld, RequestAnswered, RequestRefused,
-		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
+		RecordUnreadable, StoreRelayed, StoreDirect, ListUnavailable, TargetSilent, TargetServing, TargetListed,
+		TargetUnlisted, ListingUnreadable, PeerChanged, PeerFailed, LeadersHeard, ParentSilent, ZoneEvacuated,
+		ZoneTakenBack, ZoneUnknown, ServiceStranded, ServiceRegained, RequestHeld, RequestAnswered, RequestRefused,
+		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, StatusInvalid, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
 		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted, JobWaiting,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
-		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
+		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, TargetCold,
+		DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
 }
