--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -188,3 +188,17 @@
 	}
 	return kibibytes << 10, nil
 }
+
+// OpenDescriptors returns the number of file descriptors that the running process has open.
+func (p *Process) OpenDescriptors() (int, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.run == nil {
+		return 0, fmt.Errorf("%s does not run", p.name)
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.run.cmd.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("count descriptors of %s: %w", p.name, err)
+	}
+	return len(open), nil
+}
