guarder: connections, heads, small bodies and unread answers of hosted processes are bounded

Change: package guarder decides, adapter guardedconn applies it to net/http and net/rpc. Each hosted process has a guard for callers, one for readiness and metrics and one for other processes; memory-mb and max-fds (read now) give the limits. Connections and reservations wait up to 4 s; what makes no progress is closed meanwhile. Route and key are checked before a body is read. Larger answers are buffered within a sixteenth of the memory and copied as they come beyond that; pages of results of more than 64 KiB are reserved. Large bodies get three eighths of the memory, before half; their senders are closed if they stop while others wait. The codec of net/rpc moves to adapter/rpccodec and serves the peers of hosted processes too, with its limit of calls in flight.

--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -153,6 +153,26 @@
 	}
 )
 
+// Metrics of what a process holds for clients.
+var (
+	guardedConnections = Definition{
+		"mimosalb_guarder_open_connections", Gauge, "",
+		"Open connections of clients, on all listeners of the process.",
+	}
+	guardedBytes = Definition{
+		"mimosalb_guarder_held_bytes", Gauge, "",
+		"Memory held for heads, small bodies and answers that clients have not read, beyond that of their connections.",
+	}
+	cutConnections = Definition{
+		"mimosalb_guarder_cut_connections", Gauge, "",
+		"Connections that were closed because they made no progress, since the process started.",
+	}
+	refusedClients = Definition{
+		"mimosalb_guarder_refused_clients", Gauge, "",
+		"Connections and requests that found no room, since the process started.",
+	}
+)
+
 // Definitions returns the definitions of all metrics, sorted by name.
 func Definitions() []Definition {
 	all := []Definition{
@@ -161,6 +181,7 @@
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
+		guardedConnections, guardedBytes, cutConnections, refusedClients,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -17,6 +17,7 @@
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/guarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/streamer"
 )
@@ -40,6 +41,7 @@
 		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
 		Unusable: func() int64 { return 7 },
+		Guarded:  func() guarder.State { return guarder.State{Connections: 8, Held: 9, Cut: 10, Refused: 11} },
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mimosalb/mimosalb/internal/guarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -17,6 +18,8 @@
 	Held     func() int
 	Limited  func() int
 	Unusable func() int64
+	// Guarded returns what the process holds for clients.
+	Guarded func() guarder.State
 }
 
 // Hosted holds the metrics of a process that runs on the users' own platform.
@@ -49,6 +52,7 @@
 	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
 	newGauge(h.registry, unusableListings, func() float64 { return float64(s.Unusable()) })
 	newGauge(h.registry, omittedLogLines, func() float64 { return float64(s.Omitted()) })
+	newGuardGauges(h.registry, s.Guarded)
 }
 
 // Gatherer returns the registry that the metrics route serves.
--- a/internal/adapter/exporter/registry.go
+++ b/internal/adapter/exporter/registry.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/mimosalb/mimosalb/internal/guarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -58,3 +59,11 @@
 		ch <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, float64(n), string(zone))
 	}
 }
+
+// newGuardGauges registers the gauges of what a process holds for clients.
+func newGuardGauges(r *prometheus.Registry, read func() guarder.State) {
+	newGauge(r, guardedConnections, func() float64 { return float64(read().Connections) })
+	newGauge(r, guardedBytes, func() float64 { return float64(read().Held) })
+	newGauge(r, cutConnections, func() float64 { return float64(read().Cut) })
+	newGauge(r, refusedClients, func() float64 { return float64(read().Refused) })
+}
--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -9,6 +9,7 @@
 	"net/rpc"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/rpccodec"
 	"github.com/mimosalb/mimosalb/internal/attributor"
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
@@ -232,7 +233,7 @@
 		if err != nil {
 			return nil //nolint:nilerr // the listener was closed
 		}
-		go server.ServeConn(conn)
+		go server.ServeCodec(rpccodec.New(conn, rpccodec.DefaultInFlight))
 	}
 }
 
--- a/internal/adapter/rpcserver/opencalls.go
+++ b/internal/adapter/rpccodec/opencalls.go
@@ -1,4 +1,4 @@
-package rpcserver
+package rpccodec
 
 import "github.com/mimosalb/mimosalb/internal/container"
 
--- a/internal/adapter/rpcserver/rpcserver.go
+++ b/internal/adapter/rpcserver/rpcserver.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpccodec"
 	"github.com/mimosalb/mimosalb/internal/container"
 )
 
@@ -22,7 +23,7 @@
 
 // DefaultInFlight limits the calls of one connection that run at the same time. Further calls stay unread in the
 // socket.
-const DefaultInFlight = 1024
+const DefaultInFlight = rpccodec.DefaultInFlight
 
 // Server accepts connections and serves the registered receivers on them.
 type Server struct {
@@ -30,7 +31,7 @@
 	tls      *tls.Config
 	inFlight int
 	listener net.Listener
-	conns    container.Table[container.Connection, net.Conn, *codec]
+	conns    container.Table[container.Connection, net.Conn, *rpccodec.Codec]
 	tasks    sync.WaitGroup
 	// closing is set before the connections are closed. One that is accepted meanwhile is closed by the goroutine that accepted it.
 	closing atomic.Bool
@@ -86,7 +87,7 @@
 func (s *Server) Drain(ctx context.Context) {
 	for _, c := range s.conns.Values() {
 		select {
-		case <-c.calls.drained():
+		case <-c.Drained():
 		case <-ctx.Done():
 			return
 		}
@@ -97,7 +98,7 @@
 func (s *Server) Close() error {
 	s.closing.Store(true)
 	err := s.listener.Close()
-	s.conns.Each(func(c net.Conn, _ *codec) bool {
+	s.conns.Each(func(c net.Conn, _ *rpccodec.Codec) bool {
 		_ = c.Close()
 		return true
 	})
@@ -115,7 +116,7 @@
 		if err != nil {
 			return
 		}
-		cc := newCodec(c, s.inFlight)
+		cc := rpccodec.New(c, s.inFlight)
 		s.conns.Put(c, cc)
 		if s.closing.Load() {
 			_ = c.Close()
@@ -125,7 +126,7 @@
 	}
 }
 
-func (s *Server) serve(c net.Conn, cc *codec) {
+func (s *Server) serve(c net.Conn, cc *rpccodec.Codec) {
 	defer s.tasks.Done()
 	defer s.conns.Delete(c)
 	if !completeHandshake(c) {
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -32,6 +32,7 @@
 	RankTallier       Rank = 165
 	RankReporter      Rank = 170
 	RankStorer        Rank = 175
+	RankGuarder       Rank = 178
 	RankConnection    Rank = 180
 	RankTimer         Rank = 190
 	RankLogger        Rank = 200
@@ -97,6 +98,8 @@
 	Reporter struct{}
 	// Storer ranks the locks of the budget and the back-off of calls to the key-value service.
 	Storer struct{}
+	// Guarder ranks the lock of what clients make a process hold.
+	Guarder struct{}
 	// Connection ranks the lock of a connection table.
 	Connection struct{}
 	// Timer ranks the lock of the timer service.
@@ -165,6 +168,9 @@
 // Rank returns RankStorer.
 func (Storer) Rank() Rank { return RankStorer }
 
+// Rank returns RankGuarder.
+func (Guarder) Rank() Rank { return RankGuarder }
+
 // Rank returns RankConnection.
 func (Connection) Rank() Rank { return RankConnection }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/registrar"
+	"github.com/mimosalb/mimosalb/internal/reserver"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
@@ -31,6 +32,9 @@
 	// maxBufferedBytes is the number of body bytes that are buffered before any of the answer is sent to the caller. If the
 	// body breaks off within them, the request can still be retried.
 	maxBufferedBytes = 256 << 10
+	// smallBufferedBytes is the number of body bytes that are buffered without a reservation. While there is no memory for more,
+	// the rest is copied to the caller as it comes.
+	smallBufferedBytes = 16 << 10
 	// copyBufferBytes is the size of the buffer through which the rest of a body is copied to the caller.
 	copyBufferBytes = 32 << 10
 )
@@ -64,6 +68,8 @@
 	Observer *isolator.Observer
 	// Limiter keeps to the rates that targets name; if it is nil, nothing is limited.
 	Limiter *limiter.Limiter
+	// Answers is the memory in which more than a small part of an answer is buffered; nil means without bound.
+	Answers *reserver.Reserver
 	Clock   timer.Service
 	Zone    identifier.Zone
 	Region  identifier.Region
@@ -113,18 +119,30 @@
 	computedFingerprint isolator.Fingerprint
 }
 
-// Forward sends a request to targets and writes a target's answer to sink. If no target answered, nothing is written,
-// and the answer to the caller has to be derived from the result.
-func (f *Forwarder) Forward(ctx context.Context, q Request, sink Sink) Result {
+// sender is what a request is known by: its route, and the priority of its caller.
+type sender struct {
+	route    navigator.Route
+	priority int
+}
+
+// Known reports whether a request has a plan, a route and a valid key. If not, the result says why it is refused. The body of the
+// request is not needed.
+func (f *Forwarder) Known(q Request) (Result, bool) {
+	result, _, ok := f.identify(q)
+	return result, ok
+}
+
+// identify finds the route and the team of a request.
+func (f *Forwarder) identify(q Request) (Result, sender, bool) {
 	plan := f.Navigator.Current()
 	result := Result{Revision: plan.Revision()}
 	if plan.Revision() == 0 {
-		return result.notRun(NoPlan)
+		return result.notRun(NoPlan), sender{}, false
 	}
 	route, ok := plan.Route(q.Host, q.Path)
 	if !ok {
 		result.Outcome = NoRoute
-		return result
+		return result, sender{}, false
 	}
 	result.Route, result.Kind = route.Name, route.Kind
 	priority := route.Priority
@@ -132,20 +150,31 @@
 		team, ok := plan.TeamByKey(q.Key)
 		if !ok {
 			result.Outcome = BadKey
-			return result
+			return result, sender{}, false
 		}
 		result.Team = team.Name
 		if team.HasPriority {
 			priority = team.Priority
 		}
 	}
+	return result, sender{route: route, priority: priority}, true
+}
+
+// Forward sends a request to targets and writes a target's answer to sink. If no target answered, nothing is written,
+// and the answer to the caller has to be derived from the result.
+func (f *Forwarder) Forward(ctx context.Context, q Request, sink Sink) Result {
+	result, from, ok := f.identify(q)
+	if !ok {
+		return result
+	}
+	route := from.route
 	service, ok := route.PickService()
 	if !ok {
 		return result.notRun(NoTarget)
 	}
 	now := f.Clock.Monotonic()
 	x := &exchange{
-		Forwarder: f, request: q, route: route, service: service, team: result.Team, priority: priority,
+		Forwarder: f, request: q, route: route, service: service, team: result.Team, priority: from.priority,
 		deadline: now + requestTimeout(q, route), result: result,
 	}
 	x.targetDeadline = x.deadline
--- a/internal/forwarder/unary.go
+++ b/internal/forwarder/unary.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/reserver"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
 
@@ -176,7 +178,7 @@
 			cancel()
 		}
 		if fault == NoFault {
-			e = e.read()
+			e = e.read(x.Answers)
 		}
 		e.attempt.Took = x.Clock.Monotonic() - began
 		x.Router.Release(id)
@@ -184,19 +186,43 @@
 	}()
 }
 
-// read reads the body up to maxBufferedBytes. If the body breaks off, the attempt gets the fault Broken.
-func (e endedAttempt) read() endedAttempt {
+// read reads the body up to maxBufferedBytes, or up to smallBufferedBytes if there is no memory for more. If the body breaks off,
+// the attempt gets the fault Broken.
+func (e endedAttempt) read(memory *reserver.Reserver) endedAttempt {
+	limit := int64(smallBufferedBytes)
 	var err error
-	e.body, err = io.ReadAll(io.LimitReader(e.answer.Body, maxBufferedBytes))
+	e.body, err = io.ReadAll(io.LimitReader(e.answer.Body, limit))
+	if err == nil && int64(len(e.body)) == limit && e.reserve(memory) {
+		var rest []byte
+		rest, err = io.ReadAll(io.LimitReader(e.answer.Body, maxBufferedBytes-limit))
+		e.body, limit = append(e.body, rest...), maxBufferedBytes
+	}
 	switch {
-	case err != nil || e.answer.Length >= 0 && int64(len(e.body)) != min(e.answer.Length, maxBufferedBytes):
+	case err != nil || e.answer.Length >= 0 && int64(len(e.body)) != min(e.answer.Length, limit):
 		e.attempt.Fault = Broken
-	case len(e.body) == maxBufferedBytes:
+	case int64(len(e.body)) == limit:
 		e.hasMore = true
 	}
 	return e
 }
 
+// reserve reserves the memory for maxBufferedBytes until the release of the attempt.
+func (e *endedAttempt) reserve(memory *reserver.Reserver) bool {
+	if memory == nil {
+		return true
+	}
+	free, ok := memory.TryReserve(maxBufferedBytes)
+	if !ok {
+		return false
+	}
+	release, once := e.release, sync.OnceFunc(free)
+	e.release = func() {
+		release()
+		once()
+	}
+	return true
+}
+
 // deliver sends an answer to the caller.
 func (x *exchange) deliver(ctx context.Context, e endedAttempt, sink Sink) Result {
 	defer e.release()
--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -150,5 +150,6 @@
 	c.cancel()
 	c.running.Wait()
 	c.stopMetrics()
+	c.guards.stop()
 	c.log.Emit(logger.ProcessStopped)
 }
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
+	"github.com/mimosalb/mimosalb/internal/adapter/guardedconn"
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
 	"github.com/mimosalb/mimosalb/internal/attributor"
 	"github.com/mimosalb/mimosalb/internal/broadcaster"
@@ -49,11 +50,13 @@
 }
 
 const (
-	// bodyMemoryDivisor divides the memory of the process to give the part in which large bodies and jobs are read.
-	// jobMemoryDivisor divides it to give the part for the large jobs that this process leads. The rest is for everything else
-	// and for what the collector has not freed yet.
-	bodyMemoryDivisor = 2
-	jobMemoryDivisor  = 4
+	// bodyMemoryDivisor divides three parts of the memory of the process to give the part in which large bodies and jobs are read.
+	// jobMemoryDivisor divides it to give the part for the large jobs that this process leads, and answerMemoryDivisor that for
+	// the beginnings of larger answers. The rest is for what guards bound, for everything else and for what the collector has not
+	// freed yet.
+	bodyMemoryDivisor   = 8
+	jobMemoryDivisor    = 4
+	answerMemoryDivisor = 16
 )
 
 const (
@@ -135,13 +138,14 @@
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Origins: e.origins,
 		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
+		Answers: reserver.NewReserver(s.Memory / answerMemoryDivisor),
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
 		p.TargetPrefix: storer.NewChangeBuffer(e.clock, watchWait(e.Drain)+bufferAgeMargin),
 	}
 	e.forwarder = fwd
-	bodies := reserver.NewReserver(s.Memory / bodyMemoryDivisor)
+	bodies := reserver.NewReserver(3 * s.Memory / bodyMemoryDivisor)
 	e.presence = newPresence(e.base)
 	e.observer.Listed = e.presence.storeReached
 	e.conductor = conductor.NewConductor(conductor.Dependencies{
@@ -221,16 +225,19 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
-		server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		server, guard := newServer(address, handler), e.guards.checks
 		if address == e.Callers {
 			server.ConnState = func(_ net.Conn, state http.ConnState) {
 				if state == http.StateNew {
 					e.lastConnection.Store(int64(e.clock.Monotonic()))
 				}
 			}
+			guard = e.guards.callers
 		}
+		guardedconn.Guard(server)
+		guarded := guardedconn.NewListener(l, guard)
 		e.servers = append(e.servers, server)
-		e.running.Go(func() { _ = server.Serve(l) }) // returns when the server is shut down
+		e.running.Go(func() { _ = server.Serve(guarded) }) // returns when the server is shut down
 	}
 	l, err := listen(e.Peer)
 	if err != nil {
@@ -242,7 +249,7 @@
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
 			Limiter: e.limiter, Departures: departureSource{e}, Attributor: e.origins, Clock: e.clock,
 		}
-		if err := jobpeer.Serve(l, services); err != nil {
+		if err := jobpeer.Serve(guardedconn.NewListener(l, e.guards.peers), services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
 		}
 	})
@@ -323,6 +330,7 @@
 	_ = e.peers.Close() // the listener is not used again
 	e.running.Wait()
 	e.stopMetrics()
+	e.guards.stop()
 	e.log.Emit(logger.ProcessStopped, "took", e.clock.Monotonic()-began)
 }
 
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -89,6 +89,8 @@
 	Cores float64
 	// Memory bounds the memory of the process; zero if unknown.
 	Memory identifier.Bytes
+	// Descriptors bounds the open files and connections of the process; zero if unknown.
+	Descriptors int
 	// Callers, Ready and Peer are the addresses on which an entry listens. Metrics is the address on which a process
 	// serves its metrics; they are not served if it is empty.
 	Callers string
@@ -149,6 +151,7 @@
 	availability *storer.Availability
 	codec        codec.Jobs
 	incarnation  identifier.Incarnation
+	guards       *guards
 }
 
 // Observers receive the log lines and metrics of a process.
@@ -166,7 +169,7 @@
 	return base{
 		Settings: s, platform: p, observers: o, clock: clock, log: o.Log, availability: availability,
 		store:       storer.NewStorer(p.KeyValue, clock, storer.WithMaxPause(maxPause), storer.WithCallTimeout(callTimeout)),
-		incarnation: identifier.Incarnation(clock.Now().UnixMilli()),
+		incarnation: identifier.Incarnation(clock.Now().UnixMilli()), guards: newGuards(s, clock, o.Log),
 	}
 }
 
@@ -224,7 +227,7 @@
 
 // serveMetrics serves the metrics if an address is set. It returns a function that stops serving them.
 func (b base) serveMetrics(state exporter.HostedState) (stop func(), err error) {
-	state.Dropped = b.observers.Lines.Dropped
+	state.Dropped, state.Guarded = b.observers.Lines.Dropped, b.guards.state
 	b.observers.Metrics.Observe(state)
 	if b.Metrics == "" {
 		return func() {}, nil
@@ -233,9 +236,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", b.Metrics, err)
 	}
-	server := &http.Server{Handler: promhttp.HandlerFor(b.observers.Metrics.Gatherer(), promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(l) }()       // returns when the server is closed
-	return func() { _ = server.Close() }, nil // a scrape may be cut off
+	return b.guards.serveMetrics(l, promhttp.HandlerFor(b.observers.Metrics.Gatherer(), promhttp.HandlerOpts{})), nil
 }
 
 // listen opens a TCP listener.
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -112,6 +112,10 @@
 		Number: 1012, Level: hclog.Warn, Text: "connections closed at the end of the grace period",
 		Action: "none if their callers were unreachable; otherwise lengthen the grace period",
 	}
+	ClientsCut = Event{
+		Number: 1013, Level: hclog.Warn, Text: "connections of clients closed or refused for lack of room or progress",
+		Action: "find out which clients hold connections, heads or bodies open; raise memory-mb if they are regular ones",
+	}
 	SettingsReloaded = Event{Number: 1009, Level: hclog.Info, Text: "settings read again", Action: "none"}
 	SettingsInvalid  = Event{
 		Number: 1010, Level: hclog.Error, Text: "settings invalid", Action: "correct the settings file; the last valid ones stay in use",
@@ -194,7 +198,7 @@
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, PeersUnencrypted, CertificateReloaded,
 		CertificateUnreadable, PeerRefused, HandlerPanicked, SettingsReloaded, SettingsInvalid, LinesDropped,
-		ConnectionsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
+		ConnectionsCut, ClientsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale, KeysFresh,
 		ConfigUnreadable, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded, RegistrationLapsed,
 		RecordUnreadable, ListUnavailable, TargetSilent, TargetServing, TargetListed, TargetUnlisted,
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -32,3 +32,12 @@
 	}
 	return func() { r.free.Release(int64(n)) }, true
 }
+
+// TryReserve is like Reserve, but does not wait: it returns false if n bytes are not free now.
+func (r *Reserver) TryReserve(n identifier.Bytes) (release func(), ok bool) {
+	n = min(n, r.capacity)
+	if !r.free.TryAcquire(int64(n)) {
+		return nil, false
+	}
+	return func() { r.free.Release(int64(n)) }, true
+}
