httpserver, rpcserver: what clients of the own interface hold is bounded

Cause: the 8 crowds of platform/crowd at processes of the own interface took them over their memory or their descriptors. Change: entries and agents have the guards of package guarder, for callers, operators and other processes, by GOMEMLIMIT and the limit of open files. A body of more than 4 KiB reserves twice its size before it is read; one without room for 4 s is refused with a problem (503, not run). A key that is refused is refused before the body is read.

--- a/internal/adapter/exporter/agent.go
+++ b/internal/adapter/exporter/agent.go
@@ -4,12 +4,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/guarder"
 )
 
 // AgentState holds the functions that each scrape calls to read the gauges of an agent.
 type AgentState struct {
 	Load        func() (running int, draining bool)
 	Connections func() int
+	// Guarded returns what the process holds for clients.
+	Guarded func() guarder.State
 }
 
 // Agent holds the metrics of an agent.
@@ -28,6 +31,7 @@
 // Observe registers the gauges whose values s provides.
 func (a *Agent) Observe(s AgentState) {
 	newGauge(a.registry, serverConnections, func() float64 { return float64(s.Connections()) })
+	newGuardGauges(a.registry, s.Guarded)
 	newGauge(a.registry, runningAttempts, func() float64 {
 		n, _ := s.Load()
 		return float64(n)
--- a/internal/adapter/exporter/entry.go
+++ b/internal/adapter/exporter/entry.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/guarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -17,6 +18,8 @@
 	Listed      func() map[identifier.Zone]int
 	Serving     func() map[identifier.Zone]int
 	Connections func() int
+	// Guarded returns what the process holds for clients.
+	Guarded func() guarder.State
 }
 
 // Entry holds the metrics of an entry.
@@ -43,6 +46,7 @@
 	newGauge(e.registry, waitingRequests, func() float64 { return float64(s.Waiting()) })
 	newGauge(e.registry, adoptedRevision, func() float64 { return float64(s.Revision()) })
 	newGauge(e.registry, clientConnections, func() float64 { return float64(s.Connections()) })
+	newGuardGauges(e.registry, s.Guarded)
 	e.registry.MustRegister(newZoneGauge(listedTargets, s.Listed), newZoneGauge(servingTargets, s.Serving))
 }
 
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -26,11 +26,12 @@
 func processMetrics() []prometheus.Gatherer {
 	entry, agent := exporter.NewEntry(), exporter.NewAgent()
 	oneTarget := func() map[identifier.Zone]int { return map[identifier.Zone]int{"macon": 1} }
+	guarded := func() guarder.State { return guarder.State{Connections: 8, Held: 9, Cut: 10, Refused: 11} }
 	entry.Observe(exporter.EntryState{
 		Waiting: func() int { return 2 }, Revision: func() identifier.Revision { return 7 },
-		Listed: oneTarget, Serving: oneTarget, Connections: func() int { return 3 },
+		Listed: oneTarget, Serving: oneTarget, Connections: func() int { return 3 }, Guarded: guarded,
 	})
-	agent.Observe(exporter.AgentState{Load: func() (int, bool) { return 4, true }, Connections: func() int { return 5 }})
+	agent.Observe(exporter.AgentState{Load: func() (int, bool) { return 4, true }, Connections: func() int { return 5 }, Guarded: guarded})
 	entry.Ended(dispatcher.EndedRequest{
 		Request: dispatcher.Request{Service: configurator.Service{Name: "matcher"}, Identity: authenticator.Identity{Team: "routing"}},
 		Result:  dispatcher.Result{Attempts: 2, RunState: dispatcher.HasRun, Took: time.Second, Queued: time.Millisecond},
@@ -41,7 +42,7 @@
 		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
 		Unusable: func() int64 { return 7 },
-		Guarded:  func() guarder.State { return guarder.State{Connections: 8, Held: 9, Cut: 10, Refused: 11} },
+		Guarded:  guarded,
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
--- a/internal/adapter/httpserver/body.go
+++ b/internal/adapter/httpserver/body.go
@@ -15,7 +15,10 @@
 
 // readBody reads the complete request body. If ok is false, p says why it could not be read.
 func readBody(c echo.Context) (body []byte, p Problem, ok bool) {
-	body, err := io.ReadAll(c.Request().Body)
+	body, room, err := readReserved(c.Request())
+	if !room {
+		return nil, notRunProblem(http.StatusServiceUnavailable, reasonNoRoom, "the process has no memory for the body now"), false
+	}
 	var he *echo.HTTPError
 	var ne net.Error
 	switch {
--- a/internal/adapter/httpserver/caller.go
+++ b/internal/adapter/httpserver/caller.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/guardedconn"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
@@ -100,6 +101,23 @@
 	}, Problem{}, true
 }
 
+// refuseKey returns the problem of a request with a key that is not accepted, before its body is read. A request without a key may be
+// for an open service, which only its body names.
+func (cs *CallerRoutes) refuseKey(c echo.Context) (Problem, bool) {
+	key, given := bearerToken(c.Request())
+	if !given {
+		return Problem{}, false
+	}
+	switch _, _, verdict := cs.auth.Authenticate(key); verdict {
+	case authenticator.Refused:
+		return keyProblem(verdict, "the key is unknown or withdrawn"), true
+	case authenticator.Accepted:
+		guardedconn.Of(c.Request()).Know()
+	default:
+	}
+	return Problem{}, false
+}
+
 // keyProblem returns the problem for a key that was not accepted. Refusal says why one is refused.
 func keyProblem(v authenticator.Verdict, refusal string) Problem {
 	if v == authenticator.Undecided {
--- a/internal/adapter/httpserver/completion.go
+++ b/internal/adapter/httpserver/completion.go
@@ -47,6 +47,9 @@
 
 // generate submits a completion request and writes its answer, encoded by codec.
 func (cs *CallerRoutes) generate(c echo.Context, codec completionCodec) error {
+	if p, refused := cs.refuseKey(c); refused {
+		return p.write(c, 0)
+	}
 	var req completionRequest
 	if p, ok := readJSON(c, &req, false); !ok {
 		return p.write(c, 0)
--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -78,6 +78,9 @@
 	return sent, nil
 }
 
+// NetConn returns the connection below.
+func (c problemConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite shuts down the writing side. net/http calls it before it closes a connection with unread input.
 func (c problemConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -13,6 +13,9 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/mimosalb/mimosalb/internal/adapter/guardedconn"
+	"github.com/mimosalb/mimosalb/internal/guarder"
 )
 
 const (
@@ -37,6 +40,8 @@
 	writeTimeout time.Duration
 	// onPanic is called with the stack trace of a handler that panicked.
 	onPanic func(stack string)
+	// guard bounds what clients make the process hold; nil means that nothing does.
+	guard   *guarder.Guarder
 	serving sync.WaitGroup
 }
 
@@ -69,6 +74,12 @@
 // OnPanic sets a function that is called with the stack trace of a handler that panicked. It must be called before Start.
 func (s *Server) OnPanic(f func(stack string)) { s.onPanic = f }
 
+// WithGuard sets the guard of the server and returns the server. It must be called before Start.
+func (s *Server) WithGuard(g *guarder.Guarder) *Server {
+	s.guard = g
+	return s
+}
+
 // reportPanic passes the stack trace to onPanic, without the value of the panic: that may hold a prompt or a key.
 func (s *Server) reportPanic(_ echo.Context, err error, stack []byte) error {
 	if s.onPanic != nil {
@@ -79,6 +90,10 @@
 
 // Start serves connections of l in the background until Stop is called.
 func (s *Server) Start(l net.Listener) {
+	if s.guard != nil {
+		guardedconn.Guard(s.http)
+		l = guardedconn.NewListener(l, s.guard)
+	}
 	s.serving.Add(1)
 	go func() {
 		defer s.serving.Done()
--- a/internal/adapter/httpserver/trainer.go
+++ b/internal/adapter/httpserver/trainer.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -63,7 +64,11 @@
 		return nil, nil, "", &p
 	}
 	if body != nil {
-		if err := json.NewDecoder(c.Request().Body).Decode(body); err != nil {
+		data, problem, ok := readBody(c)
+		if !ok {
+			return nil, nil, "", &problem
+		}
+		if err := json.NewDecoder(bytes.NewReader(data)).Decode(body); err != nil {
 			p := notRunProblem(http.StatusBadRequest, "bad-json", "the body is not the JSON object that this route expects")
 			return nil, nil, "", &p
 		}
--- a/internal/adapter/rpcserver/rpcserver.go
+++ b/internal/adapter/rpcserver/rpcserver.go
@@ -12,9 +12,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/guardedconn"
 	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpccodec"
 	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/guarder"
 )
 
 // handshakeTimeout limits the TLS handshake of a connection. Without it a peer that sends nothing would keep its
@@ -30,6 +32,7 @@
 	rpc      *rpc.Server
 	tls      *tls.Config
 	inFlight int
+	guard    *guarder.Guarder
 	listener net.Listener
 	conns    container.Table[container.Connection, net.Conn, *rpccodec.Codec]
 	tasks    sync.WaitGroup
@@ -43,6 +46,9 @@
 // WithTLS serves over TLS. Without it the server speaks plain text.
 func WithTLS(c *tls.Config) Option { return func(s *Server) { s.tls = c } }
 
+// WithGuard bounds what the connections make the process hold. Without it nothing does.
+func WithGuard(g *guarder.Guarder) Option { return func(s *Server) { s.guard = g } }
+
 // WithInFlight limits the calls of one connection that run at the same time.
 func WithInFlight(n int) Option { return func(s *Server) { s.inFlight = n } }
 
@@ -74,6 +80,9 @@
 
 // Start serves connections of l until Close.
 func (s *Server) Start(l net.Listener) {
+	if s.guard != nil {
+		l = guardedconn.NewListener(l, s.guard)
+	}
 	if s.tls != nil {
 		l = tls.NewListener(l, s.tls)
 	}
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -32,7 +32,7 @@
 	RankTallier       Rank = 165
 	RankReporter      Rank = 170
 	RankStorer        Rank = 175
-	RankGuarder       Rank = 178
+	RankGuarder       Rank = 185
 	RankConnection    Rank = 180
 	RankTimer         Rank = 190
 	RankLogger        Rank = 200
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -39,6 +39,7 @@
 	health     *httpserver.Server
 	tree       *treeNode
 	peers      *rpcclient.Client
+	guards     *guards
 }
 
 // target is the back end that an agent sends attempts to.
@@ -55,7 +56,7 @@
 		clock.Close()
 		return nil, err
 	}
-	a := &Agent{log: log, clock: clock}
+	a := &Agent{log: log, clock: clock, guards: newGuards(clock, log)}
 	concurrency := s.Target.Concurrency
 	if concurrency == 0 {
 		concurrency = defaultConcurrency
@@ -71,7 +72,7 @@
 	a.records = &meter.RecordBuffer{}
 	a.executor = executor.NewExecutor(a.gatekeeper, backEnd, a.clock, concurrency, executor.WithRegion(identifier.Region(s.Region)),
 		executor.WithEndHandler(metrics.Ended), executor.WithEndHandler(newRecordHandler(a.records, a.clock)))
-	a.server = rpcserver.NewServer(peers.server...)
+	a.server = rpcserver.NewServer(append(peers.server, rpcserver.WithGuard(a.guards.peers))...)
 	a.receiver = rpcserver.NewAgent(a.gatekeeper, a.executor, a.clock, backEnd.Version, identifier.Release(s.Target.Release))
 	if err := a.server.Register("Agent", a.receiver); err != nil {
 		a.close()
@@ -115,6 +116,7 @@
 	a.drain(ctx)
 	a.awaitConfirmed(ctx)
 	a.receiver.Close()
+	a.guards.stop()
 	err := a.leave()
 	if a.health != nil {
 		err = errors.Join(err, a.health.Stop(ctx))
@@ -133,5 +135,6 @@
 	if a.peers != nil {
 		a.peers.Close()
 	}
+	a.guards.stop()
 	a.clock.Close()
 }
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -49,6 +49,7 @@
 	period     time.Duration
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
+	guards     *guards
 }
 
 // StartEntry starts an entry. The caller must call Stop.
@@ -59,6 +60,7 @@
 	}
 	if err := b.joinTree(); err != nil {
 		b.entry.cancel()
+		b.entry.guards.stop()
 		b.entry.clock.Close()
 		return nil, err
 	}
@@ -86,6 +88,7 @@
 	e.claims.Close()
 	e.cancel()
 	e.tasks.Wait()
+	e.guards.stop()
 	err = errors.Join(err, e.tree.close())
 	e.peers.Close()
 	e.clock.Close()
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -10,6 +10,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/authenticator"
 	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
@@ -71,6 +72,7 @@
 	b := &entryBuilder{
 		entry: &Entry{
 			log: log, clock: clock, period: period(s), linger: time.Duration(s.Linger), cancel: cancel,
+			guards:   newGuards(clock, log),
 			isolator: &isolator.Isolator{}, broadcasts: make(chan chan<- struct{}), platform: platformclient.NewClient(s.Platform, clock),
 		},
 		settings: s, log: log, ctx: ctx, pepper: pepper, token: token, peers: peers,
@@ -102,7 +104,7 @@
 			b.usage.candidacy.observe(vms)
 		},
 	}
-	if err := e.servePeers(b.settings, deps, b.peers.server); err != nil {
+	if err := e.servePeers(b.settings, deps, append(b.peers.server, rpcserver.WithGuard(e.guards.peers))); err != nil {
 		return err
 	}
 	b.members.assembler = e.tree.Assembler
@@ -149,10 +151,10 @@
 	health := e.exportState(b.metrics, b.config, b.members.tracker)
 	e.callers = httpserver.NewServer(b.metrics.Listener("callers"),
 		httpserver.NewHealth(e.accepts, nil), httpserver.NewCallerRoutes(e.dispatcher, b.auth, b.config),
-		httpserver.NewTrainerRoutes(e.rollouts.collector, e.rollouts.weights, b.auth, b.config))
+		httpserver.NewTrainerRoutes(e.rollouts.collector, e.rollouts.weights, b.auth, b.config)).WithGuard(e.guards.callers)
 	e.operators = httpserver.NewServer(b.metrics.Listener("operators"), health, httpserver.NewGuard(b.token),
 		httpserver.NewOperatorRoutes(b.editor, b.config, b.pepper),
-		httpserver.NewUsageRoutes(b.usage.reporter, b.usage.calendar), httpserver.NewTargetRoutes(b.planner))
+		httpserver.NewUsageRoutes(b.usage.reporter, b.usage.calendar), httpserver.NewTargetRoutes(b.planner)).WithGuard(e.guards.checks)
 	for _, server := range []*httpserver.Server{e.callers, e.operators} {
 		server.OnPanic(func(stack string) { b.log.Emit(logger.HandlerPanicked, "stack", stack) })
 	}
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -13,7 +13,7 @@
 	metrics.Observe(exporter.EntryState{
 		Waiting:     e.dispatcher.Waiting,
 		Revision:    func() identifier.Revision { return config.Current().Revision() },
-		Connections: e.peers.Connections,
+		Connections: e.peers.Connections, Guarded: e.guards.state,
 		Listed: func() map[identifier.Zone]int {
 			zones := make(map[identifier.Zone]int)
 			for _, m := range tracker.Members() {
@@ -34,7 +34,7 @@
 
 // serveHealth serves the agent's health routes on address, unless it is empty.
 func (a *Agent) serveHealth(address string, metrics *exporter.Agent) error {
-	metrics.Observe(exporter.AgentState{Load: a.gatekeeper.Load, Connections: a.server.Connections})
+	metrics.Observe(exporter.AgentState{Load: a.gatekeeper.Load, Connections: a.server.Connections, Guarded: a.guards.state})
 	if address == "" {
 		return nil
 	}
@@ -43,7 +43,7 @@
 		return err
 	}
 	a.Health = l.Addr().String()
-	a.health = httpserver.NewServer(httpserver.NewHealth(a.ready, metrics.Gatherer()))
+	a.health = httpserver.NewServer(httpserver.NewHealth(a.ready, metrics.Gatherer())).WithGuard(a.guards.checks)
 	a.health.Start(l)
 	return nil
 }
