--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -328,9 +328,9 @@
 	}
 	e.cancel()
 	_ = e.peers.Close() // the listener is not used again
+	e.guards.stop()     // ends the wait of a listener for room
 	e.running.Wait()
 	e.stopMetrics()
-	e.guards.stop()
 	e.log.Emit(logger.ProcessStopped, "took", e.clock.Monotonic()-began)
 }
 
