guarder: time in which the process works on what came is not the client's

Cause: TestLargeJobsStayWithinMemory on: the connection of one of five regular submissions of 32.9 MB at one entry was reset after 0.9 s. Its sender had not stopped: the entry decoded items for more than 300 ms without reading, while others waited for memory. The sender of a large body has 1 s.

--- a/internal/adapter/guardedconn/guardedconn.go
+++ b/internal/adapter/guardedconn/guardedconn.go
@@ -79,6 +79,9 @@
 
 // Read reads from the connection. While a head is read, it reserves the memory that the head takes.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.Account.Await(true)
+	// The wait for memory counts as well: connections that each hold a part of a head and wait for more would wait for each other.
+	defer c.Account.Await(false)
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err //nolint:wrapcheck // net/http inspects the error
--- a/internal/guarder/account.go
+++ b/internal/guarder/account.go
@@ -20,6 +20,8 @@
 	large atomic.Bool
 	// began and progressed are times since the start of the Guarder: of the phase, and of its last byte. moved counts its bytes.
 	began, progressed, moved atomic.Int64
+	// awaiting is the time since which the process waits for bytes, or zero. A process that is busy with what came is not waiting.
+	awaiting atomic.Int64
 	// blocked is the time of the last progress of a write that has not ended, or zero.
 	blocked atomic.Int64
 
@@ -47,6 +49,15 @@
 	a.progressed.Store(a.guarder.now())
 }
 
+// Await records whether the process waits for bytes of the client.
+func (a *Account) Await(waits bool) {
+	if !waits {
+		a.awaiting.Store(0)
+		return
+	}
+	a.awaiting.Store(a.guarder.now())
+}
+
 // Know records that the connection has brought a request that the process knows.
 func (a *Account) Know() {
 	if !a.known.Load() {
@@ -92,8 +103,15 @@
 // candidate returns the state of the account at a time.
 func (a *Account) candidate(now int64) Candidate {
 	c := Candidate{
-		Phase: a.Phase(), Known: a.known.Load(), Age: time.Duration(now - a.began.Load()), Quiet: time.Duration(now - a.progressed.Load()),
-		Moved: identifier.Bytes(a.moved.Load()), IdleTime: a.guarder.limits.IdleTime,
+		Phase: a.Phase(), Known: a.known.Load(), Large: a.large.Load(), Age: time.Duration(now - a.began.Load()),
+		Quiet: time.Duration(now - a.progressed.Load()), Moved: identifier.Bytes(a.moved.Load()), IdleTime: a.guarder.limits.IdleTime,
+	}
+	switch since := a.awaiting.Load(); {
+	case c.Phase != Reading:
+	case since == 0:
+		c.Age, c.Quiet = 0, 0
+	default:
+		c.Quiet = min(c.Quiet, time.Duration(now-since))
 	}
 	if since := a.blocked.Load(); since > 0 {
 		c.Blocked = time.Duration(now - since)
--- a/internal/guarder/candidate.go
+++ b/internal/guarder/candidate.go
@@ -24,7 +24,10 @@
 	Phase Phase
 	// Known is set if the connection has brought a request with a route and a valid key, or a call of a known kind.
 	Known bool
-	// Age is the time since the phase began, Quiet that since its last byte, and Moved the bytes that came in it.
+	// Large is set while the request holds memory that is reserved elsewhere.
+	Large bool
+	// Age is the time since the phase began, Quiet that since its last byte, and Moved the bytes that came in it. While the process
+	// is reading but does not wait for the client, Age and Quiet are zero.
 	Age, Quiet time.Duration
 	Moved      identifier.Bytes
 	// Blocked is the time for which a write has made no progress.
@@ -41,6 +44,8 @@
 	silentGrace = 150 * time.Millisecond
 	// stallGrace is how long a connection may make no progress while room is short. It is several of the longest documented ways.
 	stallGrace = 300 * time.Millisecond
+	// largeGrace is the same for the sender of a large body. A lost segment on a long way is sent again within it.
+	largeGrace = time.Second
 	// minPace is the bytes per second below which a sender counts as late although bytes come.
 	minPace = 4 << 10
 )
@@ -56,6 +61,9 @@
 		if c.Moved == 0 && !c.Known {
 			grace = silentGrace
 		}
+		if c.Large {
+			grace = largeGrace
+		}
 		late = max(late, c.Quiet-grace, c.Age-pace-grace)
 	case Idle:
 		grace := stallGrace
--- a/internal/guarder/guarder_test.go
+++ b/internal/guarder/guarder_test.go
@@ -47,6 +47,7 @@
 		a.Close()
 	})
 	fmt.Fprintf(&f.out, "%v: %s open=%v\n", f.clock.Monotonic(), name, ok)
+	a.Await(true)
 	return a
 }
 
@@ -131,6 +132,7 @@
 func TestOverdue(t *testing.T) {
 	f := newFixture(t, 10, 1<<20)
 	f.open("silent", "a")
+	f.open("not waited for", "a").Await(false)
 	f.open("long poll", "a").Enter(guarder.Working)
 	idle := f.open("idle", "a")
 	idle.Enter(guarder.Idle)
