--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -17,6 +17,7 @@
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/guarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/streamer"
 )
@@ -25,12 +26,13 @@
 func processMetrics() []prometheus.Gatherer {
 	entry, agent := exporter.NewEntry(), exporter.NewAgent()
 	oneTarget := func() map[identifier.Zone]int { return map[identifier.Zone]int{"macon": 1} }
+	guarded := func() guarder.State { return guarder.State{Connections: 8, Held: 9, Cut: 10, Refused: 11} }
 	entry.Observe(exporter.EntryState{
 		Waiting: func() int { return 2 }, Revision: func() identifier.Revision { return 7 },
-		Listed: oneTarget, Serving: oneTarget, Connections: func() int { return 3 },
+		Listed: oneTarget, Serving: oneTarget, Connections: func() int { return 3 }, Guarded: guarded,
 		Evacuated: func() int { return 1 }, Stranded: func() int { return 2 },
 	})
-	agent.Observe(exporter.AgentState{Load: func() (int, bool) { return 4, true }, Connections: func() int { return 5 }})
+	agent.Observe(exporter.AgentState{Load: func() (int, bool) { return 4, true }, Connections: func() int { return 5 }, Guarded: guarded})
 	entry.Ended(dispatcher.EndedRequest{
 		Request: dispatcher.Request{Service: configurator.Service{Name: "matcher"}, Identity: authenticator.Identity{Team: "routing"}},
 		Result:  dispatcher.Result{Attempts: 2, RunState: dispatcher.HasRun, Took: time.Second, Queued: time.Millisecond},
@@ -47,6 +49,7 @@
 		},
 		Relaying: func() bool { return true },
 		Kinds:    func() int { return 8 }, Deviation: func() float64 { return 0.5 },
+		Guarded: guarded,
 	})
 	hosted.Request("repeatable", "not-run", "targets refused", 20*time.Millisecond)
 	hosted.Item("whole", time.Second)
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mimosalb/mimosalb/internal/guarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -18,6 +19,8 @@
 	Limited  func() int
 	Cold     func() int
 	Unusable func() int64
+	// Guarded returns what the process holds for clients.
+	Guarded  func() guarder.State
 	Relaying func() bool
 	// Kinds and Deviation describe the estimator of an entry; both are nil in a controller.
 	Kinds     func() int
@@ -83,6 +86,7 @@
 		newGauge(h.registry, unknownZones, func() float64 { return float64(s.Evacuation().Unknown) })
 		newGauge(h.registry, strandedServices, func() float64 { return float64(s.Evacuation().Stranded) })
 	}
+	newGuardGauges(h.registry, s.Guarded)
 }
 
 // Gatherer returns the registry that the metrics route serves.
--- a/internal/adapter/rpcserver/rpcserver.go
+++ b/internal/adapter/rpcserver/rpcserver.go
@@ -12,8 +12,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/adapter/guardedconn"
 	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
+	"github.com/mimosalb/mimosalb/internal/adapter/rpccodec"
 	"github.com/mimosalb/mimosalb/internal/container"
+	"github.com/mimosalb/mimosalb/internal/guarder"
 )
 
 // handshakeTimeout limits the TLS handshake of a connection. Without it a peer that sends nothing would keep its
@@ -22,15 +25,16 @@
 
 // DefaultInFlight limits the calls of one connection that run at the same time. Further calls stay unread in the
 // socket.
-const DefaultInFlight = 1024
+const DefaultInFlight = rpccodec.DefaultInFlight
 
 // Server accepts connections and serves the registered receivers on them.
 type Server struct {
 	rpc      *rpc.Server
 	tls      *tls.Config
 	inFlight int
+	guard    *guarder.Guarder
 	listener net.Listener
-	conns    container.Table[container.Connection, net.Conn, *codec]
+	conns    container.Table[container.Connection, net.Conn, *rpccodec.Codec]
 	tasks    sync.WaitGroup
 	// closing is set before the connections are closed. One that is accepted meanwhile is closed by the goroutine that accepted it.
 	closing atomic.Bool
@@ -42,6 +46,9 @@
 // WithTLS serves over TLS. Without it the server speaks plain text.
 func WithTLS(c *tls.Config) Option { return func(s *Server) { s.tls = c } }
 
+// WithGuard bounds what the connections make the process hold. Without it nothing does.
+func WithGuard(g *guarder.Guarder) Option { return func(s *Server) { s.guard = g } }
+
 // WithInFlight limits the calls of one connection that run at the same time.
 func WithInFlight(n int) Option { return func(s *Server) { s.inFlight = n } }
 
@@ -73,6 +80,9 @@
 
 // Start serves connections of l until Close.
 func (s *Server) Start(l net.Listener) {
+	if s.guard != nil {
+		l = guardedconn.NewListener(l, s.guard)
+	}
 	if s.tls != nil {
 		l = tls.NewListener(l, s.tls)
 	}
@@ -86,7 +96,7 @@
 func (s *Server) Drain(ctx context.Context) {
 	for _, c := range s.conns.Values() {
 		select {
-		case <-c.calls.drained():
+		case <-c.Drained():
 		case <-ctx.Done():
 			return
 		}
@@ -97,7 +107,7 @@
 func (s *Server) Close() error {
 	s.closing.Store(true)
 	err := s.listener.Close()
-	s.conns.Each(func(c net.Conn, _ *codec) bool {
+	s.conns.Each(func(c net.Conn, _ *rpccodec.Codec) bool {
 		_ = c.Close()
 		return true
 	})
@@ -115,7 +125,7 @@
 		if err != nil {
 			return
 		}
-		cc := newCodec(c, s.inFlight)
+		cc := rpccodec.New(c, s.inFlight)
 		s.conns.Put(c, cc)
 		if s.closing.Load() {
 			_ = c.Close()
@@ -125,7 +135,7 @@
 	}
 }
 
-func (s *Server) serve(c net.Conn, cc *codec) {
+func (s *Server) serve(c net.Conn, cc *rpccodec.Codec) {
 	defer s.tasks.Done()
 	defer s.conns.Delete(c)
 	if !completeHandshake(c) {
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
+	"github.com/mimosalb/mimosalb/internal/adapter/guardedconn"
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
 	"github.com/mimosalb/mimosalb/internal/attributor"
 	"github.com/mimosalb/mimosalb/internal/broadcaster"
@@ -50,11 +51,13 @@
 }
 
 const (
-	// bodyMemoryDivisor divides the memory of the process to give the part in which large bodies and jobs are read.
-	// jobMemoryDivisor divides it to give the part for the large jobs that this process leads. The rest is for everything else
-	// and for what the collector has not freed yet.
-	bodyMemoryDivisor = 2
-	jobMemoryDivisor  = 4
+	// bodyMemoryDivisor divides three parts of the memory of the process to give the part in which large bodies and jobs are read.
+	// jobMemoryDivisor divides it to give the part for the large jobs that this process leads, and answerMemoryDivisor that for
+	// the beginnings of larger answers. The rest is for what guards bound, for everything else and for what the collector has not
+	// freed yet.
+	bodyMemoryDivisor   = 8
+	jobMemoryDivisor    = 4
+	answerMemoryDivisor = 16
 )
 
 const (
@@ -154,6 +157,7 @@
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: starts, Origins: e.origins,
 		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
 		Estimator: placer.estimator,
+		Answers:   reserver.NewReserver(s.Memory / answerMemoryDivisor),
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
@@ -163,7 +167,7 @@
 		e.changeBuffers[p.EvacuationPrefix] = storer.NewChangeBuffer(e.clock, watchWait(e.evacuationDelay())+bufferAgeMargin)
 	}
 	e.forwarder = fwd
-	bodies := reserver.NewReserver(s.Memory / bodyMemoryDivisor)
+	bodies := reserver.NewReserver(3 * s.Memory / bodyMemoryDivisor)
 	e.presence = newPresence(e.base)
 	e.observer.Listed = e.presence.storeReached
 	e.conductor = conductor.NewConductor(conductor.Dependencies{
@@ -259,16 +263,19 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
-		server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		server, guard := newServer(address, handler), e.guards.checks
 		if address == e.Callers {
 			server.ConnState = func(_ net.Conn, state http.ConnState) {
 				if state == http.StateNew {
 					e.lastConnection.Store(int64(e.clock.Monotonic()))
 				}
 			}
+			guard = e.guards.callers
 		}
+		guardedconn.Guard(server)
+		guarded := guardedconn.NewListener(l, guard)
 		e.servers = append(e.servers, server)
-		e.running.Go(func() { _ = server.Serve(l) }) // returns when the server is shut down
+		e.running.Go(func() { _ = server.Serve(guarded) }) // returns when the server is shut down
 	}
 	l, err := listen(e.Peer)
 	if err != nil {
@@ -281,7 +288,7 @@
 			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Attributor: e.origins, Clock: e.clock,
 			Relays: e.relay.executor,
 		}
-		if err := jobpeer.Serve(l, services); err != nil {
+		if err := jobpeer.Serve(guardedconn.NewListener(l, e.guards.peers), services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
 		}
 	})
@@ -361,6 +368,7 @@
 	}
 	e.cancel()
 	_ = e.peers.Close() // the listener is not used again
+	e.guards.stop()     // ends the wait of a listener for room
 	e.running.Wait()
 	e.relay.close()
 	e.stopMetrics()
