ranker, pacer, conductor: slack decides which batch items get the slots

Cause: items started in the order of their jobs' submission, the longest hint first. Steps whose time was over, and groups that no trainer waits for, took the slots of steps that could still be in time; across entries every item of a route had the same urgency class. Change: the time left to a job is compared with what it still needs at the measured speed. Wanted groups of jobs that can be in time go first within a priority, then late jobs and surplus groups, which leave a sixth of the slots free; what is given up goes last. Items are sent with a class between their priority and the next one in use, fixed for an attempt. Nothing changes for jobs whose route has no due time. Seen to fail: TestLateStepGoesBehind gave 140 of 140 starts to the late step with the old order. The tests of ranker and of the groups cover new code. Measured: internal/batcher, ranker, registrar, navigator, conductor, exporter and platform pass, conductor and platform with the race detector. Conclusion: the order holds in tests; what it gains under load is open.

--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -119,6 +119,10 @@
 		"mimosalb_conductor_led_jobs", Gauge, "",
 		"Batch jobs that this process leads or keeps for readers.",
 	}
+	lateJobs = Definition{
+		"mimosalb_conductor_late_jobs", Gauge, "",
+		"Batch jobs of this process with waiting items that can't be in time any more.",
+	}
 	dependencyCalls = Definition{
 		"mimosalb_hoster_calls_total", Counter, "dependency, outcome",
 		"Calls to the key-value service, the platform and other processes.",
@@ -159,7 +163,7 @@
 		requests, requestAttempts, requestDuration, queueWait, waitingRequests, adoptedRevision,
 		listedTargets, servingTargets, clientConnections, responses,
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
-		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs,
+		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs, lateJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, unusableListings,
 	}
 	slices.SortFunc(all, func(a, b Definition) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -37,7 +37,7 @@
 	agent.Ended(executor.EndedAttempt{Call: executor.Call{Service: "matcher"}, Final: streamer.Final{}.WithEnd(streamer.Crashed, "connection")})
 	hosted := exporter.NewHosted()
 	hosted.Observe(exporter.HostedState{
-		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 },
+		Revision: func() identifier.Revision { return 7 }, Leading: func() int { return 2 }, Late: func() int { return 1 },
 		Dropped: func() int64 { return 3 }, Omitted: func() int64 { return 4 }, Held: func() int { return 5 }, Limited: func() int { return 6 },
 		Unusable: func() int64 { return 7 },
 	})
--- a/internal/adapter/exporter/hosted.go
+++ b/internal/adapter/exporter/hosted.go
@@ -12,6 +12,7 @@
 type HostedState struct {
 	Revision func() identifier.Revision
 	Leading  func() int
+	Late     func() int
 	Dropped  func() int64
 	Omitted  func() int64
 	Held     func() int
@@ -44,6 +45,7 @@
 func (h *Hosted) Observe(s HostedState) {
 	newGauge(h.registry, planRevision, func() float64 { return float64(s.Revision()) })
 	newGauge(h.registry, ledJobs, func() float64 { return float64(s.Leading()) })
+	newGauge(h.registry, lateJobs, func() float64 { return float64(s.Late()) })
 	newGauge(h.registry, droppedLogLines, func() float64 { return float64(s.Dropped()) })
 	newGauge(h.registry, heldRequests, func() float64 { return float64(s.Held()) })
 	newGauge(h.registry, limitedTargets, func() float64 { return float64(s.Limited()) })
--- a/internal/batcher/constraint.go
+++ b/internal/batcher/constraint.go
@@ -17,7 +17,9 @@
 // Demand is a number of items that need the same of their target.
 type Demand struct {
 	Constraint
-	Items int
+	// Surplus is set if the trainer does not wait for the groups of the items.
+	Surplus bool
+	Items   int
 }
 
 // constraint returns what an item needs of its target. A complete text only has to be scored, which any target may do.
@@ -28,15 +30,15 @@
 	return Constraint{Continues: true, Release: p.release}
 }
 
-// addDemand counts one more item in the demand with its constraint.
-func addDemand(all []Demand, c Constraint) []Demand {
+// addDemand counts one more item in the demand with its constraint and place.
+func addDemand(all []Demand, c Constraint, surplus bool) []Demand {
 	for i := range all {
-		if all[i].Constraint == c {
+		if all[i].Constraint == c && all[i].Surplus == surplus {
 			all[i].Items++
 			return all
 		}
 	}
-	return append(all, Demand{Constraint: c, Items: 1})
+	return append(all, Demand{Constraint: c, Surplus: surplus, Items: 1})
 }
 
 // RestartText drops the shortest text among the items with a constraint that have been due since a time or longer, so that it
--- a/internal/batcher/job.go
+++ b/internal/batcher/job.go
@@ -74,6 +74,8 @@
 	completeGroups int
 	// carried holds the groups that an earlier job of the trainer had and that are not complete yet.
 	carried map[identifier.Group]bool
+	// surplus holds the groups that the trainer does not wait for, as of the last call of Outlook.
+	surplus map[identifier.Group]bool
 	// stepPending is set while the pending results complete a group and the trainer can go on with them.
 	stepPending bool
 	changed     chan struct{}
@@ -137,7 +139,7 @@
 		switch {
 		case p.stage != stageWaiting:
 		case p.notBefore <= now:
-			due = addDemand(due, p.constraint())
+			due = addDemand(due, p.constraint(), j.surplus[j.spec.Items[i].Group])
 		case next == 0 || p.notBefore < next:
 			next = p.notBefore
 		}
--- a/internal/batcher/step.go
+++ b/internal/batcher/step.go
@@ -44,10 +44,14 @@
 // startRank returns the rank of an item among those that wait to be started; lower ranks start first. The caller holds
 // the lock.
 func (j *Job) startRank(i int) int {
-	if j.carried[j.spec.Items[i].Group] {
+	switch group := j.spec.Items[i].Group; {
+	case j.carried[group]:
 		return 0
+	case j.surplus[group]:
+		return 2
+	default:
+		return 1
 	}
-	return 1
 }
 
 // StepPending reports whether the trainer can go on once the pending results are durable: they complete a group, at least
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -101,6 +101,7 @@
 	membershipChangedAt, sweptAt, nextSweepAt time.Duration
 	// closing is set by Close; no further job is led from then on.
 	closing bool
+	order   order
 
 	queue      *worker.Queue[assignment]
 	pool       *worker.Pool[assignment]
--- a/internal/conductor/engine_test.go
+++ b/internal/conductor/engine_test.go
@@ -29,6 +29,8 @@
 	callTime time.Duration
 	version  atomic.Uint64
 	calls    atomic.Int64
+	// observe is called with each call, if it is set.
+	observe atomic.Pointer[func(forwarder.Call)]
 	// lateCalls counts the calls for items of endedJobs, the jobs whose owner knows that they have ended.
 	endedJobs sync.Map
 	lateCalls atomic.Int64
@@ -99,6 +101,9 @@
 // Call answers one call.
 func (e *engine) Call(ctx context.Context, c forwarder.Call) (forwarder.Answer, forwarder.Fault) {
 	e.calls.Add(1)
+	if f := e.observe.Load(); f != nil {
+		(*f)(c)
+	}
 	if e.callTime > 0 {
 		callCtx, cancel := context.WithTimeout(ctx, e.callTime)
 		defer cancel()
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -21,6 +21,7 @@
 	stop      context.CancelFunc
 	// began is the monotonic time at which this process began to lead the job, and ageThen the age of the job at that time.
 	began, ageThen time.Duration
+	outlook        outlook
 	// The conductor's lock guards record, finishedAt, confirmedAt and saves.
 	record     recorder.Record
 	finishedAt time.Duration
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -38,6 +38,8 @@
 	task   batcher.Task
 	target router.Target
 	route  navigator.Route
+	// urgency is the class with which the item is sent. It stays the same until the item waits again.
+	urgency int
 }
 
 // assignItems assigns due items to targets with a free slot until ctx ends.
@@ -71,65 +73,6 @@
 	}
 }
 
-// nextAssignment finds an item that is due and a target for it. If there is none, it returns the time at which the
-// next item is due, or zero if no item waits.
-func (c *Conductor) nextAssignment() (a assignment, ok bool, next time.Duration) {
-	plan := c.Navigator.Current()
-	now := c.Clock.Monotonic()
-	waiting := make(map[identifier.Service]int)
-	for _, l := range c.ledJobs() {
-		if l.job.Finished() {
-			continue
-		}
-		spec := l.job.Spec()
-		route, known := plan.Route(spec.Host, spec.Path)
-		switch {
-		case plan.Revision() == 0, plan.Revision() < spec.Revision:
-			// The route may be one that this process has not read yet.
-			continue
-		case !known || route.Kind != navigator.Rollout, c.expired(l, route):
-			l.job.AbandonWaiting()
-			continue
-		}
-		service, ok := route.PickService()
-		if !ok {
-			continue
-		}
-		demands, due := l.job.Due(now)
-		if due > 0 && (next == 0 || due < next) {
-			next = due
-		}
-		for _, d := range demands {
-			if a, ok := c.assign(l, route, service, d, now); ok {
-				return a, true, 0
-			}
-			waiting[service] += d.Items
-		}
-	}
-	for service, items := range waiting {
-		c.Forwarder.Limiter.SetDemand(service, items)
-	}
-	return assignment{}, false, next
-}
-
-// assign starts the next item of a demand on a target of a service. A text that no target continues begins anew.
-func (c *Conductor) assign(l *ledJob, route navigator.Route, service identifier.Service, d batcher.Demand, now time.Duration) (assignment, bool) {
-	target, ok := c.chooseTarget(service, l.job.Spec(), d.Release, now)
-	if !ok && d.Continues {
-		target, ok = c.restartText(l, service, d, now)
-		d.Constraint = batcher.Constraint{}
-	}
-	if !ok {
-		return assignment{}, false
-	}
-	task, ok := l.job.Next(now, d.Constraint)
-	if !ok {
-		c.Router.Release(target.ID)
-		return assignment{}, false
-	}
-	return assignment{ledJob: l, task: task, target: target, route: route}, true
-}
-
 // maxContinuationWait is how long a text waits for a target of the software version that generated it, while one is listed.
 const maxContinuationWait = time.Second
 
@@ -196,6 +139,7 @@
 		c.Router.Release(a.target.ID)
 		c.applyOutcome(a, outcome)
 		c.observeAttempt(a, outcome, sent)
+		c.recordPace(a, outcome, &timings, began)
 		c.reportAttempt(a, outcome, &timings, began)
 		if outcome != attemptOutpaced {
 			if outcome == attemptComplete && a.ledJob.job.CompleteText(a.task.Index) {
@@ -315,7 +259,7 @@
 		Request: forwarder.Request{
 			ID: identifier.Request(item.ID), Method: "POST", URI: item.Path, Path: path, Host: spec.Host, Header: header, Body: item.Body,
 		},
-		Target: a.target, Team: spec.Team, Timeout: itemTimeout, Priority: a.route.Priority,
+		Target: a.target, Team: spec.Team, Timeout: itemTimeout, Priority: a.urgency,
 	}
 	if a.task.Events > 0 {
 		call = call.WithResume(a.task.LastEvent)
@@ -329,7 +273,7 @@
 	job, i, call := a.ledJob.job, a.task.Index, a.task.Item.Score
 	path, _, _ := strings.Cut(call.Path, "?")
 	failures := 0
-	end := c.scoreEnd(a)
+	end, scoring := c.scoreEnd(a), c.Clock.Monotonic()
 	for ctx.Err() == nil && !job.Finished() && !c.expired(a.ledJob, a.route) {
 		began := c.Clock.Monotonic()
 		var sink scoreSink
@@ -341,6 +285,7 @@
 		switch {
 		case r.Outcome == forwarder.Answered && r.Status >= 200 && r.Status < 300 && r.Stamp != "":
 			job.SetScore(i, r.Stamp)
+			c.Registrar.RecordScored(a.target.Service, c.Clock.Monotonic()-scoring)
 			return
 		case r.Outcome == forwarder.Answered && r.Status == statusFailed:
 			if failures += r.Failures(); failures >= c.scoreAttempts(call) {
--- a/internal/hoster/controller.go
+++ b/internal/hoster/controller.go
@@ -42,6 +42,7 @@
 	c := &Controller{base: newBase(s, p, o)}
 	stopMetrics, err := c.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return c.plan.Current().Revision() }, Leading: func() int { return 0 },
+		Late:    func() int { return 0 },
 		Omitted: func() int64 { return 0 }, Held: func() int { return 0 }, Limited: func() int { return 0 },
 		Unusable: func() int64 { return 0 },
 	})
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -167,7 +167,8 @@
 		return nil, err
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
-		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
+		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Late: e.conductor.LateJobs,
+		Omitted: sampler.Omitted,
 		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
 	})
 	if err != nil {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -179,6 +179,7 @@
 		Number: 1523, Level: hclog.Warn, Text: "texts of a batch job not saved", Action: "check the key-value service if this persists",
 	}
 	TextRestarted         = Event{Number: 1524, Level: hclog.Info, Text: "text begun anew, no target continues it", Action: "none"}
+	StandingChanged       = Event{Number: 1526, Level: hclog.Info, Text: "time left to a batch job compared with its work changed", Action: "none"}
 	WantedVersionReceived = Event{Number: 1530, Level: hclog.Info, Text: "wanted weight version received", Action: "none"}
 	LoadOrdered           = Event{Number: 1531, Level: hclog.Info, Text: "load of weights ordered", Action: "none"}
 	LoadEnded             = Event{Number: 1532, Level: hclog.Info, Text: "load of weights ended or abandoned", Action: "none"}
@@ -200,7 +201,7 @@
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
-		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted,
+		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted, StandingChanged,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
--- a/internal/registrar/interval.go
+++ b/internal/registrar/interval.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/pacer"
 )
 
 const (
@@ -56,13 +57,16 @@
 // comparison is the result of comparing the intervals of a service's targets.
 type comparison struct {
 	slow []identifier.Target
-	at   time.Duration
+	// median is that of the targets' medians; zero if too few are compared.
+	median time.Duration
+	at     time.Duration
 }
 
 // RecordInterval records the time between two events of a target's stream.
 func (r *Registrar) RecordInterval(id identifier.Target, interval, now time.Duration) {
 	r.update(id, func(rec record) record {
 		rec.intervals = rec.intervals.with(interval, now)
+		r.recordPace(rec.listing.Service, func(p pacer.Pace) pacer.Pace { return p.WithInterval(interval) })
 		return rec
 	})
 }
@@ -102,7 +106,8 @@
 	result := comparison{at: now}
 	if len(all) >= minComparedTargets {
 		slices.Sort(all)
-		limit := time.Duration(float64(all[len(all)/2]) * slowFactor)
+		result.median = all[len(all)/2]
+		limit := time.Duration(float64(result.median) * slowFactor)
 		for id, median := range medians {
 			if median > limit {
 				result.slow = append(result.slow, id)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,6 +7,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/pacer"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
 
@@ -31,6 +32,7 @@
 	regions     map[identifier.Zone]identifier.Region
 	changed     chan struct{}
 	comparisons map[identifier.Service]comparison
+	paces       map[identifier.Service]pacer.Pace
 	departures  *Departures
 }
 
@@ -42,7 +44,8 @@
 	suspendedUntil time.Duration
 	// expiresAt is the monotonic time from which a target without a listing is dropped; zero while it has one.
 	expiresAt time.Duration
-	intervals eventIntervals
+	// intervals are the latest times between two events, firsts those to the first event of an attempt.
+	intervals, firsts eventIntervals
 	// contradictory is set once listings of one start have named several releases, so that the running one is not known.
 	contradictory bool
 	// unconfirmed is set after a failed attempt, until the target confirms the start that its listing names. confirmed is when
