pacer, conductor: attempts are cut only after a multiple of the measured speed, and moved only for a gain

Cause: an attempt was cut after 2.5 s without a first event and 1.2 s without a further one, whatever its target and the others took. A text left a slow target after two events although it had a few more to gain and another target had to read its prompt again. Change: the limits are eight times the slower of the target's and its peers' measured times, between 1.2 and 2.5 s. A text moves if it lacks three events or more and is complete sooner elsewhere by a quarter of the move and one more reading of the prompt. Seen to fail: TestShortTextsStay moves a text of 8 events after 2 of them with the old rule. TestStallLimits and TestMoves cover new code.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -7,17 +7,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
+	"github.com/mimosalb/mimosalb/internal/pacer"
 	"github.com/mimosalb/mimosalb/internal/router"
 )
 
 const (
-	// firstEventTimeout and nextEventTimeout limit the wait for the first and for each further event of an attempt.
-	// They are a few times the longest pauses of an engine under full load.
-	firstEventTimeout = 2500 * time.Millisecond
-	nextEventTimeout  = 1200 * time.Millisecond
-	// watchPeriod is the interval at which a running attempt is checked against these timeouts.
+	// watchPeriod is the interval at which a running attempt is checked for a stall.
 	watchPeriod = 300 * time.Millisecond
 	// minEventsBeforeMove is the number of events that an attempt has to receive before its item may move to a faster
 	// target.
@@ -59,11 +55,11 @@
 	return time.Duration(t.first.Load()) - began
 }
 
-// overdue reports whether the next event is overdue.
-func (t *eventTimings) overdue(now time.Duration) bool {
-	limit := nextEventTimeout
+// overdue reports whether the next event is overdue by the limits of the target.
+func (t *eventTimings) overdue(now time.Duration, limits pacer.Limits) bool {
+	limit := limits.Next
 	if t.events.Load() == 0 {
-		limit = firstEventTimeout
+		limit = limits.First
 	}
 	return now-time.Duration(t.last.Load()) > limit
 }
@@ -77,7 +73,7 @@
 	a.ledJob.job.Begin(a.task.Index, a.target.Release)
 	done := make(chan struct{})
 	defer close(done)
-	go c.watchAttempt(a.ledJob.job, t, done, cancel)
+	go c.watchAttempt(a, t, done, cancel)
 
 	if !c.Forwarder.ConfirmStart(ctx, a.target, a.task.Events > 0) {
 		if outcome := cancelOutcome(ctx); outcome != 0 {
@@ -168,7 +164,7 @@
 			}
 			return attemptStale, router.Target{}
 		}
-		if t.events.Load() >= minEventsBeforeMove && c.Registrar.IsSlow(a.target.ID, now) {
+		if c.worthMoving(a, t, now) {
 			if next, ok := c.chooseFasterTarget(a, now); ok {
 				return attemptOutpaced, next
 			}
@@ -176,6 +172,16 @@
 	}
 }
 
+// worthMoving reports whether the text of an attempt is complete sooner at another target.
+func (c *Conductor) worthMoving(a assignment, t *eventTimings, now time.Duration) bool {
+	events := int(t.events.Load())
+	if events < minEventsBeforeMove || !c.Registrar.IsSlow(a.target.ID, now) {
+		return false
+	}
+	own, peers := c.Registrar.Paces(a.target.ID, now)
+	return pacer.WorthMoving(own, peers, a.task.Item.Hint, a.task.Events+events)
+}
+
 // chooseFasterTarget reserves a slot on a target that is not slow and can continue the text.
 func (c *Conductor) chooseFasterTarget(a assignment, now time.Duration) (router.Target, bool) {
 	spec := a.ledJob.job.Spec()
@@ -186,18 +192,19 @@
 }
 
 // watchAttempt cancels an attempt whose next event is overdue or whose job has finished.
-func (c *Conductor) watchAttempt(j *batcher.Job, t *eventTimings, done <-chan struct{}, cancel context.CancelCauseFunc) {
+func (c *Conductor) watchAttempt(a assignment, t *eventTimings, done <-chan struct{}, cancel context.CancelCauseFunc) {
 	ticks := c.Clock.Every(watchPeriod)
 	defer ticks.Stop()
 	for {
 		select {
 		case <-done:
 			return
-		case <-j.Done():
+		case <-a.ledJob.job.Done():
 			cancel(errEnded)
 			return
 		case <-ticks.C():
-			if t.overdue(c.Clock.Monotonic()) {
+			now := c.Clock.Monotonic()
+			if t.overdue(now, pacer.StallLimits(c.Registrar.Paces(a.target.ID, now))) {
 				cancel(errEventOverdue)
 				return
 			}
--- a/internal/conductor/export_test.go
+++ b/internal/conductor/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -48,3 +49,10 @@
 func (c *Conductor) StoreLate(ctx context.Context, l *ledJob, r batcher.Result) bool {
 	return c.storeResults(ctx, l, 0, []batcher.Result{r})
 }
+
+// MovesText reports whether an attempt that wrote all events of a text so far is given up for a faster target.
+func (c *Conductor) MovesText(target identifier.Target, hint, events int, now time.Duration) bool {
+	var t eventTimings
+	t.events.Store(int64(events))
+	return c.worthMoving(assignment{target: router.Target{ID: target}, task: batcher.Task{Item: batcher.Item{Hint: hint}}}, &t, now)
+}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -169,7 +169,7 @@
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
 		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Late: e.conductor.LateJobs,
 		Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
+		Held:    func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Unusable: e.targets.unusableCount.Load,
 	})
 	if err != nil {
 		return nil, err
