conductor, hoster, storer: work goes on at once when the store returns

Cause: nearly all failed items of the worst kind were submitted or due in the first 6 s of an outage of the store. After its return results waited up to 1.4 s more to be written together, reads up to 2 s for their next try, and submissions were refused until the registration was renewed, up to 1.3 s later. A job whose record could not be read after it was stored had no running items. A job whose first submission had no answer was led by nobody once the second one had found it. Change: the first call that succeeds wakes commits and failed reads; a commit after a failed or long one collects nothing; a process leads a job that it has just stored without its record and reads that before it writes; a submission that finds its job tells the owner; the write of a submission is repeated for its 0.8 s; any answered call shows that the store is reached. TestAnsweredWithin covers new code.

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -7,7 +7,6 @@
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/recorder"
-	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
 const (
@@ -28,6 +27,8 @@
 
 // commitResults writes new results of a job to the store until the job has finished.
 func (c *Conductor) commitResults(ctx context.Context, l *ledJob) {
+	// overdue is set after a write that failed or took as long as results wait for others: those that came meanwhile have waited.
+	overdue := false
 	for ctx.Err() == nil && !l.job.Finished() {
 		changed := l.job.Watch()
 		if _, pending := l.job.Pending(); len(pending) == 0 {
@@ -37,14 +38,19 @@
 			}
 			continue
 		}
-		c.awaitCommit(ctx, l, c.commitDelay(l))
+		if !overdue {
+			c.awaitCommit(ctx, l, c.commitDelay(l))
+		}
 		if ctx.Err() != nil || l.job.Finished() {
 			return
 		}
 		from, pending := l.job.Pending()
-		if !c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes)) {
-			timer.Wait(ctx, c.Clock, commitRetryDelay)
+		began := c.Clock.Monotonic()
+		stored := c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes))
+		if !stored {
+			c.awaitStore(ctx, commitRetryDelay)
 		}
+		overdue = !stored || c.Clock.Monotonic()-began >= commitInterval
 	}
 }
 
@@ -88,6 +94,9 @@
 
 // storeResults writes results to the store and reports whether they are durable.
 func (c *Conductor) storeResults(ctx context.Context, l *ledJob, from int, results []batcher.Result) bool {
+	if !c.readFirst(ctx, l) {
+		return false
+	}
 	durable, out, err := c.Recorder.Append(ctx, c.currentRecord(l), from, results)
 	switch {
 	case out == applied && err == nil:
@@ -95,6 +104,7 @@
 		l.confirmedAt = c.Clock.Monotonic()
 		c.lock.Unlock()
 		l.job.MarkDurable(from, durable)
+		c.storeAnswered()
 		return true
 	case out == conflict:
 		// Another process leads the job, or the job has ended.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -101,6 +101,7 @@
 	membershipChangedAt, sweptAt, nextSweepAt time.Duration
 	// closing is set by Close; no further job is led from then on.
 	closing bool
+	outage  outage
 	order   order
 
 	queue      *worker.Queue[assignment]
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -56,6 +56,7 @@
 	c.lock.Lock()
 	c.unread.Remove(id)
 	c.lock.Unlock()
+	c.storeAnswered()
 	return true
 }
 
@@ -95,7 +96,8 @@
 	l = c.led[r.ID]
 	// Only a record under which this process may write becomes the guard of its writes: a commit may be under way that has not
 	// seen yet that the job is another's. Other processes change a record that has not ended only by giving it to another owner.
-	current := l != nil && r.Owner == c.Self && (r.Ended || r.Changed == l.record.Changed)
+	unread := l != nil && l.record.Changed == 0 && r.Term == 1
+	current := l != nil && r.Owner == c.Self && (r.Ended || unread || r.Changed == l.record.Changed)
 	if current {
 		l.record, l.confirmedAt = r, c.Clock.Monotonic()
 	}
@@ -269,6 +271,7 @@
 
 // handOver stores pending results, makes another process the owner of a job and notifies it.
 func (c *Conductor) handOver(ctx context.Context, l *ledJob) {
+	c.readFirst(ctx, l)
 	record := c.currentRecord(l)
 	successor, ok := c.selectProcess(string(l.id), func(p recorder.Registration) bool { return p.Owner.Node != c.Self.Node })
 	if record.Ended || !ok {
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -75,11 +75,19 @@
 	if closing || !c.storeReached() || unfinished+len(s.Items) > workerCount {
 		return Declined
 	}
-	return c.Accept(ctx, s)
+	// The process that passed the job on waits for a shorter time than the store may be away.
+	return c.accept(ctx, s, c.Recorder.Create)
 }
 
 // Accept stores a job with this process as its owner, or with another process as its owner if this one is closing.
 func (c *Conductor) Accept(ctx context.Context, s batcher.Spec) Acceptance {
+	return c.accept(ctx, s, c.create)
+}
+
+// accept stores a job by the given call.
+func (c *Conductor) accept(
+	ctx context.Context, s batcher.Spec, create func(context.Context, batcher.Spec, recorder.Owner) (storeOutcome, error),
+) Acceptance {
 	c.lock.Lock()
 	known, seen := c.records[s.ID]
 	closing := c.closing
@@ -99,7 +107,7 @@
 	}
 	storing, cancel := timer.WithTimeout(ctx, c.Clock, submitTimeout)
 	defer cancel()
-	out, err := c.Recorder.Create(storing, s, owner.Owner)
+	out, err := create(storing, s, owner.Owner)
 	acceptance := c.acceptanceOf(ctx, s, out)
 	c.Log.Emit(logger.JobSubmitted, "job", s.ID, "team", s.Team, "items", len(s.Items), "desired", s.Desired, "least", s.Least,
 		"outcome", acceptance.String(), "store", out.String(), "error", err)
@@ -107,12 +115,30 @@
 	case acceptance != Accepted || out != applied:
 	case closing:
 		c.notify(ctx, owner, s.ID)
-	default:
-		c.Refresh(context.WithoutCancel(ctx), s.ID)
+	case !c.Refresh(context.WithoutCancel(ctx), s.ID):
+		c.leadUnread(s)
 	}
 	return acceptance
 }
 
+// createRetryDelay is the delay before a write that stores a job and took no effect is repeated.
+const createRetryDelay = 100 * time.Millisecond
+
+// create stores a job. While the store refuses calls, it tries again until ctx ends: a submission that arrives shortly before the store is
+// back is then accepted, and the trainer does not have to submit it again.
+func (c *Conductor) create(ctx context.Context, s batcher.Spec, owner recorder.Owner) (storeOutcome, error) {
+	for {
+		out, err := c.Recorder.Create(ctx, s, owner)
+		if out != unavailable || err != nil || ctx.Err() != nil {
+			return out, err
+		}
+		c.awaitStore(ctx, createRetryDelay)
+		if ctx.Err() != nil {
+			return out, err
+		}
+	}
+}
+
 // hasRoom reports whether the bodies of a further large job fit beside those of the jobs that this process leads or has accepted.
 // A job that it knows takes no further room. A single one always fits: it could be accepted nowhere else either.
 func (c *Conductor) hasRoom(id identifier.Job, size identifier.Bytes) bool {
@@ -168,6 +194,10 @@
 		if read != applied || err != nil || record.Changed == 0 {
 			return AcceptanceUnknown
 		}
+		if record.Team == s.Team && !record.Ended {
+			// The answer to an earlier submission was lost, so that its owner may not know of the job yet.
+			c.tellOwner(context.WithoutCancel(ctx), record)
+		}
 		return acceptanceOfExisting(record, s.Team)
 	case unavailable:
 		c.dropUnconfirmed(s.ID)
--- a/internal/hoster/presence.go
+++ b/internal/hoster/presence.go
@@ -37,7 +37,8 @@
 // reachedJustNow reports whether the key-value service was reached so recently that a call to it is worth waiting for.
 func (p *presence) reachedJustNow() bool {
 	confirmed := p.confirmed.Load()
-	return confirmed > 0 && p.clock.Monotonic()-time.Duration(confirmed) < maxServingAge
+	// After an outage other calls may be answered before the next renewal is due.
+	return confirmed > 0 && (p.clock.Monotonic()-time.Duration(confirmed) < maxServingAge || p.availability.AnsweredWithin(maxServingAge))
 }
 
 // storeReached reports whether the key-value service was reached recently.
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -179,6 +179,7 @@
 		Number: 1523, Level: hclog.Warn, Text: "texts of a batch job not saved", Action: "check the key-value service if this persists",
 	}
 	TextRestarted         = Event{Number: 1524, Level: hclog.Info, Text: "text begun anew, no target continues it", Action: "none"}
+	JobLedUnread          = Event{Number: 1527, Level: hclog.Info, Text: "batch job led before its record was read", Action: "none"}
 	StandingChanged       = Event{Number: 1526, Level: hclog.Info, Text: "time left to a batch job compared with its work changed", Action: "none"}
 	WantedVersionReceived = Event{Number: 1530, Level: hclog.Info, Text: "wanted weight version received", Action: "none"}
 	LoadOrdered           = Event{Number: 1531, Level: hclog.Info, Text: "load of weights ordered", Action: "none"}
@@ -201,7 +202,7 @@
 		ListingUnreadable, PeerChanged, PeerFailed, ParentSilent, RequestHeld, RequestAnswered, RequestRefused,
 		RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
-		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted, StandingChanged,
+		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted, StandingChanged, JobLedUnread,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
 	}
--- a/internal/storer/availability.go
+++ b/internal/storer/availability.go
@@ -43,6 +43,18 @@
 	return a.away(now) || a.wasAway && now-a.restored < span
 }
 
+// answerGrace is the time without an answer after which a call does not count as one that is merely under way. A slow service answers
+// sooner.
+const answerGrace = 300 * time.Millisecond
+
+// AnsweredWithin reports whether the service answered a call within the given time before now, and none has waited long since.
+func (a *Availability) AnsweredWithin(span time.Duration) bool {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	now := a.clock.Monotonic()
+	return a.answered > 0 && now-a.answered < span && (!a.failing || now-a.failingSince < answerGrace)
+}
+
 // away reports whether calls have had no answer for minOutage. The caller holds the lock.
 func (a *Availability) away(now time.Duration) bool {
 	return a.failing && now-a.failingSince >= a.minOutage
--- a/internal/storer/availability_test.go
+++ b/internal/storer/availability_test.go
@@ -95,3 +95,30 @@
 	}
 	goldie.New(t).Assert(t, "availability", []byte(out.String()))
 }
+
+// Guards against an entry that refuses steps for a second after an outage, because only a renewal of its registration shows that the store is
+// back, and against one that waits for calls that have no answer.
+func TestAnsweredWithin(t *testing.T) {
+	const span = 1300 * time.Millisecond
+	clock := &timer.Manual{}
+	clock.Advance(time.Second)
+	a := storer.NewAvailability(clock, 1400*time.Millisecond)
+	var out strings.Builder
+	check := func(when string) { fmt.Fprintf(&out, "%-36s %t\n", when, a.AnsweredWithin(span)) }
+	check("no call")
+	a.End(a.Begin(), storer.Applied)
+	check("answered")
+	began := a.Begin()
+	clock.Advance(100 * time.Millisecond)
+	check("a call under way for 100 ms")
+	clock.Advance(300 * time.Millisecond)
+	check("a call under way for 400 ms")
+	a.End(began, storer.Unknown)
+	clock.Advance(6 * time.Second)
+	check("outage")
+	a.End(a.Begin(), storer.Conflict)
+	check("answered again")
+	clock.Advance(span)
+	check("not called since")
+	goldie.New(t).Assert(t, "answered", []byte(out.String()))
+}
