rationer, forwarder, hoster: requests are admitted by their expected wait, teams by their shares

Cause: a request went to a target whatever waited there already, and was answered 504 once its time was up. One team's burst filled the queues of all, from each entry. Change: while all slots of a service are taken, an entry refuses on arrival what would wait beyond its time, and, above half of the latency goal or a quarter of the time, requests of a team that has its part of the slots while others have requests. Each refused caller is told a later time to come back. Entries with half of their even part of the slots report their attempts to the others, at most 100 calls a second. The store is not used. Seen to fail: TestFullServiceRefusesOnArrival is answered by a target without the rationer. The tests of rationer cover new code. Measured: rationer, forwarder, hoster, container, router and jobpeer pass with the race detector. Submissions of batch jobs are not refused by this.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -192,8 +192,9 @@
 	// Allotter allots permits for limited targets, and Limiter takes in which these are.
 	Allotter Allotter
 	Limiter  *limiter.Limiter
-	// Departures takes in which targets leave.
+	// Departures takes in which targets leave, Usage what other processes have at them.
 	Departures Departures
+	Usage      UsageTaker
 	// Attributor keeps the origins of streams. It needs Clock.
 	Attributor *attributor.Attributor
 }
@@ -213,6 +214,9 @@
 	if s.Departures != nil {
 		all = append(all, &Targets{departures: s.Departures})
 	}
+	if s.Usage != nil {
+		all = append(all, &Usage{taker: s.Usage})
+	}
 	if s.Attributor != nil {
 		all = append(all, &Origins{attributor: s.Attributor, clock: s.Clock})
 	}
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -14,6 +14,7 @@
 	RankAdmitter      Rank = 60
 	RankScheduler     Rank = 70
 	RankRouter        Rank = 80
+	RankRationer      Rank = 85
 	RankRetrier       Rank = 90
 	RankClaimer       Rank = 95
 	RankIsolator      Rank = 100
@@ -73,6 +74,8 @@
 	Scheduler struct{}
 	// Router ranks the lock of the target view and the load counts.
 	Router struct{}
+	// Rationer ranks the lock of the requests that entries admitted.
+	Rationer struct{}
 	// Retrier ranks the locks of the retry budget and the latency statistics.
 	Retrier struct{}
 	// Claimer ranks the lock of the claims.
@@ -129,6 +132,9 @@
 // Rank returns RankRouter.
 func (Router) Rank() Rank { return RankRouter }
 
+// Rank returns RankRationer.
+func (Rationer) Rank() Rank { return RankRationer }
+
 // Rank returns RankRetrier.
 func (Retrier) Rank() Rank { return RankRetrier }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/rationer"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -64,9 +65,11 @@
 	Observer *isolator.Observer
 	// Limiter keeps to the rates that targets name; if it is nil, nothing is limited.
 	Limiter *limiter.Limiter
-	Clock   timer.Service
-	Zone    identifier.Zone
-	Region  identifier.Region
+	// Rationer refuses what can't be served in time; if it is nil, nothing is refused for that.
+	Rationer *rationer.Rationer
+	Clock    timer.Service
+	Zone     identifier.Zone
+	Region   identifier.Region
 }
 
 // Forwarder forwards requests from callers to targets. It has no state of its own but how the process stops.
@@ -165,10 +168,7 @@
 		x.result.RetryAfter, x.result.Fingerprint = left, x.fingerprint()
 		return x.result
 	}
-	if route.Kind == navigator.Stream {
-		return x.forwardStream(ctx, sink)
-	}
-	return x.forwardUnary(ctx, sink)
+	return x.forwardAdmitted(ctx, sink, now)
 }
 
 func (r Result) notRun(reason Reason) Result {
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -55,6 +55,8 @@
 	Stopping           Reason = "the process stops before the time of the request is up"
 	OriginUnknown      Reason = "what began the stream is not known"
 	OriginGone         Reason = "no target of the software version that began the stream"
+	NoRoom             Reason = "no target has room within the time of the request"
+	OverShare          Reason = "the team has its share of the targets"
 	Suspect            Reason = "targets broke off under this request"
 )
 
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -24,6 +24,7 @@
 	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/persister"
+	"github.com/mimosalb/mimosalb/internal/rationer"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/reserver"
@@ -85,6 +86,7 @@
 	conductor *conductor.Conductor
 	observer  *isolator.Observer
 	limiter   *limiter.Limiter
+	rationer  *rationer.Rationer
 	// allotter allots the permits for the limited targets that this process is responsible for.
 	allotter limiter.Allotter
 	// targets are the listed targets, departures those that said that they leave.
@@ -126,6 +128,7 @@
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.store.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
+	e.rationer = rationer.NewRationer(e.clock)
 	e.leaving = newStartQueue(p.Targets, &e.departures, e.clock, func() { e.targets.update(nil) })
 	calls := interpreter.NewInterpreter(p.Targets, e.clock, log, interpreter.WithLimiter(e.limiter),
 		interpreter.WithDepartures(&e.departures, e.leaving.add))
@@ -134,7 +137,7 @@
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: p.Targets, Origins: e.origins,
-		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
+		Counter: tally, Observer: e.observer, Limiter: e.limiter, Rationer: e.rationer, Clock: e.clock, Zone: s.Zone, Region: s.Region,
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
 		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
@@ -208,6 +211,9 @@
 	e.running.Go(func() { departures.Run(ctx) })
 	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
 	e.running.Go(func() { limits.Run(ctx) })
+	usage := broadcaster.NewBroadcaster(e.rationer, e.conductor.OtherMembers, e.client.ReportUsage, e.clock)
+	e.running.Go(func() { usage.Run(ctx) })
+	e.running.Go(func() { e.reportUsage(ctx, e.forwarder.Router) })
 	stored := persister.NewPersister(e.observer.Isolator, e.store.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.running.Go(func() { e.origins.Run(ctx) })
@@ -241,7 +247,7 @@
 	e.running.Go(func() {
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
-			Limiter: e.limiter, Departures: departureSource{e}, Attributor: e.origins, Clock: e.clock,
+			Limiter: e.limiter, Departures: departureSource{e}, Usage: e.rationer, Attributor: e.origins, Clock: e.clock,
 		}
 		if err := jobpeer.Serve(l, services); err != nil {
 			e.log.Emit(logger.PeerFailed, "error", err)
