conductor: a process that leads much for its cores leaves further steps to others

Cause: the leader of a team's model was chosen by its name and cores only, whatever it led already. A process declined a step only beyond 320 items, however small it was. Change: entries of a region tell each other their unfinished items once these changed by 32. The first process by rendezvous order with room for its cores leads the step, else the one with the fewest items for its cores. No call to the store. Seen to fail: TestFullLeaderIsPassedOver finds the step at the full leader with the old choice. TestLeaderHasRoom covers new code. Measured: conductor, hoster and jobpeer pass with the race detector. Conclusion: the choice holds in tests; the limit of 320 items for the largest process is the earlier one and not measured anew.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -203,7 +203,7 @@
 func (s Services) receivers() []any {
 	all := []any{&Feeds{buffers: s.Buffers}}
 	if s.Jobs != nil {
-		all = append(all, &Jobs{handler: s.Jobs})
+		all = append(all, jobReceivers(s.Jobs)...)
 	}
 	if s.Isolator != nil {
 		all = append(all, &Crashes{isolator: s.Isolator, clock: s.Clock})
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -102,6 +102,7 @@
 	// closing is set by Close; no further job is led from then on.
 	closing bool
 	outage  outage
+	loads   loads
 	order   order
 
 	queue      *worker.Queue[assignment]
--- a/internal/conductor/export_test.go
+++ b/internal/conductor/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
@@ -38,6 +39,17 @@
 	return c.membershipCurrent
 }
 
+// ChooseLeader returns the node that leads a job with some items, where the first process has the highest score.
+func ChooseLeader(items int, cores []float64, unfinished []int) identifier.Node {
+	all := make([]leaderCandidate, 0, len(cores))
+	for i := range cores {
+		p := recorder.Registration{Owner: recorder.Owner{Node: identifier.Node(fmt.Sprint("n", i))}, Cores: cores[i]}
+		all = append(all, leaderCandidate{process: p, score: float64(-i), unfinished: unfinished[i]})
+	}
+	leader, _ := chooseLeader(all, items)
+	return leader.Owner.Node
+}
+
 // Led returns a job that this process leads.
 func (c *Conductor) Led(id identifier.Job) *ledJob {
 	c.lock.Lock()
--- a/internal/conductor/maintain.go
+++ b/internal/conductor/maintain.go
@@ -56,6 +56,7 @@
 		reclaimed = reclaimed || c.reclaim(ctx)
 		c.refreshAll(ctx, c.dueRefreshes())
 		c.repeatNotices(ctx)
+		c.countLoad()
 		if c.sweepDue() {
 			c.sweep(ctx)
 		}
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -52,10 +52,11 @@
 }
 
 // selectLeader returns the process that leads the jobs of a team's model submitted in this region, without those that
-// were tried. A process that does not reach the store leaves them to another.
+// were tried. One that leads too much for its cores leaves further jobs to the next one. A process that does not reach the store
+// leaves them to another.
 func (c *Conductor) selectLeader(s batcher.Spec, tried map[identifier.Node]bool) (recorder.Registration, bool) {
 	reached := c.storeReached()
-	return c.selectProcess("model/"+string(s.Team)+"/"+string(s.Model), func(p recorder.Registration) bool {
+	return c.selectLoaded("model/"+string(s.Team)+"/"+string(s.Model), len(s.Items), func(p recorder.Registration) bool {
 		return p.Region == c.Region && !tried[p.Owner.Node] && (reached || p.Owner != c.Self)
 	})
 }
