jobpeer: a call that the other process refuses keeps the connection

Cause: a call that failed closed the connection to the process, on which others read results. A process of an earlier release answers the new reports of usage and load with an error, several times a second while slots are short. Change: an error that the other process answered leaves the connection open.

--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -23,13 +24,6 @@
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
-const (
-	// replyMargin is the time that a reply may take in addition to the requested wait.
-	replyMargin = 400 * time.Millisecond
-	// maxWait limits how long a read may wait before it replies.
-	maxWait = 5 * time.Second
-)
-
 // Query asks for the results of a job, starting at position After.
 type Query struct {
 	Job   identifier.Job
@@ -355,7 +349,8 @@
 	return err == nil
 }
 
-// callOnce makes one call on the connection to address and closes the connection if the call fails.
+// callOnce makes one call on the connection to address and closes the connection if the call fails. It stays open if the other process
+// answered, for example one of an earlier release that does not know the method: other calls wait on it.
 func (c *Client) callOnce(ctx context.Context, address, method string, args, reply any) error {
 	conn, err := c.conn(ctx, address)
 	if err != nil {
@@ -368,7 +363,7 @@
 	case <-ctx.Done():
 		err = context.Cause(ctx)
 	}
-	if err != nil {
+	if answered := rpc.ServerError(""); err != nil && !errors.As(err, &answered) {
 		c.drop(address, conn)
 	}
 	return err
