conductor: items are ranked by the groups that were chosen last

Cause: the groups that a trainer waits for were chosen after the waiting items had been counted, so that a surplus item could start as a wanted one for 0.1 s; the slots of all targets were counted ten times a second. Change: waiting items are counted again once groups were chosen; slots are counted once a second. Measured: conductor passes with the race detector.

--- a/internal/conductor/order.go
+++ b/internal/conductor/order.go
@@ -18,6 +18,8 @@
 	outlookPeriod = 100 * time.Millisecond
 	// commitAllowance is the time for the last write of a step and the trainer's read of it.
 	commitAllowance = 100 * time.Millisecond
+	// slotsPeriod is the time after which the slots of all services are counted again, which visits each target.
+	slotsPeriod = time.Second
 )
 
 // candidate is a demand of a led job with its place among those that wait for slots.
@@ -47,13 +49,13 @@
 	standing ranker.Standing
 }
 
-// refreshOrder reads the priorities of a new plan, and counts the slots of all services once every outlookPeriod.
+// refreshOrder reads the priorities of a new plan, and counts the slots of all services once every slotsPeriod.
 func (c *Conductor) refreshOrder(plan navigator.Plan, now time.Duration) {
 	o := &c.order
 	if o.revision != plan.Revision() {
 		o.revision, o.scale, o.teams = plan.Revision(), ranker.NewScale(plan.Priorities()), plan.TeamPriorities()
 	}
-	if o.slots != nil && now-o.countedAt < outlookPeriod {
+	if o.slots != nil && now-o.countedAt < slotsPeriod {
 		return
 	}
 	o.slots, o.countedAt = make(map[identifier.Service]int), now
@@ -62,18 +64,26 @@
 	}
 }
 
+// refreshOutlook counts what a job with a due time still needs, once every outlookPeriod, and reports whether it did: other items may be
+// surplus then.
+func (c *Conductor) refreshOutlook(l *ledJob, route navigator.Route, service identifier.Service, now time.Duration) bool {
+	o := &l.outlook
+	if route.ResultDue <= 0 || o.counted && now-o.at < outlookPeriod {
+		return false
+	}
+	o.counted, o.at = true, now
+	o.need = l.job.Outlook(c.Registrar.ServicePace(service), c.order.slots[service]) + commitAllowance
+	return true
+}
+
 // rank returns the place of the items of a job that the trainer waits for.
-func (c *Conductor) rank(l *ledJob, route navigator.Route, service identifier.Service, now time.Duration) ranker.Rank {
+func (c *Conductor) rank(l *ledJob, route navigator.Route, now time.Duration) ranker.Rank {
 	priority, set := c.order.teams[l.job.Spec().Team]
 	if !set || route.ResultDue <= 0 {
 		priority = route.Priority
 	}
 	deadline := ranker.NewDeadline(route.ResultDue, route.QueueTTL)
 	o, age := &l.outlook, l.age(now)
-	if route.ResultDue > 0 && (!o.counted || now-o.at >= outlookPeriod) {
-		o.counted, o.at = true, now
-		o.need = l.job.Outlook(c.Registrar.ServicePace(service), c.order.slots[service]) + commitAllowance
-	}
 	if standing := deadline.Assess(o.standing, age, o.need); standing != o.standing {
 		c.Log.Emit(logger.StandingChanged, "job", l.id, "from", o.standing.String(), "to", standing.String(), "age", age, "need", o.need,
 			"priority", priority)
@@ -122,7 +132,10 @@
 		if len(demands) == 0 {
 			continue
 		}
-		rank := c.rank(l, route, service, now)
+		if c.refreshOutlook(l, route, service, now) {
+			demands, _ = l.job.Due(now)
+		}
+		rank := c.rank(l, route, now)
 		for _, d := range demands {
 			rank.Surplus = d.Surplus
 			waiting = append(waiting, candidate{ledJob: l, route: route, service: service, demand: d, rank: rank})
