ranker, conductor: with too few slots some steps are whole instead of all of them late

Cause: jobs with about the same slack shared slots that were too few for all, so that none was in time. Change: a process counts the work of its jobs in the order of their due times, and puts the one with the most work behind the others as soon as the sum exceeds the time left by a quarter. One that was put behind drives no other out. TestCrowd covers new code.

--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -121,7 +121,7 @@
 	}
 	lateJobs = Definition{
 		"mimosalb_conductor_late_jobs", Gauge, "",
-		"Batch jobs of this process with waiting items that can't be in time any more.",
+		"Batch jobs of this process with waiting items that can't be in time any more, or are left out because the slots are too few.",
 	}
 	dependencyCalls = Definition{
 		"mimosalb_hoster_calls_total", Counter, "dependency, outcome",
--- a/internal/batcher/slack.go
+++ b/internal/batcher/slack.go
@@ -54,10 +54,19 @@
 	return rests
 }
 
-// Outlook chooses the groups that complete the step, and returns the time that they need at least if all slots serve them. They are those
+// Outlook is what a job needs until its trainer can go on. It is immutable.
+type Outlook struct {
+	// Longest is the time of the item that needs most, and Work that of all items divided by the slots that could serve them.
+	Longest, Work time.Duration
+}
+
+// Need returns the time that the job needs at least if all slots serve it.
+func (o Outlook) Need() time.Duration { return max(o.Longest, o.Work) }
+
+// Outlook chooses the groups that complete the step, and returns what they need. They are those
 // that need the least work: the trainer waits for Spec.Desired groups, whichever they are, and for those that it carried over. The items of
 // other groups are surplus from now on and start last. A group that has begun needs less work, and so remains chosen.
-func (j *Job) Outlook(p pacer.Pace, slots int) time.Duration {
+func (j *Job) Outlook(p pacer.Pace, slots int) Outlook {
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	rests := j.groupRests(p)
@@ -86,7 +95,7 @@
 	slices.SortFunc(j.startOrder, func(a, b int) int {
 		return cmp.Or(cmp.Compare(j.startRank(a), j.startRank(b)), cmp.Compare(j.spec.Items[b].Hint, j.spec.Items[a].Hint), cmp.Compare(a, b))
 	})
-	return max(longest, sum/time.Duration(max(slots, 1)))
+	return Outlook{Longest: longest, Work: sum / time.Duration(max(slots, 1))}
 }
 
 // carriedRank returns the rank of a group among those of its job: what an earlier job carried over goes first.
--- a/internal/batcher/slack_test.go
+++ b/internal/batcher/slack_test.go
@@ -24,8 +24,8 @@
 	j := batcher.NewJob(s)
 	pace := pacer.Pace{}.WithFirst(200 * time.Millisecond).WithInterval(50 * time.Millisecond)
 	// The groups 1 and 3 need 28 and 17 events.
-	c.Assert(j.Outlook(pace, 100), qt.Equals, 200*time.Millisecond+18*50*time.Millisecond)
-	c.Assert(j.Outlook(pace, 2), qt.Equals, (4*200*time.Millisecond+45*50*time.Millisecond)/2)
+	c.Assert(j.Outlook(pace, 100).Need(), qt.Equals, 200*time.Millisecond+18*50*time.Millisecond)
+	c.Assert(j.Outlook(pace, 2).Need(), qt.Equals, (4*200*time.Millisecond+45*50*time.Millisecond)/2)
 	due, _ := j.Due(0)
 	c.Assert(due, qt.DeepEquals, []batcher.Demand{{Items: 4}, {Surplus: true, Items: 4}})
 	order := make([]int, 0, 4)
@@ -40,8 +40,8 @@
 	}
 	j.CompleteText(2)
 	j.CompleteText(3)
-	c.Assert(j.Outlook(pace, 100), qt.Equals, 200*time.Millisecond+9*50*time.Millisecond)
+	c.Assert(j.Outlook(pace, 100).Need(), qt.Equals, 200*time.Millisecond+9*50*time.Millisecond)
 	j.CompleteText(6)
 	j.CompleteText(7)
-	c.Assert(j.Outlook(pace, 100), qt.Equals, time.Duration(0))
+	c.Assert(j.Outlook(pace, 100).Need(), qt.Equals, time.Duration(0))
 }
--- a/internal/conductor/order.go
+++ b/internal/conductor/order.go
@@ -44,9 +44,10 @@
 
 // outlook is what a led job needed when it was last counted. Only the goroutine that assigns items uses it.
 type outlook struct {
-	counted  bool
-	at, need time.Duration
-	standing ranker.Standing
+	counted        bool
+	at, need, work time.Duration
+	standing       ranker.Standing
+	crowded        bool
 }
 
 // refreshOrder reads the priorities of a new plan, and counts the slots of all services once every slotsPeriod.
@@ -64,16 +65,15 @@
 	}
 }
 
-// refreshOutlook counts what a job with a due time still needs, once every outlookPeriod, and reports whether it did: other items may be
-// surplus then.
-func (c *Conductor) refreshOutlook(l *ledJob, route navigator.Route, service identifier.Service, now time.Duration) bool {
+// refreshOutlook counts what a job with a due time still needs, once every outlookPeriod.
+func (c *Conductor) refreshOutlook(l *ledJob, route navigator.Route, service identifier.Service, now time.Duration) {
 	o := &l.outlook
 	if route.ResultDue <= 0 || o.counted && now-o.at < outlookPeriod {
-		return false
+		return
 	}
 	o.counted, o.at = true, now
-	o.need = l.job.Outlook(c.Registrar.ServicePace(service), c.order.slots[service]) + commitAllowance
-	return true
+	counted := l.job.Outlook(c.Registrar.ServicePace(service), c.order.slots[service])
+	o.need, o.work = counted.Need()+commitAllowance, counted.Work
 }
 
 // rank returns the place of the items of a job that the trainer waits for.
@@ -107,6 +107,7 @@
 	now := c.Clock.Monotonic()
 	c.refreshOrder(plan, now)
 	var waiting []candidate
+	var contest contest
 	for _, l := range c.ledJobs() {
 		if l.job.Finished() {
 			continue
@@ -125,22 +126,19 @@
 		if !ok {
 			continue
 		}
+		c.refreshOutlook(l, route, service, now)
 		demands, due := l.job.Due(now)
 		if due > 0 && (next == 0 || due < next) {
 			next = due
 		}
-		if len(demands) == 0 {
-			continue
-		}
-		if c.refreshOutlook(l, route, service, now) {
-			demands, _ = l.job.Due(now)
-		}
 		rank := c.rank(l, route, now)
+		contest.add(l, service, rank)
 		for _, d := range demands {
 			rank.Surplus = d.Surplus
 			waiting = append(waiting, candidate{ledJob: l, route: route, service: service, demand: d, rank: rank})
 		}
 	}
+	contest.leaveOut(waiting)
 	c.countLate(waiting)
 	sortCandidates(waiting)
 	items := make(map[identifier.Service]int)
@@ -192,7 +190,7 @@
 func (c *Conductor) countLate(all []candidate) {
 	late := make(map[identifier.Job]bool)
 	for _, w := range all {
-		if w.rank.Standing >= ranker.Late {
+		if w.rank.Standing >= ranker.Late || w.rank.Crowded {
 			late[w.ledJob.id] = true
 		}
 	}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -103,11 +103,13 @@
 	Standing Standing
 	// Surplus is set for the items that the trainer does not wait for.
 	Surplus bool
+	// Crowded is set if the job is left out because the slots are too few for all.
+	Crowded bool
 	Slack   time.Duration
 }
 
 // Background reports whether the items go behind those that can still be in time and are waited for.
-func (r Rank) Background() bool { return r.Surplus || r.Standing >= Late }
+func (r Rank) Background() bool { return r.Surplus || r.Crowded || r.Standing >= Late }
 
 // Compare is negative if the items of r go first. What nobody waits for goes last, whatever its priority. Items without a place
 // between them stay in the order of their submission.
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -67,3 +67,21 @@
 	c := qt.New(t)
 	c.Assert([]bool{late.MayStart(4, 6), late.MayStart(5, 6), tight.MayStart(5, 6), late.MayStart(0, 1)}, qt.DeepEquals, []bool{true, false, true, true})
 }
+
+// Guards against steps that are all late because they share too few slots, against a step that is left out and comes back with each
+// measurement, and against one of an urgent priority that is left out for others.
+func TestCrowd(t *testing.T) {
+	c := qt.New(t)
+	contenders := func(crowded bool) []ranker.Contender {
+		return []ranker.Contender{
+			{Service: "s", Priority: 1, Left: 8 * time.Second, Work: 4 * time.Second, Crowded: crowded},
+			{Service: "s", Priority: 1, Left: 6 * time.Second, Work: 5 * time.Second},
+			{Service: "s", Priority: 1, Left: 4 * time.Second, Work: time.Second},
+			{Service: "other", Priority: 1, Left: 8 * time.Second, Work: 7 * time.Second},
+		}
+	}
+	c.Assert(ranker.Crowd(contenders(false)), qt.DeepEquals, []bool{false, false, false, false})
+	c.Assert(ranker.Crowd(contenders(true)), qt.DeepEquals, []bool{true, false, false, false})
+	more := append(contenders(false), ranker.Contender{Service: "s", Left: 5 * time.Second, Work: 5 * time.Second})
+	c.Assert(ranker.Crowd(more), qt.DeepEquals, []bool{false, true, true, false, false})
+}
