--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -22,6 +22,7 @@
 	stop      context.CancelFunc
 	// began is the monotonic time at which this process began to lead the job, and ageThen the age of the job at that time.
 	began, ageThen time.Duration
+	outlook        outlook
 	// The conductor's lock guards record, finishedAt, confirmedAt and saves.
 	record     recorder.Record
 	finishedAt time.Duration
@@ -59,6 +60,7 @@
 	c.lock.Lock()
 	c.unread.Remove(id)
 	c.lock.Unlock()
+	c.storeAnswered()
 	return true
 }
 
@@ -100,7 +102,8 @@
 	l = c.led[r.ID]
 	// Only a record under which this process may write becomes the guard of its writes: a commit may be under way that has not
 	// seen yet that the job is another's. Other processes change a record that has not ended only by giving it to another owner.
-	current := l != nil && r.Owner == c.Self && (r.Ended || r.Changed == l.record.Changed)
+	unread := l != nil && l.record.Changed == 0 && r.Term == 1
+	current := l != nil && r.Owner == c.Self && (r.Ended || unread || r.Changed == l.record.Changed)
 	if current {
 		l.record, l.confirmedAt = r, c.Clock.Monotonic()
 	}
@@ -275,6 +278,7 @@
 // handOver stores pending results, makes another process the owner of a job and notifies it. It reports whether that process owns
 // the job.
 func (c *Conductor) handOver(ctx context.Context, l *ledJob) bool {
+	c.readFirst(ctx, l)
 	record := c.currentRecord(l)
 	successor, ok := c.selectSuccessor(record)
 	if record.Ended || !ok {
--- a/internal/conductor/maintain.go
+++ b/internal/conductor/maintain.go
@@ -57,6 +57,7 @@
 		c.refreshAll(ctx, c.dueRefreshes())
 		c.repeatNotices(ctx)
 		c.leaveConfined(ctx)
+		c.countLoad()
 		if c.sweepDue() {
 			c.sweep(ctx)
 		}
@@ -117,6 +118,7 @@
 	}
 	for id, s := range c.unconfirmed {
 		switch age := wall.Sub(s.Submitted); {
+		case c.submitting[id] > 0:
 		case age > unconfirmedTimeout:
 			delete(c.unconfirmed, id)
 		case age > unconfirmedCheckPeriod && now-c.unconfirmedCheckedAt > unconfirmedCheckPeriod:
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -61,10 +61,11 @@
 }
 
 // selectLeader returns the process that leads the jobs of a team's model submitted in this region, without those that
-// were tried. A process that does not reach the store leaves them to another.
+// were tried. One that leads too much for its cores leaves further jobs to the next one. A process that does not reach the store
+// leaves them to another.
 func (c *Conductor) selectLeader(s batcher.Spec, tried map[identifier.Node]bool) (recorder.Registration, bool) {
 	reached := c.storeReached()
-	return c.selectProcess("model/"+string(s.Team)+"/"+string(s.Model), func(p recorder.Registration) bool {
+	return c.selectLoaded("model/"+string(s.Team)+"/"+string(s.Model), len(s.Items), func(p recorder.Registration) bool {
 		return p.Region == c.Region && !tried[p.Owner.Node] && (reached || p.Owner != c.Self)
 	})
 }
@@ -84,11 +85,19 @@
 	if closing || !c.specScope(s).AllowsEntry(c.Region) || !c.storeReached() || unfinished+len(s.Items) > workerCount {
 		return Declined
 	}
-	return c.Accept(ctx, s)
+	// The process that passed the job on waits for a shorter time than the store may be away.
+	return c.accept(ctx, s, c.Recorder.Create)
 }
 
 // Accept stores a job with this process as its owner, or with another process as its owner if this one is closing.
 func (c *Conductor) Accept(ctx context.Context, s batcher.Spec) Acceptance {
+	return c.accept(ctx, s, c.create)
+}
+
+// accept stores a job by the given call.
+func (c *Conductor) accept(
+	ctx context.Context, s batcher.Spec, create func(context.Context, batcher.Spec, recorder.Owner) (storeOutcome, error),
+) Acceptance {
 	c.lock.Lock()
 	known, seen := c.records[s.ID]
 	closing := c.closing
@@ -106,9 +115,10 @@
 			return Refused
 		}
 	}
+	defer c.beginSubmitting(s.ID)()
 	storing, cancel := timer.WithTimeout(ctx, c.Clock, submitTimeout)
 	defer cancel()
-	out, err := c.Recorder.Create(storing, s, owner.Owner)
+	out, err := create(storing, s, owner.Owner)
 	acceptance := c.acceptanceOf(ctx, s, out)
 	c.Log.Emit(logger.JobSubmitted, "job", s.ID, "team", s.Team, "items", len(s.Items), "desired", s.Desired, "least", s.Least,
 		"outcome", acceptance.String(), "store", out.String(), "error", err)
@@ -116,12 +126,44 @@
 	case acceptance != Accepted || out != applied:
 	case closing:
 		c.notify(ctx, owner, s.ID)
-	default:
-		c.Refresh(context.WithoutCancel(ctx), s.ID)
+	case !c.Refresh(context.WithoutCancel(ctx), s.ID):
+		c.leadUnread(s)
 	}
 	return acceptance
 }
 
+// beginSubmitting counts a submission that is being stored until the returned function is called.
+func (c *Conductor) beginSubmitting(id identifier.Job) (end func()) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.submitting[id]++
+	return func() {
+		c.lock.Lock()
+		defer c.lock.Unlock()
+		if c.submitting[id]--; c.submitting[id] == 0 {
+			delete(c.submitting, id)
+		}
+	}
+}
+
+// createRetryDelay is the delay before a write that stores a job and took no effect is repeated.
+const createRetryDelay = 100 * time.Millisecond
+
+// create stores a job. While the store refuses calls, it tries again until ctx ends: a submission that arrives shortly before the store is
+// back is then accepted, and the trainer does not have to submit it again.
+func (c *Conductor) create(ctx context.Context, s batcher.Spec, owner recorder.Owner) (storeOutcome, error) {
+	for {
+		out, err := c.Recorder.Create(ctx, s, owner)
+		if out != unavailable || err != nil || ctx.Err() != nil {
+			return out, err
+		}
+		c.awaitStore(ctx, createRetryDelay)
+		if ctx.Err() != nil {
+			return out, err
+		}
+	}
+}
+
 // hasRoom reports whether the bodies of a further large job fit beside those of the jobs that this process leads or has accepted.
 // A job that it knows takes no further room. A single one always fits: it could be accepted nowhere else either.
 func (c *Conductor) hasRoom(id identifier.Job, size identifier.Bytes) bool {
@@ -182,6 +224,10 @@
 		if read != applied || err != nil || record.Changed == 0 {
 			return AcceptanceUnknown
 		}
+		if record.Team == s.Team && !record.Ended {
+			// The answer to an earlier submission was lost, so that its owner may not know of the job yet.
+			c.tellOwner(context.WithoutCancel(ctx), record)
+		}
 		return acceptanceOfExisting(record, s.Team)
 	case unavailable:
 		c.dropUnconfirmed(s.ID)
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -25,6 +25,7 @@
 	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/persister"
+	"github.com/mimosalb/mimosalb/internal/rationer"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/reserver"
@@ -86,6 +87,7 @@
 	conductor *conductor.Conductor
 	observer  *isolator.Observer
 	limiter   *limiter.Limiter
+	rationer  *rationer.Rationer
 	// allotter allots the permits for the limited targets that this process is responsible for.
 	allotter limiter.Allotter
 	// cold knows which targets are cold, and starts asks targets for their starts.
@@ -140,6 +142,7 @@
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.relay.direct.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
+	e.rationer = rationer.NewRationer(e.clock)
 	cold := newColdTargets(s.ColdBound, e.limiter, e.clock, log)
 	starts := startObserver{StartReader: startGate{StartReader: p.Targets, evacuator: e.evacuator}, cold: cold}
 	e.cold, e.starts = cold, starts
@@ -152,7 +155,7 @@
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: starts, Origins: e.origins,
-		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
+		Counter: tally, Observer: e.observer, Limiter: e.limiter, Rationer: e.rationer, Clock: e.clock, Zone: s.Zone, Region: s.Region,
 		Estimator: placer.estimator,
 	})
 	e.changeBuffers = map[string]*storer.ChangeBuffer{
@@ -192,8 +195,9 @@
 		return nil, err
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
-		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Cold: e.limiter.ColdCount,
+		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Late: e.conductor.LateJobs,
+		Omitted: sampler.Omitted,
+		Held:    func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Cold: e.limiter.ColdCount,
 		Unusable:   e.targets.unusableCount.Load,
 		Evacuation: e.evacuationState(),
 		Relaying:   e.relay.relaying,
@@ -244,6 +248,12 @@
 	e.running.Go(func() { departures.Run(ctx) })
 	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
 	e.running.Go(func() { limits.Run(ctx) })
+	usage := broadcaster.NewBroadcaster(e.rationer, e.conductor.OtherMembers, e.client.ReportUsage, e.clock)
+	e.running.Go(func() { usage.Run(ctx) })
+	load := conductor.LoadSource{Conductor: e.conductor}
+	loads := broadcaster.NewBroadcaster(load, e.conductor.RegionMembers, e.client.NotifyLoad, e.clock)
+	e.running.Go(func() { loads.Run(ctx) })
+	e.running.Go(func() { e.reportUsage(ctx, e.forwarder.Router) })
 	stored := persister.NewPersister(e.observer.Isolator, e.relay.direct.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.running.Go(func() { e.origins.Run(ctx) })
@@ -278,7 +288,7 @@
 	e.running.Go(func() {
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
-			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Attributor: e.origins, Clock: e.clock,
+			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Usage: e.rationer, Attributor: e.origins, Clock: e.clock,
 			Relays: e.relay.executor,
 		}
 		if err := jobpeer.Serve(l, services); err != nil {
