--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
--- a/internal/conductor/leader_test.go
+++ b/internal/conductor/leader_test.go
@@ -45,7 +45,7 @@
 		leader, other = other, leader
 	}
 	source := conductor.LoadSource{Conductor: leader.Conductor}
-	c.Assert(cl.await(2*time.Second, func() bool { return !source.IsEmpty() }), qt.IsTrue)
+	c.Assert(cl.within(2*time.Second, func() bool { return !source.IsEmpty() }), qt.IsTrue)
 	notice, revision := source.Observed(0)
 	c.Assert(notice.Unfinished > 80, qt.IsTrue, qt.Commentf("%v", notice))
 	again, _ := source.Observed(revision)
--- a/internal/conductor/outage_test.go
+++ b/internal/conductor/outage_test.go
@@ -13,8 +13,8 @@
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
-// await waits until a condition holds, and reports whether it did within a time.
-func (cl *cluster) await(limit time.Duration, holds func() bool) bool {
+// within waits until a condition holds, and reports whether it did within a time.
+func (cl *cluster) within(limit time.Duration, holds func() bool) bool {
 	for end := cl.clock.Monotonic() + limit; !holds(); {
 		if cl.clock.Monotonic() > end {
 			return false
@@ -44,7 +44,7 @@
 		return len(results) == 80
 	}
 	// The store is probed every 50 ms here, and a failed write is repeated after 200 ms.
-	c.Assert(cl.await(500*time.Millisecond, readable), qt.IsTrue)
+	c.Assert(cl.within(500*time.Millisecond, readable), qt.IsTrue)
 	c.Assert(cl.kv.Writes()-writes <= 2, qt.IsTrue, qt.Commentf("%d writes", cl.kv.Writes()-writes))
 }
 
@@ -57,13 +57,13 @@
 	p.link.unreadable.Store(recorder.JobPrefix)
 	s := newSpec("job", 40)
 	c.Assert(p.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
-	c.Assert(cl.await(time.Second, func() bool { return cl.engine.calls.Load() >= 40 }), qt.IsTrue)
+	c.Assert(cl.within(time.Second, func() bool { return cl.engine.calls.Load() >= 40 }), qt.IsTrue)
 	results, led := p.LocalResults(t.Context(), "job", 0, 0)
 	c.Assert(led, qt.IsTrue)
 	c.Assert(results, qt.HasLen, 0)
 	p.link.unreadable.Store("")
 	r := &reader{cluster: cl, spec: s}
-	c.Assert(cl.await(2*time.Second, func() bool { r.readPage(c, p); return len(r.seen) == 40 }), qt.IsTrue)
+	c.Assert(cl.within(2*time.Second, func() bool { r.readPage(c, p); return len(r.seen) == 40 }), qt.IsTrue)
 	r.checkComplete(c)
 }
 
@@ -78,7 +78,7 @@
 	s := newSpec("job", 8)
 	c.Assert(p.Submit(t.Context(), s), qt.Equals, conductor.AcceptanceUnknown)
 	p.link.unreadable.Store("")
-	c.Assert(cl.await(time.Second, func() bool { return p.Submit(t.Context(), s) == conductor.Accepted }), qt.IsTrue)
+	c.Assert(cl.within(time.Second, func() bool { return p.Submit(t.Context(), s) == conductor.Accepted }), qt.IsTrue)
 	c.Assert(p.Led("job"), qt.IsNotNil)
 }
 
