--- a/internal/adapter/exporter/entry.go
+++ b/internal/adapter/exporter/entry.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/guarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -20,6 +21,8 @@
 	// Evacuated is the number of evacuated zones, Stranded that of services without a target outside of them.
 	Evacuated func() int
 	Stranded  func() int
+	// Guarded returns what the process holds for clients.
+	Guarded func() guarder.State
 }
 
 // Entry holds the metrics of an entry.
@@ -50,6 +53,7 @@
 	newGauge(e.registry, evacuatedZones, func() float64 { return float64(s.Evacuated()) })
 	newGauge(e.registry, strandedServices, func() float64 { return float64(s.Stranded()) })
 	newGauge(e.registry, clientConnections, func() float64 { return float64(s.Connections()) })
+	newGuardGauges(e.registry, s.Guarded)
 	e.registry.MustRegister(newZoneGauge(listedTargets, s.Listed), newZoneGauge(servingTargets, s.Serving))
 }
 
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -36,6 +36,7 @@
 	RankTallier       Rank = 165
 	RankReporter      Rank = 170
 	RankStorer        Rank = 175
+	RankGuarder       Rank = 185
 	RankConnection    Rank = 180
 	RankTimer         Rank = 190
 	RankLogger        Rank = 200
@@ -109,6 +110,8 @@
 	Reporter struct{}
 	// Storer ranks the locks of the budget and the back-off of calls to the key-value service.
 	Storer struct{}
+	// Guarder ranks the lock of what clients make a process hold.
+	Guarder struct{}
 	// Connection ranks the lock of a connection table.
 	Connection struct{}
 	// Timer ranks the lock of the timer service.
@@ -186,6 +189,9 @@
 // Rank returns RankStorer.
 func (Storer) Rank() Rank { return RankStorer }
 
+// Rank returns RankGuarder.
+func (Guarder) Rank() Rank { return RankGuarder }
+
 // Rank returns RankConnection.
 func (Connection) Rank() Rank { return RankConnection }
 
