--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -240,7 +240,7 @@
 		Self: me, Recorder: recorder.NewRecorder(store.WithPurpose(storer.PurposeRun), codec.Jobs{}), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: l, Opener: cl.engine, Peers: peers{cluster: cl}, Clock: cl.clock, Zone: "z", Retention: 2 * time.Minute,
 		Region:       cl.regions[node],
-		StoreReached: l.reachesStore, JobMemory: cl.jobMemory,
+		StoreReached: l.reachesStore, JobMemory: cl.jobMemory, BySlack: true,
 		Estimator: learned, Shape: func(func(string) string) estimator.Shape { return estimator.Shape{} },
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -67,6 +67,9 @@
 	// to their work if one of them is nil.
 	Estimator *estimator.Estimator
 	Shape     func(header func(name string) string) estimator.Shape
+	// BySlack orders items by the time that their jobs have left compared with the time still needed; without it the items of the job
+	// that was submitted first come first.
+	BySlack bool
 	// JobMemory bounds the bodies of the large jobs that this process accepts; zero if they are not bounded.
 	JobMemory identifier.Bytes
 	// Bodies is the memory in which large jobs are read; nil if it is not bounded.
--- a/internal/conductor/order.go
+++ b/internal/conductor/order.go
@@ -68,7 +68,7 @@
 // refreshOutlook counts what a job with a due time still needs, once every outlookPeriod.
 func (c *Conductor) refreshOutlook(l *ledJob, route navigator.Route, service identifier.Service, now time.Duration) {
 	o := &l.outlook
-	if route.ResultDue <= 0 || o.counted && now-o.at < outlookPeriod {
+	if !c.BySlack || route.ResultDue <= 0 || o.counted && now-o.at < outlookPeriod {
 		return
 	}
 	o.counted, o.at = true, now
@@ -78,6 +78,9 @@
 
 // rank returns the place of the items of a job that the trainer waits for.
 func (c *Conductor) rank(l *ledJob, route navigator.Route, now time.Duration) ranker.Rank {
+	if !c.BySlack {
+		return ranker.Rank{Priority: route.Priority}
+	}
 	priority, set := c.order.teams[l.job.Spec().Team]
 	if !set || route.ResultDue <= 0 {
 		priority = route.Priority
