--- a/cmd/mimosalb-node/main.go
+++ b/cmd/mimosalb-node/main.go
@@ -46,6 +46,7 @@
 	relay := app.Flag("relay", "Let an entry that does not reach the key-value service make its calls through another entry.").Default("true").Bool()
 	placement := app.Flag("placement", "How an entry places the items of batch jobs: by expected cost, or by free slots alone.").
 		Default(string(hoster.PlaceByCost)).Enum(string(hoster.PlaceByCost), string(hoster.PlaceBySlots))
+	slack := app.Flag("slack", "Let an entry decide under load by slack, measured speeds, expected waits and shares of teams.").Bool()
 	entry := app.Command("entry", "Serve callers and trainers.")
 	app.Command("controller", "Campaign for the duty of switching weight versions and reporting usage.")
 	check := app.Command("check", "Check the settings file and start nothing.")
@@ -64,7 +65,7 @@
 	lines := logger.NewBoundedWriter(os.Stdout)
 	log := logger.NewLogger(string(settings.Node), *level, lines)
 	hosted := settings.Hosted(address(settings, *metrics))
-	hosted.WithoutRelay = !*relay
+	hosted.WithoutRelay, hosted.BySlack = !*relay, *slack
 	process, err := start(command == entry.FullCommand(), settings, hosted, hoster.Observers{
 		Log: log, Lines: lines, Metrics: exporter.NewHosted(),
 	})
--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -179,12 +179,23 @@
 	}
 }
 
+// stallLimits returns the limits of the waits for the events of an attempt.
+func (c *Conductor) stallLimits(a assignment, now time.Duration) pacer.Limits {
+	if !c.BySlack {
+		return pacer.StallLimits(pacer.Pace{}, pacer.Pace{})
+	}
+	return pacer.StallLimits(c.Registrar.Paces(a.target.ID, now))
+}
+
 // worthMoving reports whether the text of an attempt is complete sooner at another target.
 func (c *Conductor) worthMoving(a assignment, t *eventTimings, now time.Duration) bool {
 	events := int(t.events.Load())
 	if events < minEventsBeforeMove || !c.Registrar.IsSlow(a.target.ID, now) {
 		return false
 	}
+	if !c.BySlack {
+		return true
+	}
 	own, peers := c.Registrar.Paces(a.target.ID, now)
 	return pacer.WorthMoving(own, peers, a.task.Item.Hint, a.task.Events+events)
 }
@@ -213,7 +224,7 @@
 			return
 		case <-ticks.C():
 			now := c.Clock.Monotonic()
-			if t.overdue(now, pacer.StallLimits(c.Registrar.Paces(a.target.ID, now))) {
+			if t.overdue(now, c.stallLimits(a, now)) {
 				cancel(errEventOverdue)
 				return
 			}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -67,8 +67,9 @@
 	// to their work if one of them is nil.
 	Estimator *estimator.Estimator
 	Shape     func(header func(name string) string) estimator.Shape
-	// BySlack orders items by the time that their jobs have left compared with the time still needed; without it the items of the job
-	// that was submitted first come first.
+	// BySlack orders items by the time that their jobs have left compared with the time still needed, cuts and moves attempts by measured
+	// speeds, and keeps jobs from processes that lead much. Without it the items of the job that was submitted first come first, stalls have
+	// fixed limits, and attempts move to any faster target.
 	BySlack bool
 	// JobMemory bounds the bodies of the large jobs that this process accepts; zero if they are not bounded.
 	JobMemory identifier.Bytes
--- a/internal/conductor/leader.go
+++ b/internal/conductor/leader.go
@@ -118,6 +118,9 @@
 
 // selectLoaded chooses the process that leads a job with a number of items, among those that selectProcess chooses from.
 func (c *Conductor) selectLoaded(key string, items int, eligible func(recorder.Registration) bool) (recorder.Registration, bool) {
+	if !c.BySlack {
+		return c.selectProcess(key, eligible)
+	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	capable := c.capableMembers(eligible)
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -145,7 +145,9 @@
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.relay.direct.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
-	e.rationer = rationer.NewRationer(e.clock)
+	if s.BySlack {
+		e.rationer = rationer.NewRationer(e.clock)
+	}
 	cold := newColdTargets(s.ColdBound, e.limiter, e.clock, log)
 	starts := startObserver{StartReader: startGate{StartReader: p.Targets, evacuator: e.evacuator}, cold: cold}
 	e.cold, e.starts = cold, starts
@@ -177,7 +179,7 @@
 		Self: e.owner(), Recorder: recorder.NewRecorder(e.store.WithPurpose(storer.PurposeRun), e.codec), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: calls, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
-		StoreReached: e.presence.reachedJustNow, JobMemory: s.Memory / jobMemoryDivisor, Bodies: bodies,
+		StoreReached: e.presence.reachedJustNow, BySlack: s.BySlack, JobMemory: s.Memory / jobMemoryDivisor, Bodies: bodies,
 		Stranded:  e.stranded.contains,
 		Estimator: placer.estimator, Shape: p.Shape,
 	})
@@ -252,12 +254,9 @@
 	e.running.Go(func() { departures.Run(ctx) })
 	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
 	e.running.Go(func() { limits.Run(ctx) })
-	usage := broadcaster.NewBroadcaster(e.rationer, e.conductor.OtherMembers, e.client.ReportUsage, e.clock)
-	e.running.Go(func() { usage.Run(ctx) })
-	load := conductor.LoadSource{Conductor: e.conductor}
-	loads := broadcaster.NewBroadcaster(load, e.conductor.RegionMembers, e.client.NotifyLoad, e.clock)
-	e.running.Go(func() { loads.Run(ctx) })
-	e.running.Go(func() { e.reportUsage(ctx, e.forwarder.Router) })
+	if e.BySlack {
+		e.shareLoads(ctx)
+	}
 	stored := persister.NewPersister(e.observer.Isolator, e.relay.direct.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.running.Go(func() { e.origins.Run(ctx) })
@@ -295,7 +294,7 @@
 	e.running.Go(func() {
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
-			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Usage: e.rationer, Attributor: e.origins, Clock: e.clock,
+			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Usage: e.usageTaker(), Attributor: e.origins, Clock: e.clock,
 			Relays: e.relay.executor,
 		}
 		if err := jobpeer.Serve(guardedconn.NewListener(l, e.guards.peers), services); err != nil {
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -125,6 +125,9 @@
 	Evacuate time.Duration
 	// WithoutRelay makes an entry that does not reach the key-value service wait, instead of making its calls through another entry.
 	WithoutRelay bool
+	// BySlack makes an entry order batch items by the time that their jobs have left, cut and move attempts by measured speeds, and refuse
+	// requests by their expected wait and the shares of teams.
+	BySlack bool
 	// Placement is how an entry places the items of batch jobs; the empty one is PlaceByCost.
 	Placement Placement
 	// ColdBound bounds the requests that a cold target may get.
