--- a/internal/conductor/attempt_test.go
+++ b/internal/conductor/attempt_test.go
@@ -18,7 +18,7 @@
 func TestShortTextsStay(t *testing.T) {
 	c := qt.New(t)
 	reg, now := registrar.NewRegistrar(nil), time.Second
-	conduct := conductor.NewConductor(conductor.Dependencies{Registrar: reg, Router: router.NewRouter(), Clock: &timer.Manual{}})
+	conduct := conductor.NewConductor(conductor.Dependencies{Registrar: reg, Router: router.NewRouter(), Clock: &timer.Manual{}, BySlack: true})
 	for id, interval := range map[identifier.Target]time.Duration{"a": 20, "b": 20, "c": 20, "slow": 60} {
 		reg.Put(registrar.Listing{ID: id, Service: "s"})
 		for range 8 {
