--- a/internal/adapter/jobpeer/jobpeer.go
+++ b/internal/adapter/jobpeer/jobpeer.go
@@ -24,13 +24,6 @@
 	"github.com/mimosalb/mimosalb/internal/timer"
 )
 
-const (
-	// replyMargin is the time that a reply may take in addition to the requested wait.
-	replyMargin = 400 * time.Millisecond
-	// maxWait limits how long a read may wait before it replies.
-	maxWait = 5 * time.Second
-)
-
 // Query asks for the results of a job, starting at position After.
 type Query struct {
 	Job   identifier.Job
@@ -176,8 +169,9 @@
 	// Allotter allots permits for limited targets, and Limiter takes in which these are.
 	Allotter Allotter
 	Limiter  *limiter.Limiter
-	// Departures takes in which targets leave.
+	// Departures takes in which targets leave, Usage what other processes have at them.
 	Departures Departures
+	Usage      UsageTaker
 	// Placements takes in what other leading entries have in flight.
 	Placements PlacementReceiver
 	// Attributor keeps the origins of streams. It needs Clock.
@@ -190,7 +184,7 @@
 func (s Services) receivers() []any {
 	all := []any{&Feeds{buffers: s.Buffers}}
 	if s.Jobs != nil {
-		all = append(all, &Jobs{handler: s.Jobs})
+		all = append(all, jobReceivers(s.Jobs)...)
 	}
 	if s.Isolator != nil {
 		all = append(all, &Crashes{isolator: s.Isolator, clock: s.Clock})
@@ -204,6 +198,9 @@
 	if s.Placements != nil {
 		all = append(all, &Placements{receiver: s.Placements})
 	}
+	if s.Usage != nil {
+		all = append(all, &Usage{taker: s.Usage})
+	}
 	if s.Attributor != nil {
 		all = append(all, &Origins{attributor: s.Attributor, clock: s.Clock})
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -67,6 +67,10 @@
 	// to their work if one of them is nil.
 	Estimator *estimator.Estimator
 	Shape     func(header func(name string) string) estimator.Shape
+	// BySlack orders items by the time that their jobs have left compared with the time still needed, cuts and moves attempts by measured
+	// speeds, and keeps jobs from processes that lead much. Without it the items of the job that was submitted first come first, stalls have
+	// fixed limits, and attempts move to any faster target.
+	BySlack bool
 	// JobMemory bounds the bodies of the large jobs that this process accepts; zero if they are not bounded.
 	JobMemory identifier.Bytes
 	// Bodies is the memory in which large jobs are read; nil if it is not bounded.
@@ -94,6 +98,8 @@
 	// unconfirmedCheckedAt is when it last tried to read those records.
 	unconfirmed          map[identifier.Job]batcher.Spec
 	unconfirmedCheckedAt time.Duration
+	// submitting counts the submissions of a job that are being stored. Its record is not looked for meanwhile.
+	submitting map[identifier.Job]int
 	// unread holds the jobs of which a read failed, and unnotified the owners that were not notified of a change.
 	unread     retries[struct{}]
 	unnotified retries[recorder.Owner]
@@ -108,6 +114,9 @@
 	membershipChangedAt, sweptAt, nextSweepAt time.Duration
 	// closing is set by Close; no further job is led from then on.
 	closing bool
+	outage  outage
+	loads   loads
+	order   order
 
 	queue      *worker.Queue[assignment]
 	pool       *worker.Pool[assignment]
@@ -121,7 +130,8 @@
 	return &Conductor{
 		Dependencies: deps, records: make(map[identifier.Job]recorder.Record), members: make(map[identifier.Node]recorder.Registration),
 		led: make(map[identifier.Job]*ledJob), loading: make(map[identifier.Job]bool),
-		unconfirmed: make(map[identifier.Job]batcher.Spec), queue: worker.NewQueue[assignment](workerCount), wake: make(chan struct{}, 1),
+		unconfirmed: make(map[identifier.Job]batcher.Spec), submitting: make(map[identifier.Job]int),
+		queue: worker.NewQueue[assignment](workerCount), wake: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/conductor/export_test.go
+++ b/internal/conductor/export_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"time"
 
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -37,6 +40,28 @@
 	return c.membershipCurrent
 }
 
+// ChooseLeader returns the node that leads a job with some items, where the first process has the highest score.
+func ChooseLeader(items int, cores []float64, unfinished []int) identifier.Node {
+	all := make([]leaderCandidate, 0, len(cores))
+	for i := range cores {
+		p := recorder.Registration{Owner: recorder.Owner{Node: identifier.Node(fmt.Sprint("n", i))}, Cores: cores[i]}
+		all = append(all, leaderCandidate{process: p, score: float64(-i), unfinished: unfinished[i]})
+	}
+	leader, _ := chooseLeader(all, items)
+	return leader.Owner.Node
+}
+
+// LooksFor reports whether the record of a job that was submitted long ago is read, while it is being stored or not.
+func (c *Conductor) LooksFor(s batcher.Spec, storing bool) bool {
+	if storing {
+		defer c.beginSubmitting(s.ID)()
+	}
+	c.lock.Lock()
+	c.unconfirmed[s.ID], c.unconfirmedCheckedAt = s, -time.Hour
+	c.lock.Unlock()
+	return slices.Contains(c.dueRefreshes(), s.ID)
+}
+
 // Led returns a job that this process leads.
 func (c *Conductor) Led(id identifier.Job) *ledJob {
 	c.lock.Lock()
@@ -48,3 +73,10 @@
 func (c *Conductor) StoreLate(ctx context.Context, l *ledJob, r batcher.Result) bool {
 	return c.storeResults(ctx, l, 0, []batcher.Result{r})
 }
+
+// MovesText reports whether an attempt that wrote all events of a text so far is given up for a faster target.
+func (c *Conductor) MovesText(target identifier.Target, hint, events int, now time.Duration) bool {
+	var t eventTimings
+	t.events.Store(int64(events))
+	return c.worthMoving(assignment{target: router.Target{ID: target}, task: batcher.Task{Item: batcher.Item{Hint: hint}}}, &t, now)
+}
--- a/internal/container/rank.go
+++ b/internal/container/rank.go
@@ -15,6 +15,7 @@
 	RankScheduler     Rank = 70
 	RankRouter        Rank = 80
 	RankEstimator     Rank = 85
+	RankRationer      Rank = 86
 	RankAnnouncer     Rank = 87
 	RankRetrier       Rank = 90
 	RankClaimer       Rank = 95
@@ -83,6 +84,8 @@
 	Estimator struct{}
 	// Announcer ranks the lock of what leading entries tell each other.
 	Announcer struct{}
+	// Rationer ranks the lock of the requests that entries admitted.
+	Rationer struct{}
 	// Retrier ranks the locks of the retry budget and the latency statistics.
 	Retrier struct{}
 	// Claimer ranks the lock of the claims.
@@ -147,6 +150,9 @@
 // Rank returns RankAnnouncer.
 func (Announcer) Rank() Rank { return RankAnnouncer }
 
+// Rank returns RankRationer.
+func (Rationer) Rank() Rank { return RankRationer }
+
 // Rank returns RankRetrier.
 func (Retrier) Rank() Rank { return RankRetrier }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
+	"github.com/mimosalb/mimosalb/internal/rationer"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/reserver"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -71,6 +72,8 @@
 	Estimator *estimator.Estimator
 	// Limiter keeps to the rates that targets name; if it is nil, nothing is limited.
 	Limiter *limiter.Limiter
+	// Rationer refuses what can't be served in time; if it is nil, nothing is refused for that.
+	Rationer *rationer.Rationer
 	// Answers is the memory in which more than a small part of an answer is buffered; nil means without bound.
 	Answers *reserver.Reserver
 	Clock   timer.Service
@@ -199,10 +202,7 @@
 		x.result.RetryAfter, x.result.Fingerprint = left, x.fingerprint()
 		return x.result
 	}
-	if route.Kind == navigator.Stream {
-		return x.forwardStream(ctx, sink)
-	}
-	return x.forwardUnary(ctx, sink)
+	return x.forwardAdmitted(ctx, sink, now)
 }
 
 func (r Result) notRun(reason Reason) Result {
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -56,6 +56,8 @@
 	OriginUnknown      Reason = "what began the stream is not known"
 	OriginGone         Reason = "no target of the software version that began the stream"
 	Confined           Reason = "no target in the regions that the request is confined to"
+	NoRoom             Reason = "no target has room within the time of the request"
+	OverShare          Reason = "the team has its share of the targets"
 	Suspect            Reason = "targets broke off under this request"
 )
 
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -26,6 +26,7 @@
 	"github.com/mimosalb/mimosalb/internal/meter"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/persister"
+	"github.com/mimosalb/mimosalb/internal/rationer"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/registrar"
 	"github.com/mimosalb/mimosalb/internal/reserver"
@@ -89,6 +90,7 @@
 	conductor *conductor.Conductor
 	observer  *isolator.Observer
 	limiter   *limiter.Limiter
+	rationer  *rationer.Rationer
 	// allotter allots the permits for the limited targets that this process is responsible for.
 	allotter limiter.Allotter
 	// cold knows which targets are cold, and starts asks targets for their starts.
@@ -143,6 +145,9 @@
 		meter.Calendar{Length: s.Window}, s.Node, e.incarnation, e.relay.direct.WithPurpose(storer.PurposeSeal), e.codec, e.clock, log)
 	e.observer = isolator.NewObserver()
 	e.limiter = limiter.NewLimiter(permitSource{e}, e.clock, func() { e.conductor.TriggerAssignment() })
+	if s.BySlack {
+		e.rationer = rationer.NewRationer(e.clock)
+	}
 	cold := newColdTargets(s.ColdBound, e.limiter, e.clock, log)
 	starts := startObserver{StartReader: startGate{StartReader: p.Targets, evacuator: e.evacuator}, cold: cold}
 	e.cold, e.starts = cold, starts
@@ -155,7 +160,7 @@
 	e.origins = attributor.NewAttributor(origins, originPeer{e}, e.clock)
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: starts, Origins: e.origins,
-		Counter: tally, Observer: e.observer, Limiter: e.limiter, Clock: e.clock, Zone: s.Zone, Region: s.Region,
+		Counter: tally, Observer: e.observer, Limiter: e.limiter, Rationer: e.rationer, Clock: e.clock, Zone: s.Zone, Region: s.Region,
 		Estimator: placer.estimator,
 		Answers:   reserver.NewReserver(s.Memory / answerMemoryDivisor),
 	})
@@ -174,7 +179,7 @@
 		Self: e.owner(), Recorder: recorder.NewRecorder(e.store.WithPurpose(storer.PurposeRun), e.codec), Navigator: nav, Registrar: reg, Router: route,
 		Forwarder: fwd, Caller: calls, Opener: p.Targets, Peers: e.client, Clock: e.clock, Log: log,
 		Zone: s.Zone, Region: s.Region, Retention: s.Retention, ObserveAttempt: o.Metrics.Item, Sampler: sampler,
-		StoreReached: e.presence.reachedJustNow, JobMemory: s.Memory / jobMemoryDivisor, Bodies: bodies,
+		StoreReached: e.presence.reachedJustNow, BySlack: s.BySlack, JobMemory: s.Memory / jobMemoryDivisor, Bodies: bodies,
 		Stranded:  e.stranded.contains,
 		Estimator: placer.estimator, Shape: p.Shape,
 	})
@@ -196,8 +201,9 @@
 		return nil, err
 	}
 	stopMetrics, err := e.serveMetrics(exporter.HostedState{
-		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Omitted: sampler.Omitted,
-		Held: func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Cold: e.limiter.ColdCount,
+		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Late: e.conductor.LateJobs,
+		Omitted: sampler.Omitted,
+		Held:    func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Cold: e.limiter.ColdCount,
 		Unusable:   e.targets.unusableCount.Load,
 		Evacuation: e.evacuationState(),
 		Relaying:   e.relay.relaying,
@@ -248,6 +254,9 @@
 	e.running.Go(func() { departures.Run(ctx) })
 	limits := broadcaster.NewBroadcaster(e.limiter, e.conductor.OtherMembers, e.client.NotifyLimits, e.clock)
 	e.running.Go(func() { limits.Run(ctx) })
+	if e.BySlack {
+		e.shareLoads(ctx)
+	}
 	stored := persister.NewPersister(e.observer.Isolator, e.relay.direct.WithPurpose(storer.PurposeRun), e.codec, e.clock, e.log)
 	e.running.Go(func() { stored.Run(ctx) })
 	e.running.Go(func() { e.origins.Run(ctx) })
@@ -285,7 +294,7 @@
 	e.running.Go(func() {
 		services := jobpeer.Services{
 			Jobs: e.conductor, Buffers: e.changeBuffers, Isolator: e.observer.Isolator, Allotter: permitSource{e},
-			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Attributor: e.origins, Clock: e.clock,
+			Limiter: e.limiter, Departures: departureSource{e}, Placements: e.placer, Usage: e.usageTaker(), Attributor: e.origins, Clock: e.clock,
 			Relays: e.relay.executor,
 		}
 		if err := jobpeer.Serve(guardedconn.NewListener(l, e.guards.peers), services); err != nil {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -221,6 +221,8 @@
 		Number: 1109, Level: hclog.Error, Text: "allowed regions without a target",
 		Action: "correct allowed-regions, or start targets of the service there; the requests are refused until then",
 	}
+	JobLedUnread          = Event{Number: 1527, Level: hclog.Info, Text: "batch job led before its record was read", Action: "none"}
+	StandingChanged       = Event{Number: 1526, Level: hclog.Info, Text: "time left to a batch job compared with its work changed", Action: "none"}
 	WantedVersionReceived = Event{Number: 1530, Level: hclog.Info, Text: "wanted weight version received", Action: "none"}
 	LoadOrdered           = Event{Number: 1531, Level: hclog.Info, Text: "load of weights ordered", Action: "none"}
 	LoadEnded             = Event{Number: 1532, Level: hclog.Info, Text: "load of weights ended or abandoned", Action: "none"}
@@ -243,7 +245,8 @@
 		ZoneEvacuated, ZoneTakenBack, ZoneUnknown, ServiceStranded, ServiceRegained, RequestHeld, RequestAnswered,
 		RequestRefused, RequestFailed, AnswerUnusable, RequestReleased, ConnectionStale, StatusInvalid, OriginsUnsaved,
 		JobSubmitted, JobLeadBegan, JobLeadEnded, JobAdopted, JobHandedOver, JobEnded,
-		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved, TextRestarted, JobWaiting,
+		JobErased, JobUnreadable, ResultsHeld, JobRead, ItemAttempted, ItemScored, TextsReused, TextsUnsaved,
+		TextRestarted, JobWaiting, StandingChanged, JobLedUnread,
 		WantedVersionReceived, LoadOrdered, LoadEnded, TargetNotDrained, TargetNotStarted, OrderRefused,
 		OrdersHeld, TargetLimited, TargetUnlimited, RateUnreadable, TargetLeaving, TargetCold,
 		DiskVMReleased, MeterTakenOver, ReportDelayed, UsageReported, CountsLost,
