--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/guardedconn"
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
 	"github.com/mimosalb/mimosalb/internal/attributor"
@@ -18,7 +17,6 @@
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
-	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/interpreter"
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
@@ -164,13 +162,7 @@
 		Estimator: placer.estimator,
 		Answers:   reserver.NewReserver(s.Memory / answerMemoryDivisor),
 	})
-	e.changeBuffers = map[string]*storer.ChangeBuffer{
-		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
-		p.TargetPrefix: storer.NewChangeBuffer(e.clock, watchWait(e.Drain)+bufferAgeMargin),
-	}
-	if e.evacuator != nil {
-		e.changeBuffers[p.EvacuationPrefix] = storer.NewChangeBuffer(e.clock, watchWait(e.evacuationDelay())+bufferAgeMargin)
-	}
+	e.changeBuffers = e.newChangeBuffers()
 	e.forwarder = fwd
 	bodies := reserver.NewReserver(3 * s.Memory / bodyMemoryDivisor)
 	e.presence = newPresence(e.base)
@@ -200,15 +192,7 @@
 	if err := e.serve(); err != nil {
 		return nil, err
 	}
-	stopMetrics, err := e.serveMetrics(exporter.HostedState{
-		Revision: func() identifier.Revision { return nav.Current().Revision() }, Leading: e.conductor.JobCount, Late: e.conductor.LateJobs,
-		Omitted: sampler.Omitted,
-		Held:    func() int { return e.observer.HeldCount(e.clock.Now()) }, Limited: e.limiter.Count, Cold: e.limiter.ColdCount,
-		Unusable:   e.targets.unusableCount.Load,
-		Evacuation: e.evacuationState(),
-		Relaying:   e.relay.relaying,
-		Kinds:      placer.estimator.Count, Deviation: placer.estimator.Deviation,
-	})
+	stopMetrics, err := e.serveMetrics(e.state(nav, sampler))
 	if err != nil {
 		return nil, err
 	}
@@ -219,6 +203,19 @@
 	return e, nil
 }
 
+// newChangeBuffers returns the buffers in which this entry keeps the changes that it reads for others, by key prefix.
+func (e *Entry) newChangeBuffers() map[string]*storer.ChangeBuffer {
+	p := e.platform
+	buffers := map[string]*storer.ChangeBuffer{
+		p.PlanPrefix:   storer.NewChangeBuffer(e.clock, watchWait(e.Apply)+bufferAgeMargin),
+		p.TargetPrefix: storer.NewChangeBuffer(e.clock, watchWait(e.Drain)+bufferAgeMargin),
+	}
+	if e.evacuator != nil {
+		buffers[p.EvacuationPrefix] = storer.NewChangeBuffer(e.clock, watchWait(e.evacuationDelay())+bufferAgeMargin)
+	}
+	return buffers
+}
+
 // startBackground follows the key-value service and starts the periodic work, until the entry stops.
 func (e *Entry) startBackground(operators *operatorView, tally *tallier.Tallier) {
 	ctx, cancel := context.WithCancel(context.Background())
