--- a/internal/announcer/notice.go
+++ b/internal/announcer/notice.go
@@ -32,7 +32,7 @@
 	// bytesPerSecond bounds what an entry sends in notices to all others, below the 21 KB/s that a node may spend on control. Three others
 	// before 40 targets are told four times a second with it, and only every half second with half of it.
 	bytesPerSecond = 16 << 10
-	// headBytes and loadBytes are the sizes of an encoded notice without loads and of one load, a little more than was measured (81 and 26
+	// headBytes and loadBytes are the sizes of an encoded notice without loads and of one load, rounded up (81 and 26
 	// bytes).
 	headBytes = 160
 	loadBytes = 28
