configurator: an edit is checked with the keys that it keeps

Cause: Propose checked an edit and then added the withdrawn keys in force. If the edit removed the team of such a key, the stored document failed the check at every node: it was never adopted, and each later edit was refused. Change: the keys are added first. Measured: TestProposeChecksWhatIsStored fails before the change (Accepted, with keys[1].team as a problem of the stored document) and passes after it; the tests of configurator and publisher pass.

--- a/internal/configurator/configurator.go
+++ b/internal/configurator/configurator.go
@@ -96,13 +96,14 @@
 	if base != current.revision {
 		return current, Conflicting, nil
 	}
-	if ps := edited.Check(); len(ps) > 0 {
-		return current, InvalidEdit, ps
-	}
 	for _, k := range current.keys {
 		if k.Withdrawn {
 			edited = edited.WithKey(k)
 		}
 	}
+	// The keys that are kept are checked as well: a document that no node can adopt would else be stored.
+	if ps := edited.Check(); len(ps) > 0 {
+		return current, InvalidEdit, ps
+	}
 	return edited.WithRevision(current.revision + 1), Accepted, nil
 }
--- a/internal/configurator/configurator_test.go
+++ b/internal/configurator/configurator_test.go
@@ -50,6 +50,18 @@
 	c.Assert(next.Keys()[0].Withdrawn, qt.IsTrue)
 }
 
+// Guards against an edit that is stored although no node can adopt it: the withdrawn key that it lacks is kept, but belongs to a
+// team that the edit removes.
+func TestProposeChecksWhatIsStored(t *testing.T) {
+	c := qt.New(t)
+	current := base().WithKey(configurator.Key{Caller: "driver", Team: "routing", Withdrawn: true})
+	edited := configurator.Document{}.WithTeams(configurator.Team{Name: "billing"}).
+		WithKeys(configurator.Key{Caller: "clerk", Team: "billing"})
+	next, edit, problems := configurator.Propose(current, edited, 1)
+	c.Assert(edit, qt.Equals, configurator.InvalidEdit, qt.Commentf("%v", next.Check()))
+	c.Assert(problems, qt.HasLen, 1)
+}
+
 // Guards against documents that share memory: changing a copy must not change the document.
 func TestDocumentIsImmutable(t *testing.T) {
 	c := qt.New(t)
