checker, configurator, codec: findings of a check with kind, severity, path and line

Cause: a check of a configuration told only what makes it invalid, one error could hide others, and nothing told of entries that never take effect or of limits that contradict each other. Numbers that are not finite are problems: they could not be stored.

--- a/internal/adapter/codec/codec_test.go
+++ b/internal/adapter/codec/codec_test.go
@@ -6,17 +6,21 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/checker"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 )
 
-// Guards against a document that changes when it is stored and read again, and against a panic on malformed input.
+// Guards against a document that changes when it is stored and read again, against a panic on malformed input, and against a check that
+// passes what apply refuses or refuses what it takes.
 func FuzzDocument(f *testing.F) {
 	key := configurator.Key{Caller: "driver", Team: "routing", Withdrawn: true}
 	doc := configurator.Document{}.WithPreset(configurator.Peak).WithRevision(3).
 		WithTeams(configurator.Team{Name: "routing", Weight: 2}).WithKeys(key).
 		WithServices(configurator.Service{Name: "matcher", Kind: configurator.Model, Timeout: 3})
 	f.Add(codec.Encode(doc))
-	for _, seed := range []string{`{`, `null`, `{"services":[{"timeout":"x"}]}`, `{"keys":[{"hash":"AA=="}]}`, "preset: \xff", "zones: [{name: a}]"} {
+	for _, seed := range []string{
+		`{`, `null`, `{"services":[{"timeout":"x"}]}`, `{"keys":[{"hash":"AA=="}]}`, "preset: \xff", "zones: [{name: a}]", "teams: [{weight: .nan}]",
+	} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -26,6 +30,15 @@
 				t.Errorf("problem %+v names no line, field or expectation", p)
 			}
 		}
+		findings := codec.NewReview("f.yaml", data).Findings()
+		if checker.Count(findings, checker.Error) != len(problems) {
+			t.Errorf("check found %v, and apply %v", findings, problems)
+		}
+		for _, f := range findings {
+			if f.Place.Line < 1 || f.Place.Path == "" || f.Other.Path != "" && f.Other.Line < 1 {
+				t.Errorf("finding %+v names no line or path", f)
+			}
+		}
 		d, err := codec.Decode(data)
 		if err != nil || len(d.Check()) > 0 {
 			return
--- a/internal/configurator/problem.go
+++ b/internal/configurator/problem.go
@@ -2,13 +2,19 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
+
+	"github.com/mimosalb/mimosalb/internal/checker"
 )
 
-// Problem describes an invalid field of a document and what is expected there.
+// Problem describes an invalid field of a document and what is expected there. A document with a problem is not adopted.
 type Problem struct {
 	Field string
 	Want  string
+	Kind  checker.Kind
+	// Other is the field of an earlier element that the problem refers to; empty if there is none.
+	Other string
 }
 
 // String returns the field and the expectation.
@@ -28,7 +34,7 @@
 		if !slices.Contains(Presets(), r.Preset) {
 			ps = append(ps, Problem{Field: fieldPath("presets", i, "name"), Want: "one of ordinary, peak, maintenance"})
 		}
-		if r.RolloutShare < 0 || r.RolloutShare > 1 {
+		if isNegative(r.RolloutShare) || r.RolloutShare > 1 {
 			ps = append(ps, Problem{Field: fieldPath("presets", i, "rollouts"), Want: "a share from 0 to 1"})
 		}
 	}
@@ -54,7 +60,7 @@
 		if t.Name == "" {
 			ps = append(ps, Problem{Field: fieldPath("teams", i, "name"), Want: "a name"})
 		}
-		if t.Weight < 0 {
+		if isNegative(t.Weight) {
 			ps = append(ps, Problem{Field: fieldPath("teams", i, "weight"), Want: "a weight of zero or more"})
 		}
 		ps = append(ps, t.Limits.check(fieldPath("teams", i, "limits"))...)
@@ -69,7 +75,7 @@
 			ps = append(ps, Problem{Field: fieldPath("keys", i, "name"), Want: "a name"})
 		}
 		if _, ok := d.Team(k.Team); !ok {
-			ps = append(ps, Problem{Field: fieldPath("keys", i, "team"), Want: "the name of a team of this document"})
+			ps = append(ps, Problem{Field: fieldPath("keys", i, "team"), Want: "the name of a team of this document", Kind: checker.Unknown})
 		}
 	}
 	return append(ps, duplicates("keys", d.keys, func(k Key) string { return string(k.Caller) })...)
@@ -93,21 +99,27 @@
 }
 
 func (l Limits) check(field string) []Problem {
-	if l.RequestRate < 0 || l.TokenRate < 0 || l.Concurrency < 0 {
+	if isNegative(l.RequestRate) || isNegative(l.TokenRate) || l.Concurrency < 0 {
 		return []Problem{{Field: field, Want: "limits of zero or more"}}
 	}
 	return nil
 }
 
+// isNegative reports whether v is below zero or not finite. A number that is not finite can't be stored.
+func isNegative(v float64) bool { return v < 0 || math.IsNaN(v) || math.IsInf(v, 0) }
+
 // duplicates returns a problem for each element whose name occurred earlier in the list.
 func duplicates[T any](field string, all []T, name func(T) string) []Problem {
 	var ps []Problem
-	seen := make(map[string]bool, len(all))
+	first := make(map[string]int, len(all))
 	for i, v := range all {
-		if seen[name(v)] {
-			ps = append(ps, Problem{Field: fieldPath(field, i, "name"), Want: "a name that occurs once"})
+		if earlier, seen := first[name(v)]; seen {
+			ps = append(ps, Problem{
+				Field: fieldPath(field, i, "name"), Want: "a name that occurs once", Kind: checker.Covered, Other: fieldPath(field, earlier, "name"),
+			})
+			continue
 		}
-		seen[name(v)] = true
+		first[name(v)] = i
 	}
 	return ps
 }
