commander: mimosactl check

Change: mimosactl check FILE shows the findings with their lines and the differences from the version in force, as text, JSON or YAML. Exit code 0: no findings, 1: findings, 2: the check could not be made.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -2,6 +2,7 @@
 package commander
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,8 @@
 type command struct {
 	clause *kingpin.CmdClause
 	run    func(ctx context.Context, c *client) (Listing, error)
+	// failed is the exit code of every failure of the command; if it is zero, the failure has its own.
+	failed Code
 }
 
 // options are the flags that all commands share.
@@ -38,7 +41,7 @@
 
 	commands := make(map[string]command)
 	for _, add := range []func(*kingpin.Application) []command{
-		documentCommands, presetCommands, teamCommands, keyCommands, serviceCommands, targetCommands, zoneCommands,
+		documentCommands, checkCommands, presetCommands, teamCommands, keyCommands, serviceCommands, targetCommands, zoneCommands,
 		statusCommands, explainCommands,
 	} {
 		for _, cmd := range add(app) {
@@ -55,11 +58,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	defer cancel()
-	err = o.execute(ctx, commands[name], out)
+	code, err := o.execute(ctx, commands[name], out)
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "mimosactl: %v\n", err)
+		return cmp.Or(commands[name].failed, codeOf(err))
 	}
-	return codeOf(err)
+	return code
 }
 
 // parserExit is the panic value that unwinds the parser when it calls its Terminate function to end the process.
@@ -82,22 +86,22 @@
 	return name, false, err
 }
 
-// execute runs cmd and writes its listing in the requested format.
-func (o *options) execute(ctx context.Context, cmd command, out io.Writer) error {
+// execute runs cmd and writes its listing in the requested format. It returns the exit code of the listing.
+func (o *options) execute(ctx context.Context, cmd command, out io.Writer) (Code, error) {
 	c, err := newClient(o.address, o.token)
 	if err != nil {
-		return err
+		return Failed, err
 	}
 	listing, err := cmd.run(ctx, c)
 	if err != nil {
-		return err
+		return Failed, err
 	}
 	text, ok := outputFormats().Decide(outputRequest{format: o.output, listing: listing})
 	if !ok {
 		panic("invariant output-form: the flag accepts known formats only")
 	}
 	if _, err := out.Write(text); err != nil {
-		return fmt.Errorf("write output: %w", err)
+		return Failed, fmt.Errorf("write output: %w", err)
 	}
-	return nil
+	return listing.code, nil
 }
--- a/internal/commander/document.go
+++ b/internal/commander/document.go
@@ -35,10 +35,7 @@
 		return Listing{}, err
 	}
 	base := current.Revision()
-	edited = edited.WithEvacuated(current.Evacuated())
-	if len(edited.Keys()) == 0 {
-		edited = edited.WithKeys(current.Keys()...)
-	}
+	edited = edited.Onto(current)
 	if problems := edited.Check(); len(problems) > 0 {
 		return Listing{}, &Failure{Code: BadInput, Text: fmt.Sprintf("%s: invalid with the current keys: %v", file, problems[0])}
 	}
--- a/internal/commander/listing.go
+++ b/internal/commander/listing.go
@@ -15,6 +15,7 @@
 	rows    [][]string
 	notes   []string
 	value   any
+	code    Code
 }
 
 // Column is one column of a listing of values of type T.
@@ -73,6 +74,12 @@
 	return l
 }
 
+// WithCode returns a copy of l after whose output mimosactl exits with a code.
+func (l Listing) WithCode(c Code) Listing {
+	l.code = c
+	return l
+}
+
 // columnName is the header of the column with the name of an object.
 const columnName = "name"
 
