runner: the warnings of an adopted configuration are logged

Cause: the check of a document at run time told nothing of parts without effect, and a refusal (E1102) did not name the field. Change: E1110 tells the first ten findings of an adopted document when they differ from those of the one before; E1102 has the errors.

--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -52,7 +52,11 @@
 		Number: 1106, Level: hclog.Error, Text: "keys not used: no proof of freshness within keygrace",
 		Action: "restore the key-value service or the network path to it",
 	}
-	KeysFresh = Event{Number: 1107, Level: hclog.Info, Text: "keys used again", Action: "none"}
+	KeysFresh      = Event{Number: 1107, Level: hclog.Info, Text: "keys used again", Action: "none"}
+	ConfigDoubtful = Event{
+		Number: 1110, Level: hclog.Warn, Text: "configuration contradicts itself or has parts without effect",
+		Action: "run mimosactl check on the file that it was applied from; it is in force as it is",
+	}
 
 	ListUnavailable = Event{
 		Number: 1301, Level: hclog.Warn, Text: "VM list unavailable", Action: "check the platform; the last list stays in use",
@@ -239,7 +243,7 @@
 		ProcessStarted, ProcessStopped, DrainStarted, PeersUnencrypted, CertificateReloaded,
 		CertificateUnreadable, PeerRefused, HandlerPanicked, SettingsReloaded, SettingsInvalid, LinesDropped,
 		ConnectionsCut, ClientsCut, ConfigAdopted, DocumentRefused, CopyUnusable, RootBegan, RootEnded, KeysStale,
-		KeysFresh, ConfigUnreadable, RegionsUnserved, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded,
+		KeysFresh, ConfigUnreadable, RegionsUnserved, ConfigDoubtful, StoreLost, StoreRegained, StoreFailed, DutyBegan, DutyEnded,
 		RegistrationLapsed, RecordUnreadable, StoreRelayed, StoreDirect, ListUnavailable, TargetSilent, TargetServing,
 		TargetListed, TargetUnlisted, ListingUnreadable, PeerChanged, PeerFailed, LeadersHeard, ParentSilent,
 		ZoneEvacuated, ZoneTakenBack, ZoneUnknown, ServiceStranded, ServiceRegained, RequestHeld, RequestAnswered,
--- a/internal/runner/adopter.go
+++ b/internal/runner/adopter.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
+	"github.com/mimosalb/mimosalb/internal/checker"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/distributor"
 	"github.com/mimosalb/mimosalb/internal/logger"
@@ -15,15 +17,38 @@
 type configAdopter struct{ d *Distribution }
 
 // Adopt saves a valid configuration, then puts it in force. The copy is saved first, so that a node that restarts
-// between the two steps does not start with a lower revision than it had.
+// between the two steps does not start with a lower revision than it had. Warnings are logged and don't prevent the adoption.
 func (a configAdopter) Adopt(c distributor.Copy) bool {
 	doc, err := codec.Decode(c.Body())
-	if err != nil || doc.Revision() != c.Revision() || len(doc.Check()) > 0 {
+	if err != nil || doc.Revision() != c.Revision() {
 		a.d.settings.Log.Emit(logger.DocumentRefused, "topic", "config", "revision", c.Revision(), "error", err)
 		return false
 	}
+	findings := doc.Findings()
+	if errs := checker.Of(findings, checker.Error); len(errs) > 0 {
+		a.d.settings.Log.Emit(logger.DocumentRefused, "topic", "config", "revision", c.Revision(), "findings", findingTexts(errs))
+		return false
+	}
 	a.d.save(c)
-	return a.d.settings.Config.Adopt(doc) != configurator.Invalid
+	before := a.d.settings.Config.Current().Findings()
+	adoption := a.d.settings.Config.Adopt(doc)
+	// A finding that stays is logged once: there are thousands of nodes, and thousands of changes a day.
+	if adoption == configurator.Adopted && len(findings) > 0 && !slices.Equal(findings, before) {
+		a.d.settings.Log.Emit(logger.ConfigDoubtful, "revision", c.Revision(), "count", len(findings), "findings", findingTexts(findings))
+	}
+	return adoption != configurator.Invalid
+}
+
+// maxLoggedFindings bounds the findings of one log line; a document may have one for each of thousands of teams.
+const maxLoggedFindings = 10
+
+// findingTexts returns the first findings as text.
+func findingTexts(findings []checker.Finding) []string {
+	texts := make([]string, 0, maxLoggedFindings)
+	for _, f := range findings[:min(len(findings), maxLoggedFindings)] {
+		texts = append(texts, f.String())
+	}
+	return texts
 }
 
 // listAdopter adopts relayed VM lists.
