navigator, platform, mimosalb-node: check of the operators' configuration of hosted processes

Cause: a route that another one replaces, a prefix that matches nothing, an unknown service or region, or times that contradict each other were adopted without a word; numbers out of bounds were changed silently. At run time E1110 tells those of an adopted plan once. A wrong command line of mimosalb-node ends with code 2 instead of 1, which now means findings.

--- a/cmd/mimosalb-node/main.go
+++ b/cmd/mimosalb-node/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
+	"github.com/mimosalb/mimosalb/internal/commander"
 	"github.com/mimosalb/mimosalb/internal/hoster"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/platform"
@@ -50,7 +51,10 @@
 	entry := app.Command("entry", "Serve callers and trainers.")
 	app.Command("controller", "Campaign for the duty of switching weight versions and reporting usage.")
 	check := app.Command("check", "Check the settings file and start nothing.")
-	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	plan := check.Arg("plan", "File with the operators' configuration to check as well. Exit code 0: no findings, 1: findings, 2: not checked.").String()
+	output := check.Flag("output", "Output format of the findings: table, json or yaml.").Short('o').Default("table").Enum("table", "json", "yaml")
+	command, err := app.Parse(os.Args[1:])
+	exitOnUsage(err)
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -60,6 +64,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(settings.Memory) * memoryPercent / 100)
 	if command == check.FullCommand() {
+		checkPlan(settings, *plan, *output)
 		return
 	}
 	lines := logger.NewBoundedWriter(os.Stdout)
@@ -83,6 +88,22 @@
 	lines.Close()
 }
 
+// checkPlan checks a file with the operators' configuration, if there is one. It exits if there are findings or no check could be made.
+func checkPlan(settings platform.Settings, file, output string) {
+	if file == "" {
+		return
+	}
+	data, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mimosalb-node:", err)
+		os.Exit(exitSettings)
+	}
+	findings, complete := settings.Review(file, data)
+	if code := commander.WriteFindings(os.Stdout, output, file, complete, findings); code != commander.Done {
+		os.Exit(int(code))
+	}
+}
+
 // start starts an entry or a controller.
 func start(entry bool, s platform.Settings, h hoster.Settings, o hoster.Observers) (stopper, error) {
 	if entry {
@@ -120,6 +141,15 @@
 	return settings
 }
 
+// exitOnUsage prints the error of a wrong command line and exits if there is one. The parser's own exit code is 1, which stands for findings
+// of a check.
+func exitOnUsage(err error) {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "mimosalb-node: %v; see mimosalb-node --help\n", err)
+		os.Exit(exitSettings)
+	}
+}
+
 // exitOnError prints err and exits if it is not nil.
 func exitOnError(err error) {
 	if err != nil {
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -120,3 +120,15 @@
 	slices.SortStableFunc(sorted, func(a, b Finding) int { return cmp.Compare(a.Place.Line, b.Place.Line) })
 	return sorted
 }
+
+// maxTexts bounds the findings of one log line; a configuration may have one for each of thousands of teams.
+const maxTexts = 10
+
+// Texts returns the first findings as text, for a log line.
+func Texts(findings []Finding) []string {
+	texts := make([]string, 0, maxTexts)
+	for _, f := range findings[:min(len(findings), maxTexts)] {
+		texts = append(texts, f.String())
+	}
+	return texts
+}
--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -53,20 +54,38 @@
 		return Listing{}, fmt.Errorf("read configuration: %w", err)
 	}
 	compared, review := o.compareInForce(ctx, c, codec.NewReview(o.file, data))
-	return newCheckListing(o.file, review, compared).WithCode(o.code(review.Findings(), compared)), nil
+	_, complete := review.Document()
+	return newCheckListing(o.file, complete, review.Findings(), compared).WithCode(o.code(review.Findings(), compared)), nil
 }
 
 // code returns the exit code for findings and a comparison.
 func (o *checkOptions) code(findings []checker.Finding, r comparison) Code {
-	errs, warnings := checker.Count(findings, checker.Error), checker.Count(findings, checker.Warning)
-	switch {
-	case r.unanswered && o.compare == compareYes:
+	if r.unanswered && o.compare == compareYes {
 		return BadInput
-	case errs > 0 || warnings > 0 && o.warnings == warningsCount:
+	}
+	return findingsCode(findings, o.warnings == warningsCount)
+}
+
+// findingsCode returns the exit code for findings; warnings count for it only if countWarnings is set.
+func findingsCode(findings []checker.Finding, countWarnings bool) Code {
+	if checker.Count(findings, checker.Error) > 0 || countWarnings && len(findings) > 0 {
 		return Failed
-	default:
-		return Done
 	}
+	return Done
+}
+
+// WriteFindings writes the findings of the check of a file as the command check does, and returns the exit code. format is table, json or
+// yaml. complete is false if only the form of the file was checked.
+func WriteFindings(out io.Writer, format, file string, complete bool, findings []checker.Finding) Code {
+	listing := newCheckListing(file, complete, findings, comparison{Omitted: "the version in force is not read"})
+	text, ok := outputFormats().Decide(outputRequest{format: format, listing: listing})
+	if !ok {
+		return BadInput
+	}
+	if _, err := out.Write(text); err != nil {
+		return BadInput
+	}
+	return findingsCode(findings, true)
 }
 
 // compareInForce compares the document of a review with the configuration in force, and adds the findings that follow from that. Without
@@ -154,9 +173,7 @@
 }
 
 // newCheckListing returns the listing of a check: a line for each finding, the comparison, and the counts.
-func newCheckListing(file string, review codec.Review, r comparison) Listing {
-	findings := review.Findings()
-	_, complete := review.Document()
+func newCheckListing(file string, complete bool, findings []checker.Finding, r comparison) Listing {
 	result := checkResult{
 		File: file, Complete: complete, Errors: checker.Count(findings, checker.Error), Warnings: checker.Count(findings, checker.Warning),
 		Findings: make([]findingRow, 0, len(findings)), Comparison: r,
--- a/internal/hoster/hoster.go
+++ b/internal/hoster/hoster.go
@@ -14,6 +14,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
+	"github.com/mimosalb/mimosalb/internal/checker"
 	"github.com/mimosalb/mimosalb/internal/estimator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -31,8 +32,10 @@
 // OperatorEntry is the decoded value of a key that an operator or trainer writes. It holds a plan, a desired version,
 // a VM to retire, or none of them.
 type OperatorEntry struct {
-	Plan    *navigator.Plan
-	Desired *upgrader.DesiredVersion
+	Plan *navigator.Plan
+	// Findings are those of the plan.
+	Findings []checker.Finding
+	Desired  *upgrader.DesiredVersion
 	// Retire names a VM whose disk is to be released. Status is the write that confirms the release.
 	Retire identifier.Node
 	Status storer.Put
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/checker"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/navigator"
@@ -27,6 +29,8 @@
 	// onDesired is called with desired versions and onRetire with VMs to retire; either may be nil.
 	onDesired func(upgrader.DesiredVersion)
 	onRetire  func(n identifier.Node, status storer.Put)
+	// findings are those of the adopted plan.
+	findings []checker.Finding
 	// interrupted is set from an interruption of the watch until reads work again.
 	interrupted bool
 }
@@ -70,6 +74,7 @@
 		}
 		if v.navigator.Adopt(*o.Plan) {
 			v.log.Emit(logger.ConfigAdopted, "revision", o.Plan.Revision(), "changed", c.Changed)
+			v.report(o)
 		}
 	case o.Desired != nil && v.onDesired != nil:
 		v.log.Emit(logger.WantedVersionReceived, "model", o.Desired.Model, "version", o.Desired.Version)
@@ -79,6 +84,14 @@
 	}
 }
 
+// report logs the findings of an adopted plan if they differ from those of the one before.
+func (v *operatorView) report(o OperatorEntry) {
+	if len(o.Findings) > 0 && !slices.Equal(o.Findings, v.findings) {
+		v.log.Emit(logger.ConfigDoubtful, "revision", o.Plan.Revision(), "count", len(o.Findings), "findings", checker.Texts(o.Findings))
+	}
+	v.findings = o.Findings
+}
+
 // errContradiction is the reason why a target is not used whose listings name several releases for one start.
 var errContradiction = errors.New("listings of one start name several software versions")
 
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -55,7 +55,7 @@
 	KeysFresh      = Event{Number: 1107, Level: hclog.Info, Text: "keys used again", Action: "none"}
 	ConfigDoubtful = Event{
 		Number: 1110, Level: hclog.Warn, Text: "configuration contradicts itself or has parts without effect",
-		Action: "run mimosactl check on the file that it was applied from; it is in force as it is",
+		Action: "check the file that it came from (mimosactl check, mimosalb-node check); it is in force as it is",
 	}
 
 	ListUnavailable = Event{
--- a/internal/runner/adopter.go
+++ b/internal/runner/adopter.go
@@ -26,7 +26,7 @@
 	}
 	findings := doc.Findings()
 	if errs := checker.Of(findings, checker.Error); len(errs) > 0 {
-		a.d.settings.Log.Emit(logger.DocumentRefused, "topic", "config", "revision", c.Revision(), "findings", findingTexts(errs))
+		a.d.settings.Log.Emit(logger.DocumentRefused, "topic", "config", "revision", c.Revision(), "findings", checker.Texts(errs))
 		return false
 	}
 	a.d.save(c)
@@ -34,23 +34,11 @@
 	adoption := a.d.settings.Config.Adopt(doc)
 	// A finding that stays is logged once: there are thousands of nodes, and thousands of changes a day.
 	if adoption == configurator.Adopted && len(findings) > 0 && !slices.Equal(findings, before) {
-		a.d.settings.Log.Emit(logger.ConfigDoubtful, "revision", c.Revision(), "count", len(findings), "findings", findingTexts(findings))
+		a.d.settings.Log.Emit(logger.ConfigDoubtful, "revision", c.Revision(), "count", len(findings), "findings", checker.Texts(findings))
 	}
 	return adoption != configurator.Invalid
 }
 
-// maxLoggedFindings bounds the findings of one log line; a document may have one for each of thousands of teams.
-const maxLoggedFindings = 10
-
-// findingTexts returns the first findings as text.
-func findingTexts(findings []checker.Finding) []string {
-	texts := make([]string, 0, maxLoggedFindings)
-	for _, f := range findings[:min(len(findings), maxLoggedFindings)] {
-		texts = append(texts, f.String())
-	}
-	return texts
-}
-
 // listAdopter adopts relayed VM lists.
 type listAdopter struct{ d *Distribution }
 
--- a/pkg/loader/decode.go
+++ b/pkg/loader/decode.go
@@ -28,6 +28,15 @@
 	return lineOf(l.root, field)
 }
 
+// NewLines returns the lines of the fields of a file, which may have any fields. Those of a file that is not YAML or JSON are all 1.
+func NewLines(file string, data []byte) Lines {
+	root := &yaml.Node{}
+	if yaml.Unmarshal(data, root) != nil {
+		return Lines{file: file}
+	}
+	return Lines{file: file, root: root}
+}
+
 // Decode decodes data, which must hold one YAML document, into a T. It reports every unknown field, every duplicate
 // field and every value of a wrong type as a problem. file is used in problems only.
 func Decode[T any](file string, data []byte) (T, Lines, []Problem) {
