configurator, checker: findings of kept keys name the key's own line; a test of findings

Cause: the warning of a key that stays withdrawn pointed to the list, and the text of a missing team was hard to read. Measured: the tests of checker, configurator, commander and codec pass with -race.

--- a/internal/commander/check_test.go
+++ b/internal/commander/check_test.go
@@ -137,6 +137,7 @@
 func TestCheckWithoutAnEntry(t *testing.T) {
 	tr := newTranscript(t, newServer(qt.New(t)))
 	path := tr.file("clean.yaml", clean)
+	tr.c.Check(tr.runWith([]string{"--address", tr.server.address}, "check", path), qt.Equals, commander.Done)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	tr.c.Assert(err, qt.IsNil)
 	flags := []string{"--address", "http://" + l.Addr().String(), "--timeout", "5s"}
--- a/internal/configurator/transition.go
+++ b/internal/configurator/transition.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/mimosalb/mimosalb/internal/checker"
 )
@@ -35,18 +36,18 @@
 	return all
 }
 
-// keptKeys returns errors for keys in force that stay although edited lacks their team, and warnings for withdrawn keys that it lists as
-// valid. A withdrawn key always stays.
+// keptKeys returns errors for keys that stay although edited lacks their team, and warnings for withdrawn keys that it lists as valid. A
+// withdrawn key always stays, and a file without keys leaves all of them.
 func keptKeys(current, edited Document) []checker.Finding {
 	var all []checker.Finding
 	for _, k := range current.keys {
-		listed, found := find(edited.keys, func(o Key) bool { return o.Caller == k.Caller })
 		if _, known := edited.Team(k.Team); !known && (k.Withdrawn || len(edited.keys) == 0) {
 			all = append(all, checker.New(checker.Error, checker.Unknown, "teams",
-				fmt.Sprintf("want the team %s: the key %s, which stays in force or withdrawn, belongs to it", k.Team, k.Caller)))
+				fmt.Sprintf("want the team %s: the key %s, which the edit keeps, belongs to it", k.Team, k.Caller)))
 		}
-		if found && k.Withdrawn && !listed.Withdrawn {
-			all = append(all, warn(checker.Stale, "keys", "the key %s stays withdrawn", k.Caller))
+		i := slices.IndexFunc(edited.keys, func(o Key) bool { return o.Caller == k.Caller })
+		if i >= 0 && k.Withdrawn && !edited.keys[i].Withdrawn {
+			all = append(all, warn(checker.Stale, fieldPath("keys", i, "withdrawn"), "the key %s stays withdrawn", k.Caller))
 		}
 	}
 	return all
