--- a/internal/adapter/codec/parse.go
+++ b/internal/adapter/codec/parse.go
@@ -23,21 +23,9 @@
 // Parse reads a configuration file in YAML or JSON. Each problem names the file, the line, the field and the expected
 // value.
 func Parse(file string, data []byte) (configurator.Document, []loader.Problem) {
-	form, lines, problems := loader.Decode[Document](file, data)
-	if len(problems) > 0 {
-		return configurator.Document{}, problems
-	}
-	invalid := form.Check()
-	var doc configurator.Document
-	if len(invalid) == 0 {
-		var err error
-		if doc, err = form.Document(); err != nil {
-			invalid = append(invalid, configurator.Problem{Field: "YAML", Want: err.Error()})
-		}
-		invalid = append(invalid, doc.Check()...)
-	}
-	for _, f := range invalid {
-		problems = append(problems, lines.Problem(f.Field, f.Want))
+	doc, malformed, lines, problems := read(file, data)
+	for _, p := range append(malformed, doc.Check()...) {
+		problems = append(problems, lines.Problem(p.Field, p.Want))
 	}
 	return doc, problems
 }
