ranker: less urgent items respect the reserve that late urgent ones leave

Late long texts of the most urgent route waited behind short ones of the next. Change: ranker.Reserve is asked in the order of ranks; while it withholds an item, the same limit holds for less urgent priorities. Result: TestReserveKeepsPriorities, which the former rule can't pass.

--- a/internal/batcher/load_test.go
+++ b/internal/batcher/load_test.go
@@ -166,8 +166,9 @@
 	if slack {
 		slices.SortStableFunc(candidates, func(a, b waiting) int { return a.rank.Compare(b.rank) })
 	}
+	var reserve ranker.Reserve
 	for _, w := range candidates {
-		if slack && !w.rank.MayStart(taken, slots) {
+		if slack && !reserve.Admits("s", w.rank, taken, slots) {
 			continue
 		}
 		if task, ok := w.step.Next(now, batcher.Constraint{}); ok {
--- a/internal/conductor/order.go
+++ b/internal/conductor/order.go
@@ -148,8 +148,9 @@
 	c.countLate(waiting)
 	sortCandidates(waiting)
 	items := make(map[identifier.Service]int)
+	var reserve ranker.Reserve
 	for _, w := range waiting {
-		if a, ok := c.assign(w, now); ok {
+		if a, ok := c.assign(w, &reserve, now); ok {
 			return a, true, 0
 		}
 		items[w.service] += w.demand.Items
@@ -161,9 +162,9 @@
 }
 
 // assign starts the next item of a demand on a target of a service. A text that no target continues begins anew.
-func (c *Conductor) assign(w candidate, now time.Duration) (assignment, bool) {
+func (c *Conductor) assign(w candidate, reserve *ranker.Reserve, now time.Duration) (assignment, bool) {
 	l, service, d := w.ledJob, w.service, w.demand
-	if w.rank.Background() && !w.rank.MayStart(c.Router.InFlight(service), c.order.slots[service]) {
+	if c.BySlack && !reserve.Admits(service, w.rank, c.Router.InFlight(service), c.order.slots[service]) {
 		return assignment{}, false
 	}
 	cost := c.expectNext(l, w.route, service, d.Constraint, now)
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -65,7 +65,22 @@
 	goldie.New(t).Assert(t, "urgency", []byte(out.String()))
 	late, tight := ranker.Rank{Standing: ranker.Late}, ranker.Rank{Standing: ranker.Tight}
 	c := qt.New(t)
-	c.Assert([]bool{late.MayStart(4, 6), late.MayStart(5, 6), tight.MayStart(5, 6), late.MayStart(0, 1)}, qt.DeepEquals, []bool{true, false, true, true})
+	admits := func(rank ranker.Rank, taken, slots int) bool { return new(ranker.Reserve).Admits("s", rank, taken, slots) }
+	c.Assert([]bool{admits(late, 4, 6), admits(late, 5, 6), admits(tight, 5, 6), admits(late, 0, 1)}, qt.DeepEquals, []bool{true, false, true, true})
+}
+
+// Guards against items of a less urgent priority that take the slots which late items of a more urgent one have to leave free: long texts
+// of the most urgent route that were late waited while short ones of the next route went ahead.
+func TestReserveKeepsPriorities(t *testing.T) {
+	c := qt.New(t)
+	var r ranker.Reserve
+	late, tight, less := ranker.Rank{Standing: ranker.Late}, ranker.Rank{Standing: ranker.Tight}, ranker.Rank{Priority: 5, Standing: ranker.Tight}
+	c.Assert(r.Admits("s", less, 5, 6), qt.IsTrue)
+	c.Assert(r.Admits("s", late, 5, 6), qt.IsFalse)
+	c.Assert(r.Admits("s", less, 5, 6), qt.IsFalse)
+	c.Assert(r.Admits("s", tight, 5, 6), qt.IsTrue)
+	c.Assert(r.Admits("s", less, 4, 6), qt.IsTrue)
+	c.Assert(r.Admits("other", less, 5, 6), qt.IsTrue)
 }
 
 // Guards against steps that are all late because they share too few slots, against a step that is left out and comes back with each
--- a/internal/ranker/urgency.go
+++ b/internal/ranker/urgency.go
@@ -1,6 +1,10 @@
 package ranker
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/mimosalb/mimosalb/internal/identifier"
+)
 
 // lowestUrgency is the number of the least urgent class.
 const lowestUrgency = 9
@@ -40,7 +44,25 @@
 	return r.Priority + max(min(steps, room), 0)
 }
 
-// MayStart reports whether an item may take one more of the slots of a service. Items of the background leave the last ones free.
-func (r Rank) MayStart(taken, slots int) bool {
-	return !r.Background() || taken < slots-slots/reserveDivisor
+// Reserve leaves the last slots of each service to items that may still arrive: neither the background nor what is less urgent than an item
+// of the background takes them. The zero value is ready for use.
+type Reserve struct {
+	withheld map[identifier.Service]int
+}
+
+// Admits reports whether an item may take one more of the slots of a service. It is asked in the order of ranks. While an item of the
+// background is withheld, the same limit applies to those of less urgent priorities, which would overtake it otherwise.
+func (r *Reserve) Admits(service identifier.Service, rank Rank, taken, slots int) bool {
+	priority, withheld := r.withheld[service]
+	limited := rank.Background() || withheld && rank.Priority > priority
+	if !limited || taken < slots-slots/reserveDivisor {
+		return true
+	}
+	if !withheld {
+		if r.withheld == nil {
+			r.withheld = make(map[identifier.Service]int)
+		}
+		r.withheld[service] = rank.Priority
+	}
+	return false
 }
