--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -65,7 +65,9 @@
 	goldie.New(t).Assert(t, "urgency", []byte(out.String()))
 	late, tight := ranker.Rank{Standing: ranker.Late}, ranker.Rank{Standing: ranker.Tight}
 	c := qt.New(t)
-	admits := func(rank ranker.Rank, taken, slots int) bool { return new(ranker.Reserve).Admits("s", rank, taken, slots) }
+	admits := func(rank ranker.Rank, taken, slots int) bool {
+		return new(ranker.Reserve).Admits("s", rank, taken, slots)
+	}
 	c.Assert([]bool{admits(late, 4, 6), admits(late, 5, 6), admits(tight, 5, 6), admits(late, 0, 1)}, qt.DeepEquals, []bool{true, false, true, true})
 }
 
