dispatcher, runner, client: answers with an invalid status on the product's own interface

Cause: nothing showed end to end what an entry makes of a target's answer with a status outside 200 to 599. Tests that start with the bytes of the target, the platform, the weight store, the store or an entry found three faults: - the caller got 502 with type "ran": the agent reported such an answer like a status of 500, although it does not show whether the request ran; - usage reports and the calls of agents to the platform and the weight store logged E1408 without counting it; - pkg/client took 000 to 199 for a success where its user set the HTTP client.

Change: streamer.Invalid and retrier.Invalid; 502 with type "unknown" and reason "answer-invalid". All clients of a process report to its metrics; usage reports use the entry's platform client. The stand-ins have a switch "status" and count what becomes of the connection; agents of the demonstration have health routes. TestInvalidStatuses of internal/runner compares the count too.

--- a/internal/adapter/engineclient/engineclient.go
+++ b/internal/adapter/engineclient/engineclient.go
@@ -63,7 +63,7 @@
 	var invalid *inspector.StatusError
 	switch {
 	case errors.As(err, &invalid):
-		return streamer.Final{}.WithEnd(streamer.Failed, fmt.Sprintf("status-%03d", invalid.Status))
+		return streamer.Final{}.WithEnd(streamer.Invalid, fmt.Sprintf("status-%03d", invalid.Status))
 	case errors.As(err, &opErr) && opErr.Op == "dial":
 		return streamer.Final{}.WithEnd(streamer.Unreached, "connection-refused")
 	case ctx.Err() != nil:
--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -133,7 +133,7 @@
 	}
 	invalidStatuses = Definition{
 		"mimosalb_inspector_invalid_statuses_total", Counter, "dependency",
-		"Answers of targets, the key-value service or the platform whose status the protocol does not allow.",
+		"Answers of targets, the key-value service, the platform or the weight store whose status the protocol does not allow.",
 	}
 	planRevision = Definition{
 		"mimosalb_navigator_plan_revision", Gauge, "",
--- a/internal/adapter/httpserver/problem.go
+++ b/internal/adapter/httpserver/problem.go
@@ -76,8 +76,13 @@
 	default:
 		p.Type, p.Title, p.Status = TypeUnknown, "The request may have run", http.StatusGatewayTimeout
 	}
-	if r.Reason == dispatcher.ReasonKeyWithdrawn {
+	switch r.Reason {
+	case dispatcher.ReasonKeyWithdrawn:
 		p.Status = http.StatusUnauthorized
+	case dispatcher.ReasonAnswerInvalid:
+		// The target did answer, so the gateway did not time out.
+		p.Status = http.StatusBadGateway
+	default:
 	}
 	return p
 }
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -208,7 +208,7 @@
 // startAgent starts the agent of a back end and records it in Agents.
 func (d *Deployment) startAgent(b BackEnd) (*runner.Agent, error) {
 	agent, err := runner.StartAgent(loader.Settings{
-		Name: "vm-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback,
+		Name: "vm-" + b.Name, Zone: b.Zone, Region: b.Region, Peers: loopback, Operators: loopback,
 		Platform: "http://" + d.Standin.Addresses["platform"], Weights: "http://" + d.Standin.Addresses["weights"],
 		Period: loader.Duration(d.plan.Period), TLS: d.plan.tls(),
 		Target: loader.Target{Name: b.Name, Service: b.Service, Kind: b.Kind, Address: "http://" + d.Standin.Addresses[b.Name]},
--- a/internal/demonstrator/takeover_test.go
+++ b/internal/demonstrator/takeover_test.go
@@ -34,10 +34,12 @@
 	return b.text.Write(p)
 }
 
-func (b *logBuffer) contains(event string) bool {
+func (b *logBuffer) contains(event string) bool { return strings.Contains(b.String(), event) }
+
+func (b *logBuffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return strings.Contains(b.text.String(), event)
+	return b.text.String()
 }
 
 var _ io.Writer = (*logBuffer)(nil)
--- a/internal/demonstrator/testbed_test.go
+++ b/internal/demonstrator/testbed_test.go
@@ -43,8 +43,13 @@
 
 // newTestbed starts and configures a deployment, and waits until every entry serves both services.
 func newTestbed(t *testing.T, p demonstrator.Plan) *testbed {
+	return newLoggedTestbed(t, p, io.Discard)
+}
+
+// newLoggedTestbed is newTestbed with the log of the deployment.
+func newLoggedTestbed(t *testing.T, p demonstrator.Plan, log io.Writer) *testbed {
 	c := qt.New(t)
-	d, err := demonstrator.NewDeployment(p, io.Discard)
+	d, err := demonstrator.NewDeployment(p, log)
 	c.Assert(err, qt.IsNil)
 	b := &testbed{C: c, Deployment: d, keys: map[string]string{}, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 	c.Cleanup(func() {
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -29,6 +29,8 @@
 	ReasonTargetFailed  = "target-failed"
 	ReasonTargetCrashed = "target-crashed"
 	ReasonAnswerLost    = "answer-lost"
+	// ReasonAnswerInvalid means that the target answered with a status that the protocol does not allow.
+	ReasonAnswerInvalid = "answer-invalid"
 	ReasonTargetsBusy   = "targets-busy"
 	ReasonTargetStopped = "target-stopped"
 	// ReasonCrashesTargets means that the request is held back because targets crashed while they ran it.
--- a/internal/dispatcher/follower.go
+++ b/internal/dispatcher/follower.go
@@ -112,6 +112,8 @@
 		return retrier.Unreached, final
 	case streamer.NoAnswer:
 		return retrier.Unknown, final
+	case streamer.Invalid:
+		return retrier.Invalid, final
 	default:
 		return retrier.Failed, final
 	}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -255,6 +255,8 @@
 		return ReasonCrashesTargets
 	case event == retrier.Crashed:
 		return ReasonTargetCrashed
+	case event == retrier.Invalid:
+		return ReasonAnswerInvalid
 	case event == retrier.Stopped, event == retrier.PlannedStop:
 		return ReasonTargetStopped
 	default:
--- a/internal/retrier/event.go
+++ b/internal/retrier/event.go
@@ -24,6 +24,9 @@
 	Crashed
 	// Failed means that the target ran the attempt and failed.
 	Failed
+	// Invalid means that the target answered with a status that the protocol does not allow, which does not show whether it ran the
+	// attempt.
+	Invalid
 	// Stopped means that the agent or the target ended the attempt early on its own, other than for a planned stop.
 	Stopped
 	// PlannedStop means that the agent ended the attempt early because of a planned stop.
@@ -35,7 +38,7 @@
 )
 
 var eventNames = [...]string{
-	"none", "not-sent", "refused", "draining", "unreached", "lost", "running", "gone", "crashed", "failed", "stopped", "moved",
+	"none", "not-sent", "refused", "draining", "unreached", "lost", "running", "gone", "crashed", "failed", "invalid", "stopped", "moved",
 	"completed", "abandoned",
 }
 
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -53,7 +53,7 @@
 			return ReportUnknown
 		}
 		return RefuseNotRun
-	case Unknown, Crashed, Stopped, Failed, PlannedStop:
+	case Unknown, Crashed, Stopped, Failed, Invalid, PlannedStop:
 		if !s.Once && s.mayRetry() && (event == PlannedStop || budget.Spend()) {
 			return Retry
 		}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -40,6 +40,7 @@
 	tree       *treeNode
 	peers      *rpcclient.Client
 	guards     *guards
+	metrics    *exporter.Agent
 }
 
 // target is the back end that an agent sends attempts to.
@@ -56,7 +57,7 @@
 		clock.Close()
 		return nil, err
 	}
-	a := &Agent{log: log, clock: clock, guards: newGuards(clock, log)}
+	a := &Agent{log: log, clock: clock, guards: newGuards(clock, log), metrics: exporter.NewAgent()}
 	concurrency := s.Target.Concurrency
 	if concurrency == 0 {
 		concurrency = defaultConcurrency
@@ -64,15 +65,14 @@
 	// The start time makes the incarnation unique: a process can't start twice in one nanosecond.
 	incarnation := identifier.Incarnation(a.clock.Now().UnixNano())
 	a.gatekeeper = gatekeeper.NewGatekeeper(incarnation, gatekeeper.WithConcurrency(concurrency))
-	metrics := exporter.NewAgent()
-	statuses := reportStatuses(log, metrics, "target")
+	statuses := reportStatuses(log, a.metrics, "target")
 	var backEnd target = engineclient.NewEngine(s.Target.Address, statuses)
 	if s.Target.Kind == "plain" {
 		backEnd = engineclient.NewService(s.Target.Address, statuses)
 	}
 	a.records = &meter.RecordBuffer{}
 	a.executor = executor.NewExecutor(a.gatekeeper, backEnd, a.clock, concurrency, executor.WithRegion(identifier.Region(s.Region)),
-		executor.WithEndHandler(metrics.Ended), executor.WithEndHandler(newRecordHandler(a.records, a.clock)))
+		executor.WithEndHandler(a.metrics.Ended), executor.WithEndHandler(newRecordHandler(a.records, a.clock)))
 	a.server = rpcserver.NewServer(append(peers.server, rpcserver.WithGuard(a.guards.peers))...)
 	a.receiver = rpcserver.NewAgent(a.gatekeeper, a.executor, a.clock, backEnd.Version, identifier.Release(s.Target.Release))
 	if err := a.server.Register("Agent", a.receiver); err != nil {
@@ -102,7 +102,7 @@
 		a.close()
 		return nil, err
 	}
-	if err := a.serveHealth(s.Operators, metrics); err != nil {
+	if err := a.serveHealth(s.Operators); err != nil {
 		err = errors.Join(err, a.leave())
 		a.close()
 		return nil, fmt.Errorf("listen for health: %w", err)
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -91,7 +91,7 @@
 		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: b.router, period: period(s),
 		probes: make(map[string]context.CancelFunc),
 	}
-	b.usage = newUsage(s, clock, log, b.store, e.peers, b.config)
+	b.usage = newUsage(s, clock, log, b.store, e.platform, e.peers, b.config)
 	return b, nil
 }
 
--- a/internal/runner/join.go
+++ b/internal/runner/join.go
@@ -21,7 +21,7 @@
 	}
 	t, err := newTreeNode(s, treeNodeDependencies{
 		clock: a.clock, log: a.log, config: &configurator.Configurator{}, clientOptions: clientOptions,
-		platform: platformclient.NewClient(s.Platform, a.clock, reportStatuses(a.log, nil, "platform")),
+		platform: platformclient.NewClient(s.Platform, a.clock, reportStatuses(a.log, a.metrics, "platform")),
 		ownReport: func() tracker.Row {
 			running, draining := a.gatekeeper.Load()
 			return tracker.Row{
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -35,8 +35,8 @@
 }
 
 // serveHealth serves the agent's health routes on address, unless it is empty.
-func (a *Agent) serveHealth(address string, metrics *exporter.Agent) error {
-	metrics.Observe(exporter.AgentState{Load: a.gatekeeper.Load, Connections: a.server.Connections, Guarded: a.guards.state})
+func (a *Agent) serveHealth(address string) error {
+	a.metrics.Observe(exporter.AgentState{Load: a.gatekeeper.Load, Connections: a.server.Connections, Guarded: a.guards.state})
 	if address == "" {
 		return nil
 	}
@@ -45,7 +45,7 @@
 		return err
 	}
 	a.Health = l.Addr().String()
-	a.health = httpserver.NewServer(httpserver.NewHealth(a.ready, metrics.Gatherer())).WithGuard(a.guards.checks)
+	a.health = httpserver.NewServer(httpserver.NewHealth(a.ready, a.metrics.Gatherer())).WithGuard(a.guards.checks)
 	a.health.Start(l)
 	return nil
 }
--- a/internal/runner/status.go
+++ b/internal/runner/status.go
@@ -12,12 +12,10 @@
 	InvalidStatus(dependency string)
 }
 
-// reportStatuses returns the function that logs and counts such answers of one dependency. m may be nil.
+// reportStatuses returns the function that logs and counts such answers of one dependency.
 func reportStatuses(log *logger.Logger, m statusMeter, dependency string) inspector.Report {
 	return func(r *http.Request, status int) {
-		if m != nil {
-			m.InvalidStatus(dependency)
-		}
+		m.InvalidStatus(dependency)
 		log.Emit(logger.StatusInvalid, "dependency", dependency, "call", r.Method+" "+r.URL.Path, "status", status, "address", r.URL.Host)
 	}
 }
--- a/internal/runner/status_test.go
+++ b/internal/runner/status_test.go
@@ -9,9 +9,11 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/mimosalb/mimosalb/internal/adapter/engineclient"
+	"github.com/mimosalb/mimosalb/internal/adapter/exporter"
 	"github.com/mimosalb/mimosalb/internal/adapter/kvclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/executor"
@@ -37,7 +39,8 @@
 	}))
 	defer server.Close()
 	var log, out strings.Builder
-	report := reportStatuses(logger.NewLogger("test", "warn", &log), nil, "d")
+	metrics := exporter.NewAgent()
+	report := reportStatuses(logger.NewLogger("test", "warn", &log), metrics, "d")
 	final := func(run func(context.Context, identifier.Attempt, executor.Call, func(streamer.Piece)) streamer.Final) string {
 		f := run(t.Context(), identifier.Attempt{}, executor.Call{Method: "POST", Path: "/x"}, func(streamer.Piece) {})
 		return fmt.Sprint(f.End, " ", f.Reason, " ", f.Status)
@@ -71,5 +74,12 @@
 		out.WriteString("\n")
 		cancel()
 	}
+	families, err := metrics.Gatherer().Gather()
+	qt.Assert(t, err, qt.IsNil)
+	for _, f := range families {
+		if strings.Contains(f.GetName(), "invalid_statuses") {
+			fmt.Fprintln(&out, "counted", f.GetMetric()[0].GetCounter().GetValue())
+		}
+	}
 	goldie.New(t).Assert(t, "statuses", []byte(out.String()))
 }
--- a/internal/runner/usage.go
+++ b/internal/runner/usage.go
@@ -53,16 +53,16 @@
 }
 
 func newUsage(
-	s loader.Settings, clock timer.Service, log *logger.Logger, store *storer.Storer, peers *rpcclient.Client,
-	config *configurator.Configurator,
+	s loader.Settings, clock timer.Service, log *logger.Logger, store *storer.Storer, platform *platformclient.Client,
+	peers *rpcclient.Client, config *configurator.Configurator,
 ) *usage {
 	// The name of a meter is unique to one start of the process. Records that an earlier start left are recovered.
 	node := identifier.Node(s.Name + "." + strconv.FormatInt(clock.Now().UnixNano(), 16))
 	u := &usage{
 		clock: clock, log: log, store: store.WithPurpose(storer.PurposeUsage),
-		platform: platformclient.NewClient(s.Platform, clock, reportStatuses(log, nil, "platform")),
-		agents:   rpcclient.NewUsage(peers), candidacy: &candidacy{name: identifier.Node(s.Name), region: identifier.Region(s.Region)},
-		calendar: meter.Calendar{Length: time.Duration(s.Usage.Window)}, settings: s.Usage,
+		platform: platform, agents: rpcclient.NewUsage(peers),
+		candidacy: &candidacy{name: identifier.Node(s.Name), region: identifier.Region(s.Region)},
+		calendar:  meter.Calendar{Length: time.Duration(s.Usage.Window)}, settings: s.Usage,
 		origin: executor.Origin{Meter: node, Region: identifier.Region(s.Region)},
 	}
 	u.leaser = leaser.NewLeaser(node, store.WithPurpose(storer.PurposeLease), clock, leaser.WithEligible(u.candidacy.eligible))
--- a/internal/runner/weights.go
+++ b/internal/runner/weights.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	a.peers = rpcclient.NewClient(a.clock, clientOptions...)
-	origin, peers := engineclient.NewOrigin(s.Weights, reportStatuses(a.log, nil, "weights")), rpcclient.NewWeights(a.peers)
+	origin, peers := engineclient.NewOrigin(s.Weights, reportStatuses(a.log, a.metrics, "weights")), rpcclient.NewWeights(a.peers)
 	receiver := rpcserver.NewWeights(&updater.ChunkCache{}, origin, peers, engine, a.executor.PinnedToOther, a.clock)
 	if err := a.server.Register("Weights", receiver); err != nil {
 		return fmt.Errorf("serve weights: %w", err)
--- a/internal/standin/switcher/switcher.go
+++ b/internal/standin/switcher/switcher.go
@@ -3,7 +3,10 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -29,12 +32,29 @@
 	Swap int `json:"swap"`
 	// Hang makes a stand-in accept calls without answering them.
 	Hang bool `json:"hang"`
+	// Status is the status, as three digits, with which every call is answered after it has taken effect. It may be one that the
+	// protocol does not allow.
+	Status string `json:"status"`
 }
 
 // Switcher holds the switches of one stand-in. It is safe for concurrent use. The zero value injects no failures.
 type Switcher struct {
 	mu       sync.Mutex
 	switches Switches
+	endings  Endings
+}
+
+// Endings counts what clients did with the connection after an answer with Switches.Status.
+type Endings struct {
+	// Closed counts the connections that the client closed, and Kept those that it used again or left open.
+	Closed, Kept int
+}
+
+// Endings returns what clients did with such connections so far.
+func (s *Switcher) Endings() Endings {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endings
 }
 
 // Set replaces the switches.
@@ -89,7 +109,7 @@
 	})
 }
 
-// Wrap returns a handler that applies the switches Down, Hang, Delay and Lose to the calls of h. For a lost answer it
+// Wrap returns a handler that applies the switches Down, Hang, Delay, Lose and Status to the calls of h. For a lost answer it
 // closes the connection after h has run.
 func (s *Switcher) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -115,10 +135,41 @@
 			h.ServeHTTP(&discardWriter{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
 		}
+		if sw.Status != "" {
+			h.ServeHTTP(&discardWriter{header: http.Header{}}, r)
+			s.answerStatus(w, sw.Status)
+			return
+		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// endingTimeout bounds the wait for the client to close its connection after an answer with Switches.Status.
+const endingTimeout = time.Second
+
+// answerStatus sends an empty answer with a status, and counts whether the client closes the connection. It writes the answer itself
+// because net/http panics at a status below 100.
+func (s *Switcher) answerStatus(w http.ResponseWriter, status string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close() //nolint:errcheck // the connection is not used again
+	_ = conn.SetDeadline(time.Now().Add(endingTimeout))
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 %s Status\r\nContent-Length: 0\r\n\r\n", status)
+	n := 0
+	if err == nil {
+		n, err = conn.Read(make([]byte, 1))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		s.endings.Kept++
+		return
+	}
+	s.endings.Closed++
+}
+
 // discardWriter is a ResponseWriter that discards the answer.
 type discardWriter struct{ header http.Header }
 
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -43,9 +43,11 @@
 	NoAnswer
 	// PlannedStop means that the agent cancelled the answer because of a planned stop. It is resumed on another target.
 	PlannedStop
+	// Invalid means that the target answered with a status that the protocol does not allow; it may have run the request.
+	Invalid
 )
 
-var endNames = [...]string{"open", "complete", "failed", "cancelled", "crashed", "unreached", "unheard", "moved"}
+var endNames = [...]string{"open", "complete", "failed", "cancelled", "crashed", "unreached", "unheard", "moved", "invalid"}
 
 // String returns the name of the end.
 func (e End) String() string {
--- a/pkg/client/trainer.go
+++ b/pkg/client/trainer.go
@@ -50,13 +50,24 @@
 // WithState restores the state of an earlier Trainer of the run.
 func WithState(s State) Option { return func(t *Trainer) { t.state = s } }
 
-// WithHTTP sets the HTTP client.
-func WithHTTP(c *http.Client) Option { return func(t *Trainer) { t.http = c } }
+// WithHTTP sets the HTTP client. The trainer uses a copy that also rejects answers whose status the protocol does not allow.
+func WithHTTP(c *http.Client) Option { return func(t *Trainer) { t.http = inspected(*c) } }
+
+// inspected returns a copy of c that returns an error for an answer whose status the protocol does not allow. Such an answer could
+// else pass for a success.
+func inspected(c http.Client) *http.Client {
+	base := c.Transport
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	c.Transport = inspector.NewTransport(base)
+	return &c
+}
 
 // Open opens a run, or resumes an existing one, at the entries with the given base URLs.
 func Open(ctx context.Context, addresses []string, key string, s Spec, opts ...Option) (*Trainer, error) {
 	t := &Trainer{
-		addresses: addresses, key: key, http: &http.Client{Transport: inspector.NewTransport(http.DefaultTransport)}, run: s.Run, state: State{Next: 1},
+		addresses: addresses, key: key, http: inspected(http.Client{}), run: s.Run, state: State{Next: 1},
 	}
 	for _, o := range opts {
 		o(t)
