forwarder, platform, conductor: a call asks on its open connection whether it may still be sent

Cause: a configuration or an order adopted while a call waited for its connection did not stop it: the body reached a target that was excluded by then, by region or by evacuation.

An excluded attempt takes no attempt from the request, suspends no target and starts no question for a restart. The request compares the revision of the plan and the orders; an item asks as it does while it runs.

--- a/internal/conductor/attempt.go
+++ b/internal/conductor/attempt.go
@@ -112,6 +112,8 @@
 	switch {
 	case fault == forwarder.Unsent:
 		return attemptUnsent
+	case fault == forwarder.Excluded:
+		return attemptStopped
 	case fault != forwarder.NoFault:
 		return attemptBroken
 	case answer.NotRun:
--- a/internal/conductor/residency.go
+++ b/internal/conductor/residency.go
@@ -8,6 +8,7 @@
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/navigator"
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -40,9 +41,23 @@
 
 // mayRun reports whether this process may have the target of an assignment run its item. A configuration may have been adopted since the
 // target was chosen.
-func (c *Conductor) mayRun(a assignment) bool {
-	scope := c.scope(a.ledJob)
-	return scope.AllowsEntry(c.Region) && scope.AllowsTarget(a.target.Region)
+func (c *Conductor) mayRun(a assignment) bool { return c.mayRunIn(a.ledJob, a.target.Region) }
+
+// mayRunIn reports whether this process may have a target of a region run items of a job.
+func (c *Conductor) mayRunIn(l *ledJob, region identifier.Region) bool {
+	scope := c.scope(l)
+	return scope.AllowsEntry(c.Region) && scope.AllowsTarget(region)
+}
+
+// itemGate is the forwarder.Gate of the items of a job.
+type itemGate struct {
+	conductor *Conductor
+	job       *ledJob
+}
+
+// MaySend reports whether an item may be sent to a target of a zone and region now.
+func (g itemGate) MaySend(zone identifier.Zone, region identifier.Region) bool {
+	return !g.conductor.Forwarder.Evacuator.Evacuated(zone) && g.conductor.mayRunIn(g.job, region)
 }
 
 // mayAssign reports whether items of a job may start here. Items that no region may serve under both configurations are abandoned where
--- a/internal/conductor/residency_test.go
+++ b/internal/conductor/residency_test.go
@@ -16,6 +16,7 @@
 	"github.com/mimosalb/mimosalb/internal/batcher"
 	"github.com/mimosalb/mimosalb/internal/conductor"
 	"github.com/mimosalb/mimosalb/internal/confiner"
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/forwarder"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/navigator"
@@ -317,3 +318,60 @@
 	c.Check(due, qt.DeepEquals, []batcher.Demand{{Items: 1}})
 	c.Check(caller.begun, qt.HasLen, 0)
 }
+
+// connectingCaller is a forwarder.TargetClient that calls change while it connects, and sends only what its gate still allows.
+type connectingCaller struct {
+	change func()
+	sent   int
+}
+
+func (k *connectingCaller) Call(_ context.Context, c forwarder.Call) (forwarder.Answer, forwarder.Fault) {
+	if k.change(); !c.Gate.MaySend(c.Target.Zone, c.Target.Region) {
+		return forwarder.Answer{}, forwarder.Excluded
+	}
+	k.sent++
+	return forwarder.Answer{}, forwarder.Broken
+}
+
+// Guards against an item that is sent to a target which a configuration or an order excluded while the call connected, that waits longer
+// for it, or for which a sound target is suspended.
+func TestItemsAskBeforeTheyAreSent(t *testing.T) {
+	c := qt.New(t)
+	for _, k := range []struct {
+		name   string
+		change func(*navigator.Navigator, *evacuator.Evacuator)
+		sent   int
+	}{
+		{"nothing", func(*navigator.Navigator, *evacuator.Evacuator) {}, 1},
+		{"same region", func(n *navigator.Navigator, _ *evacuator.Evacuator) {
+			n.Adopt(*confinedPlan(2, confiner.NewRegions("a", "b"), ""))
+		}, 1},
+		{"target's region", func(n *navigator.Navigator, _ *evacuator.Evacuator) {
+			n.Adopt(*confinedPlan(2, confiner.NewRegions("b"), ""))
+		}, 0},
+		{"entry's region", func(n *navigator.Navigator, _ *evacuator.Evacuator) {
+			n.Adopt(*confinedPlan(2, confiner.NewRegions("a"), ""))
+		}, 0},
+		{"zone", func(_ *navigator.Navigator, e *evacuator.Evacuator) {
+			e.Apply(evacuator.Order{Zone: "za", Revision: 1})
+		}, 0},
+	} {
+		clock, nav, zones, reg := &timer.Manual{}, &navigator.Navigator{}, &evacuator.Evacuator{}, &registrar.Registrar{}
+		route := router.NewRouter()
+		route.Adopt(router.NewView([]router.Target{{ID: "t", Service: "s", Zone: "za", Region: "a"}}))
+		target, _ := route.Choose(router.Requirements{Service: "s"})
+		reg.Put(registrar.Listing{ID: "t", Service: "s", Zone: "za", Slots: 1})
+		caller := &connectingCaller{change: func() { k.change(nav, zones) }}
+		conduct := conductor.NewConductor(conductor.Dependencies{
+			Router: route, Registrar: reg, Navigator: nav, Caller: caller, Clock: clock, Region: "b",
+			Forwarder: forwarder.NewForwarder(forwarder.Dependencies{Registrar: reg, Clock: clock, Evacuator: zones}),
+		})
+		nav.Adopt(*confinedPlan(1, "", ""))
+		job := batcher.NewJob(batcher.Spec{ID: "j", Host: "h", Path: "/jobs/j", Items: []batcher.Item{{ID: "i"}}})
+		conduct.RunFirst(t.Context(), job, target)
+		due, _ := job.Due(clock.Monotonic())
+		c.Check(caller.sent, qt.Equals, k.sent, qt.Commentf(k.name))
+		c.Check(due, qt.DeepEquals, []batcher.Demand{{Items: 1}}, qt.Commentf(k.name))
+		c.Check(reg.TargetsToAvoid("s", "", 0, clock.Monotonic()), qt.HasLen, k.sent, qt.Commentf(k.name))
+	}
+}
--- a/internal/conductor/run.go
+++ b/internal/conductor/run.go
@@ -195,7 +195,7 @@
 	attemptUnprocessable
 	// attemptStale means that an event did not fit the text so far: its number or its weight version is not acceptable.
 	attemptStale
-	// attemptStopped means that the job finished during the attempt.
+	// attemptStopped means that the job finished during the attempt, or that the configuration or an order excludes its target by now.
 	attemptStopped
 	// attemptOutpaced means that the item moves to a faster target.
 	attemptOutpaced
@@ -267,7 +267,7 @@
 		Request: forwarder.Request{
 			ID: identifier.Request(item.ID), Method: "POST", URI: item.Path, Path: path, Host: spec.Host, Header: header, Body: item.Body,
 		},
-		Target: a.target, Team: spec.Team, Timeout: itemTimeout, Priority: a.urgency,
+		Target: a.target, Team: spec.Team, Timeout: itemTimeout, Priority: a.urgency, Gate: itemGate{conductor: c, job: a.ledJob},
 	}
 	if a.task.Events > 0 {
 		call = call.WithResume(a.task.LastEvent)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -64,6 +64,14 @@
 	Priority int
 	// NewConnection asks for a connection that no call has used before.
 	NewConnection bool
+	// Gate decides whether the call is sent once its connection is open; nil allows it.
+	Gate Gate
+}
+
+// Gate decides whether a call may be sent. A configuration or an order may have been adopted while the call waited for its connection.
+type Gate interface {
+	// MaySend reports whether a call may be sent to a target of a zone and region now. Any goroutine may call it.
+	MaySend(zone identifier.Zone, region identifier.Region) bool
 }
 
 // WithNewConnection returns a copy of c that is sent on a connection that no call has used before.
@@ -117,11 +125,13 @@
 	Pending
 	// Stale means that the target had closed the kept connection before a byte of the call was written to it.
 	Stale
+	// Excluded means that no byte of the call was sent, because its target is excluded by now. It says nothing about the target.
+	Excluded
 )
 
 // String returns the name of the fault.
 func (f Fault) String() string {
-	names := [...]string{"fine", "unsent", "broken", "pending", "stale"}
+	names := [...]string{"fine", "unsent", "broken", "pending", "stale", "excluded"}
 	if f < 0 || int(f) >= len(names) {
 		return "invalid"
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/mimosalb/mimosalb/internal/estimator"
+	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/isolator"
 	"github.com/mimosalb/mimosalb/internal/limiter"
@@ -74,6 +75,8 @@
 	Limiter *limiter.Limiter
 	// Rationer refuses what can't be served in time; if it is nil, nothing is refused for that.
 	Rationer *rationer.Rationer
+	// Evacuator says to which zones nothing is sent; if it is nil, none is evacuated.
+	Evacuator *evacuator.Evacuator
 	// Answers is the memory in which more than a small part of an answer is buffered; nil means without bound.
 	Answers *reserver.Reserver
 	Clock   timer.Service
@@ -120,8 +123,10 @@
 	triedTargets []identifier.Target
 	// staleAttempts is the number of attempts that met a closed connection and were repeated at the same target.
 	staleAttempts int
-	counted       bool
-	confinement   confinement
+	// excludedAttempts is the number of attempts whose target was excluded before anything was sent. They count for nothing.
+	excludedAttempts int
+	counted          bool
+	confinement      confinement
 
 	computedFingerprint isolator.Fingerprint
 }
@@ -246,7 +251,7 @@
 
 // attemptsLeft reports whether the route allows another target. A repeat at the same target counts as an attempt.
 func (x *exchange) attemptsLeft() bool {
-	return len(x.triedTargets)+x.staleAttempts < max(x.route.MaxAttempts, 1)
+	return len(x.triedTargets)+x.staleAttempts-x.excludedAttempts < max(x.route.MaxAttempts, 1)
 }
 
 // chooseTarget chooses the target of the next attempt. Suspended targets are used only if there is no other. It chooses
@@ -274,7 +279,7 @@
 }
 
 func (x *exchange) newCall(t router.Target) Call {
-	return Call{Request: x.request, Target: t, Team: x.team, Timeout: x.targetDeadline - x.Clock.Monotonic(), Priority: x.priority}
+	return Call{Request: x.request, Target: t, Team: x.team, Timeout: x.targetDeadline - x.Clock.Monotonic(), Priority: x.priority, Gate: x}
 }
 
 // countRequest counts the request for its team; repeated calls have no effect.
@@ -308,6 +313,8 @@
 	now := x.Clock.Monotonic()
 	switch {
 	case abandoned:
+	case a.Fault == Excluded:
+		x.excludedAttempts++
 	case a.Fault != NoFault:
 		x.Registrar.RecordFailure(a.Target, now)
 	case a.NotRun:
@@ -331,10 +338,12 @@
 	}
 	reason := NoTarget
 	for _, a := range r.Attempts {
-		reason = TargetsUnreachable
 		if a.NotRun {
 			return r.notRun(TargetsRefused)
 		}
+		if a.Fault != Excluded {
+			reason = TargetsUnreachable
+		}
 	}
 	r = r.notRun(reason)
 	if reason == NoTarget && x.unserved() {
--- a/internal/forwarder/residency.go
+++ b/internal/forwarder/residency.go
@@ -18,10 +18,12 @@
 // configuration of a revision allows as well.
 type confinement struct {
 	// team is the one whose regions apply. On a public route it is that of the caller's key, if the caller sent one.
-	team     identifier.Team
-	accepted confiner.Scope
-	now      confiner.Scope
-	revision identifier.Revision
+	team identifier.Team
+	// accepted is the scope under the configuration of acceptedBy.
+	accepted   confiner.Scope
+	acceptedBy identifier.Revision
+	now        confiner.Scope
+	revision   identifier.Revision
 }
 
 // newConfinement returns the confinement of a request under the plan that accepts it.
@@ -31,7 +33,7 @@
 		team = caller.Name
 	}
 	accepted := confiner.NewScope(home, p.Regions(q.Host, q.Path, team)).With(q.Regions)
-	return confinement{team: team, accepted: accepted, now: accepted, revision: p.Revision()}
+	return confinement{team: team, accepted: accepted, acceptedBy: p.Revision(), now: accepted, revision: p.Revision()}
 }
 
 // scope returns where the request may be sent now: where both the configuration that accepted it and the present one allow.
@@ -46,6 +48,19 @@
 // mayReach reports whether the request may be sent to a target now. A configuration may have been adopted since the target was chosen.
 func (x *exchange) mayReach(t router.Target) bool { return x.scope().AllowsTarget(t.Region) }
 
+// MaySend reports whether an attempt that was chosen earlier may still be sent to a target of a zone and region. It is called by the
+// goroutines of attempts, and uses only what does not change.
+func (x *exchange) MaySend(zone identifier.Zone, region identifier.Region) bool {
+	if x.Evacuator.Evacuated(zone) {
+		return false
+	}
+	c, plan := &x.confinement, x.Navigator.Current()
+	if plan.Revision() == c.acceptedBy {
+		return true
+	}
+	return c.accepted.With(plan.Regions(x.request.Host, x.request.Path, c.team)).AllowsTarget(region)
+}
+
 // unserved reports whether no target of the service is in the regions of the request.
 func (x *exchange) unserved() bool {
 	scope := x.scope()
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -159,8 +159,8 @@
 	fwd := forwarder.NewForwarder(forwarder.Dependencies{
 		Navigator: nav, Registrar: reg, Router: route, TargetClient: calls, Opener: p.Targets, Starts: starts, Origins: e.origins,
 		Counter: tally, Observer: e.observer, Limiter: e.limiter, Rationer: e.rationer, Clock: e.clock, Zone: s.Zone, Region: s.Region,
-		Estimator: placer.estimator,
-		Answers:   reserver.NewReserver(s.Memory / answerMemoryDivisor),
+		Estimator: placer.estimator, Evacuator: e.evacuator,
+		Answers: reserver.NewReserver(s.Memory / answerMemoryDivisor),
 	})
 	e.changeBuffers = e.newChangeBuffers()
 	e.forwarder = fwd
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -79,7 +79,7 @@
 	if fault == forwarder.NoFault && a.Foreign && i.onRestart != nil {
 		i.onRestart(c.Target)
 	}
-	if fault != forwarder.NoFault && ctx.Err() == nil && i.onFault != nil {
+	if fault != forwarder.NoFault && fault != forwarder.Excluded && ctx.Err() == nil && i.onFault != nil {
 		i.onFault(c.Target, fault)
 	}
 	return a, fault
