rpcclient, runner: an entry asks before it sends a call to an agent whether its zone is still in use

Cause: on the product's own interface a call that waited for its connection to an agent, or for a place on it, was sent although an order to evacuate the zone had been adopted meanwhile.

Change: NewAgents takes a StartGate, which is asked on the open connection before the call is written. A call that it does not allow is unsent, and the shared connection stays open. The gate of an entry looks at the orders in force; it gets the service and the team of a call, so that regions can be checked there once documents have them.

--- a/internal/adapter/rpcclient/agents.go
+++ b/internal/adapter/rpcclient/agents.go
@@ -7,6 +7,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -23,10 +24,14 @@
 // agents implements dispatcher.Agents over net/rpc.
 type agents struct {
 	client *Client
+	gate   StartGate
 }
 
-// NewAgents returns a dispatcher.Agents that calls the agents through c.
-func NewAgents(c *Client) dispatcher.Agents { return agents{client: c} }
+// StartGate reports whether a call may still be sent to a target. A document may have been adopted while it waited for its connection.
+type StartGate func(t router.Target, c executor.Call) bool
+
+// NewAgents returns a dispatcher.Agents that calls the agents through c and asks gate before it sends a call to a target.
+func NewAgents(c *Client, gate StartGate) dispatcher.Agents { return agents{client: c, gate: gate} }
 
 func (a agents) Start(ctx context.Context, t router.Target, s dispatcher.Start) (gatekeeper.Verdict, dispatcher.Delivery) {
 	args := &messenger.StartRequest{
@@ -37,8 +42,13 @@
 		Timeout:     s.Timeout,
 		Call:        s.Call,
 	}
-	reply, err := call[messenger.StartReply](ctx, a.client, t.Address, "Agent.Start", args, callTimeout)
-	return reply.Verdict, delivery(err)
+	var reply messenger.StartReply
+	err := a.client.callGated(ctx, t.Address, "Agent.Start", args, &reply, callTimeout, func() bool { return a.gate(t, s.Call) })
+	if err != nil {
+		// net/rpc may still write to the reply.
+		return 0, delivery(err)
+	}
+	return reply.Verdict, delivery(nil)
 }
 
 func (a agents) Read(ctx context.Context, t router.Target, id identifier.Attempt, from int) (streamer.Chunk, bool, dispatcher.Delivery) {
--- a/internal/adapter/rpcclient/rpcclient.go
+++ b/internal/adapter/rpcclient/rpcclient.go
@@ -21,6 +21,8 @@
 	ErrUnsent = errors.New("call not sent")
 	// ErrLost means that the call may have been executed but its reply did not arrive.
 	ErrLost = errors.New("reply lost")
+	// errExcluded means that the gate of a call did not allow it any more.
+	errExcluded = errors.New("the target is excluded by now")
 	// ErrMismatch means that a reply had the ID of another call. The connection was closed.
 	ErrMismatch = errors.New("reply has the ID of another call")
 )
@@ -73,6 +75,14 @@
 // Call calls method at address and waits for the reply until ctx ends or timeout has passed. The error wraps
 // ErrUnsent, ErrLost or ErrMismatch, or is the error that the method returned.
 func (c *Client) Call(ctx context.Context, address, method string, args Identified, reply Identified, timeout time.Duration) error {
+	return c.callGated(ctx, address, method, args, reply, timeout, func() bool { return true })
+}
+
+// callGated is Call with a gate that is asked once the connection is open and before any byte of the call is written. The call ends unsent
+// if the gate does not allow it.
+func (c *Client) callGated(
+	ctx context.Context, address, method string, args, reply Identified, timeout time.Duration, gate func() bool,
+) error {
 	e, _ := c.endpoints.PutAbsent(address, newEndpoint(c.inFlight))
 	release, ok := e.acquire(ctx)
 	if !ok {
@@ -83,6 +93,9 @@
 	if err != nil {
 		return fmt.Errorf("call %s: %w: %w", method, ErrUnsent, err)
 	}
+	if !gate() {
+		return fmt.Errorf("call %s: %w: %w", method, ErrUnsent, errExcluded)
+	}
 	return c.exchange(ctx, e, conn, method, args, reply, timeout)
 }
 
--- a/internal/adapter/rpcclient/rpcclient_test.go
+++ b/internal/adapter/rpcclient/rpcclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/executor"
+	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -52,13 +55,16 @@
 	return client
 }
 
+// anyTarget is a rpcclient.StartGate that allows every call.
+func anyTarget(router.Target, executor.Call) bool { return true }
+
 // Guards against a data race: net/rpc writes a reply that arrives after the call was cancelled into the value that the
 // caller already reads.
 func TestLateReplyIsNotShared(t *testing.T) {
 	c := qt.New(t)
 	agent := &slowAgent{release: make(chan struct{})}
 	address := serve(c, agent)
-	agents := rpcclient.NewAgents(newClient(c))
+	agents := rpcclient.NewAgents(newClient(c), anyTarget)
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, cancel)
 	_, known, delivery := agents.Read(ctx, router.Target{Address: address}, identifier.Attempt{Request: "a"}, 0)
@@ -84,6 +90,45 @@
 	c.Assert(err, qt.IsNil)
 	address := l.Addr().String()
 	c.Assert(l.Close(), qt.IsNil)
-	_, delivery := rpcclient.NewAgents(newClient(c)).Start(context.Background(), router.Target{Address: address}, dispatcher.Start{})
+	_, delivery := rpcclient.NewAgents(newClient(c), anyTarget).Start(context.Background(), router.Target{Address: address}, dispatcher.Start{})
 	c.Assert(delivery, qt.Equals, dispatcher.Unsent)
 }
+
+// startAgent counts the calls that it admits.
+type startAgent struct{ started atomic.Int64 }
+
+// Start admits a call.
+func (a *startAgent) Start(args messenger.StartRequest, reply *messenger.StartReply) error {
+	a.started.Add(1)
+	reply.Envelope, reply.Verdict = args.Envelope, gatekeeper.Admitted
+	return nil
+}
+
+// Guards against a call that is sent to a target which was excluded while it waited for a new connection, or for a place on the one that
+// there is; against one that is then reported as possibly sent; and against a connection that other calls can't use any more.
+func TestExcludedCallIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	agent, excluded := &startAgent{}, false
+	clock := timer.NewSystem()
+	defer clock.Close()
+	client := rpcclient.NewClient(clock, rpcclient.WithDialer(func(_ context.Context, address string) (net.Conn, error) {
+		excluded = true
+		return net.Dial("tcp", address)
+	}))
+	defer client.Close()
+	target := router.Target{ID: "t", Zone: "za", Address: serve(c, agent)}
+	agents := rpcclient.NewAgents(client, func(to router.Target, call executor.Call) bool {
+		return to.Zone != "za" || call.Service != "s" || !excluded
+	})
+	start := func(service identifier.Service) dispatcher.Delivery {
+		_, delivery := agents.Start(t.Context(), target, dispatcher.Start{Call: executor.Call{Service: service}})
+		return delivery
+	}
+	c.Check(start("s"), qt.Equals, dispatcher.Unsent)
+	c.Check(start("s"), qt.Equals, dispatcher.Unsent)
+	c.Check(agent.started.Load(), qt.Equals, int64(0))
+	c.Check(start("other"), qt.Equals, dispatcher.Delivered)
+	excluded = false
+	c.Check(start("s"), qt.Equals, dispatcher.Delivered)
+	c.Check(agent.started.Load(), qt.Equals, int64(2))
+}
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -122,7 +122,8 @@
 	e, s := b.entry, b.settings
 	settings := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
 	e.claims = claimer.NewClaimer(b.store.WithPurpose(storer.PurposeClaim), codec.Claims{}, e.clock)
-	e.dispatcher = dispatcher.NewDispatcher(settings, e.clock, b.usage.meteredAgents(rpcclient.NewAgents(e.peers)), b.config, b.router,
+	agents := b.usage.meteredAgents(rpcclient.NewAgents(e.peers, b.members.maySend))
+	e.dispatcher = dispatcher.NewDispatcher(settings, e.clock, agents, b.config, b.router,
 		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator), dispatcher.WithEvidenceHandler(e.broadcastEvidence),
 		dispatcher.WithEndHandler(b.metrics.Ended), dispatcher.WithEndHandler(b.usage.countEnded), dispatcher.WithEndHandler(e.logHeld))
 	b.planner = newPlanner(s, b.usage, b.store.WithPurpose(storer.PurposeOrder), b.log, b.members, b.config, e.dispatcher.Waiting)
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -5,8 +5,10 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
+	"github.com/mimosalb/mimosalb/internal/router"
 )
 
 // adoptEvacuated leaves the targets of the zones that a configuration evacuates out of the router's view from now on.
@@ -34,6 +36,11 @@
 	m.router.Adopt(m.tracker.RoutedView())
 }
 
+// maySend reports whether a call may still be sent to a target. An order to evacuate its zone may have been adopted since it was chosen.
+func (m *membership) maySend(t router.Target, _ executor.Call) bool {
+	return !m.tracker.Evacuated().Contains(t.Zone)
+}
+
 // logStranded logs which services have no target left outside the evacuated zones, and which have one again. Only the goroutine that
 // refreshes the view calls it.
 func (m *membership) logStranded() {
