configurator, codec: regions of services and teams

Cause: the configuration document has no regions, so the product's own interface cannot restrict where requests are served. Change: services and teams have a set of regions (confiner.Regions), in files and in the store as the list `regions`. Check reports a set in whose regions the document has no zone; a document without zones does not tell. The form's check reports names that no region can have. Conclusion: documents without regions have the same stored form, check and differences as before.

--- a/internal/adapter/codec/codec.go
+++ b/internal/adapter/codec/codec.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
@@ -39,6 +40,8 @@
 	Name   identifier.Team `json:"name" yaml:"name"`
 	Weight float64         `json:"weight,omitempty" yaml:"weight,omitempty"`
 	Limits Limits          `json:"limits,omitzero" yaml:"limits,omitempty"`
+	// Regions are those in which the requests of the team may be served; empty: all.
+	Regions []identifier.Region `json:"regions,omitempty" yaml:"regions,omitempty"`
 }
 
 // Limits holds the limits of a team or service. Rates are per second.
@@ -65,6 +68,8 @@
 	Scoring bool               `json:"scoring,omitempty" yaml:"scoring,omitempty"`
 	Timeout string             `json:"timeout,omitempty" yaml:"timeout,omitempty"`
 	Limits  Limits             `json:"limits,omitzero" yaml:"limits,omitempty"`
+	// Regions are those in which the requests to the service may be served; empty: all.
+	Regions []identifier.Region `json:"regions,omitempty" yaml:"regions,omitempty"`
 }
 
 // Rule holds the settings of a preset.
@@ -102,7 +107,7 @@
 		f.Zones = append(f.Zones, Zone(z))
 	}
 	for _, t := range d.Teams() {
-		f.Teams = append(f.Teams, Team{Name: t.Name, Weight: t.Weight, Limits: fromLimits(t.Limits)})
+		f.Teams = append(f.Teams, Team{Name: t.Name, Weight: t.Weight, Limits: fromLimits(t.Limits), Regions: t.Regions.Names()})
 	}
 	for _, k := range d.Keys() {
 		f.Keys = append(f.Keys, Key{
@@ -127,7 +132,9 @@
 	}
 	teams := make([]configurator.Team, 0, len(f.Teams))
 	for _, t := range f.Teams {
-		teams = append(teams, configurator.Team{Name: t.Name, Weight: t.Weight, Limits: t.Limits.limits()})
+		teams = append(teams, configurator.Team{
+			Name: t.Name, Weight: t.Weight, Limits: t.Limits.limits(), Regions: confiner.NewRegions(t.Regions...),
+		})
 	}
 	keys := make([]configurator.Key, 0, len(f.Keys))
 	for i, k := range f.Keys {
@@ -163,7 +170,9 @@
 }
 
 func fromService(s configurator.Service) Service {
-	f := Service{Name: s.Name, Kind: s.Kind, Open: s.Open, Once: s.Once, Scoring: s.Scoring, Limits: fromLimits(s.Limits)}
+	f := Service{
+		Name: s.Name, Kind: s.Kind, Open: s.Open, Once: s.Once, Scoring: s.Scoring, Limits: fromLimits(s.Limits), Regions: s.Regions.Names(),
+	}
 	if s.Timeout != 0 {
 		f.Timeout = s.Timeout.String()
 	}
@@ -173,6 +182,7 @@
 func (f Service) service() (configurator.Service, error) {
 	s := configurator.Service{
 		Name: f.Name, Kind: f.Kind, Open: f.Open, Once: f.Once, Scoring: f.Scoring, Limits: f.Limits.limits(),
+		Regions: confiner.NewRegions(f.Regions...),
 	}
 	if f.Timeout == "" {
 		return s, nil
--- a/internal/adapter/codec/codec_test.go
+++ b/internal/adapter/codec/codec_test.go
@@ -7,16 +7,20 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 )
 
 // Guards against a document that changes when it is stored and read again, and against a panic on malformed input.
 func FuzzDocument(f *testing.F) {
 	key := configurator.Key{Caller: "driver", Team: "routing", Withdrawn: true}
 	doc := configurator.Document{}.WithPreset(configurator.Peak).WithRevision(3).
-		WithTeams(configurator.Team{Name: "routing", Weight: 2}).WithKeys(key).
-		WithServices(configurator.Service{Name: "matcher", Kind: configurator.Model, Timeout: 3})
+		WithTeams(configurator.Team{Name: "routing", Weight: 2, Regions: confiner.NewRegions("south", "north")}).WithKeys(key).
+		WithServices(configurator.Service{Name: "matcher", Kind: configurator.Model, Timeout: 3, Regions: confiner.NewRegions("south")})
 	f.Add(codec.Encode(doc))
-	for _, seed := range []string{`{`, `null`, `{"services":[{"timeout":"x"}]}`, `{"keys":[{"hash":"AA=="}]}`, "preset: \xff", "zones: [{name: a}]"} {
+	for _, seed := range []string{
+		`{`, `null`, `{"services":[{"timeout":"x"}]}`, `{"keys":[{"hash":"AA=="}]}`, "preset: \xff", "zones: [{name: a}]",
+		`{"teams":[{"regions":["",null,"a\n"]}]}`, `{"services":[{"name":"a","kind":"plain","regions":["b",""]}]}`,
+	} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/adapter/codec/parse.go
+++ b/internal/adapter/codec/parse.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/confiner"
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/pkg/loader"
 )
 
@@ -42,8 +44,8 @@
 	return doc, problems
 }
 
-// Check returns the problems that exist only in the form, not in a configurator.Document: malformed hashes and
-// durations.
+// Check returns the problems that exist only in the form, not in a configurator.Document: malformed hashes, durations and
+// names of regions.
 func (f Document) Check() []configurator.Problem {
 	var ps []configurator.Problem
 	for i, k := range f.Keys {
@@ -53,10 +55,25 @@
 			})
 		}
 	}
+	for i, t := range f.Teams {
+		ps = append(ps, checkRegions(fmt.Sprintf("teams[%d]", i), t.Regions)...)
+	}
 	for i, s := range f.Services {
+		ps = append(ps, checkRegions(fmt.Sprintf("services[%d]", i), s.Regions)...)
 		if _, err := time.ParseDuration(s.Timeout); s.Timeout != "" && err != nil {
 			ps = append(ps, configurator.Problem{Field: fmt.Sprintf("services[%d].timeout", i), Want: "a duration such as 30s"})
 		}
 	}
 	return ps
 }
+
+// checkRegions returns a problem for each name that no region can have. A set of regions leaves such names out.
+func checkRegions(element string, names []identifier.Region) []configurator.Problem {
+	var ps []configurator.Problem
+	for i, name := range names {
+		if confiner.NewRegions(name).Empty() {
+			ps = append(ps, configurator.Problem{Field: fmt.Sprintf("%s.regions[%d]", element, i), Want: "the name of a region"})
+		}
+	}
+	return ps
+}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -136,6 +136,8 @@
 		"g-json.json":          `{"preset":"peak","teams":[{"name":5,"weight":"x"}]}`,
 		"h-bytes.yaml":         "preset: \xff\xfe\n",
 		"i-preset.yaml":        "preset: holiday\n",
+		"j-regions.yaml":       strings.Replace(document, "billing}", "billing, regions: [south, \"\"]}", 1),
+		"k-regions.yaml":       strings.Replace(document, "scoring: true", "scoring: true, regions: [east]", 1),
 	} {
 		tr.file(name, text)
 	}
--- a/internal/configurator/configurator_test.go
+++ b/internal/configurator/configurator_test.go
@@ -9,6 +9,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 )
 
 func base() configurator.Document {
@@ -68,8 +69,17 @@
 		WithKeys(configurator.Key{Caller: "clerk", Team: "nobody"}).
 		WithServices(configurator.Service{Name: "ledger", Kind: "other", Timeout: -1}).
 		WithRules(configurator.Rule{Preset: "holiday", RolloutShare: 2})
+	// Guards against a set of regions that no target can satisfy and that is adopted; without zones a document does not tell.
+	confined := configurator.Document{}.
+		WithTeams(configurator.Team{Name: "routing", Regions: confiner.NewRegions("north")}).
+		WithServices(configurator.Service{Name: "ledger", Kind: configurator.Plain, Regions: confiner.NewRegions("")})
 	var out strings.Builder
-	for _, p := range d.Check() {
+	for _, p := range append(d.Check(), confined.Check()...) {
+		fmt.Fprintln(&out, p)
+	}
+	confined = confined.WithZones(configurator.Zone{Name: "macon", Region: "south"}).
+		WithServices(configurator.Service{Name: "ledger", Kind: configurator.Plain, Regions: confiner.NewRegions("east", "south")})
+	for _, p := range confined.Check() {
 		fmt.Fprintln(&out, p)
 	}
 	goldie.New(t).Assert(t, "faults", []byte(out.String()))
--- a/internal/configurator/diff.go
+++ b/internal/configurator/diff.go
@@ -66,7 +66,9 @@
 func (z Zone) String() string { return "region=" + string(z.Region) }
 
 // String returns the team's fields.
-func (t Team) String() string { return fmt.Sprintf("weight=%v %v", t.Weight, t.Limits) }
+func (t Team) String() string {
+	return fmt.Sprintf("weight=%v %v", t.Weight, t.Limits) + regionsText(t.Regions)
+}
 
 // String returns the limits; zero means no limit.
 func (l Limits) String() string {
@@ -78,7 +80,8 @@
 
 // String returns the service's fields.
 func (s Service) String() string {
-	return fmt.Sprintf("kind=%s open=%t once=%t scoring=%t timeout=%v %v", s.Kind, s.Open, s.Once, s.Scoring, s.Timeout, s.Limits)
+	return fmt.Sprintf("kind=%s open=%t once=%t scoring=%t timeout=%v %v", s.Kind, s.Open, s.Once, s.Scoring, s.Timeout, s.Limits) +
+		regionsText(s.Regions)
 }
 
 // String returns the rule's fields.
--- a/internal/configurator/document.go
+++ b/internal/configurator/document.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
@@ -22,6 +23,8 @@
 	rules    []Rule
 	// evacuated are the zones to whose targets nothing is sent.
 	evacuated evacuator.Zones
+	// confined states that a team or service is restricted to regions.
+	confined bool
 }
 
 // Zone is an availability zone and its region.
@@ -36,6 +39,8 @@
 	// Weight is the team's share of the work relative to other teams; zero counts as one.
 	Weight float64
 	Limits Limits
+	// Regions are those in which the requests of the team may be served.
+	Regions confiner.Regions
 }
 
 // Limits bounds the work of a team or service. A zero field means no limit.
@@ -74,6 +79,8 @@
 	// Timeout bounds one request from admission to the last byte; zero means DefaultTimeout.
 	Timeout time.Duration
 	Limits  Limits
+	// Regions are those in which the requests to the service may be served.
+	Regions confiner.Regions
 }
 
 // DefaultTimeout bounds a request to a service that sets no timeout.
@@ -170,13 +177,13 @@
 // WithTeams returns a copy of d with the given teams.
 func (d Document) WithTeams(teams ...Team) Document {
 	d.teams = slices.Clone(teams)
-	return d
+	return d.withConfined()
 }
 
 // WithTeam returns a copy of d in which t replaces the team of the same name or is added.
 func (d Document) WithTeam(t Team) Document {
 	d.teams = replace(d.teams, t, func(o Team) bool { return o.Name == t.Name })
-	return d
+	return d.withConfined()
 }
 
 // WithKeys returns a copy of d with the given keys.
@@ -194,13 +201,13 @@
 // WithServices returns a copy of d with the given services.
 func (d Document) WithServices(services ...Service) Document {
 	d.services = slices.Clone(services)
-	return d
+	return d.withConfined()
 }
 
 // WithService returns a copy of d in which s replaces the service of the same name or is added.
 func (d Document) WithService(s Service) Document {
 	d.services = replace(d.services, s, func(o Service) bool { return o.Name == s.Name })
-	return d
+	return d.withConfined()
 }
 
 // WithRules returns a copy of d with the given rules.
--- a/internal/configurator/problem.go
+++ b/internal/configurator/problem.go
@@ -21,6 +21,7 @@
 	ps = append(ps, d.checkTeams()...)
 	ps = append(ps, d.checkKeys()...)
 	ps = append(ps, d.checkServices()...)
+	ps = append(ps, d.checkRegions()...)
 	if !slices.Contains(Presets(), d.Preset()) {
 		ps = append(ps, Problem{Field: "preset", Want: "one of ordinary, peak, maintenance"})
 	}
