dispatcher: requests keep to the regions of their service and team

Cause: the product's own interface chose targets without regard to the regions that the configuration names. Change: a request keeps the regions of its acceptance; each choice (first send, retry, hedged request, continuation, wait of a suspected request) and the last moment before a body is sent, when the connection to the agent is up, ask confiner.Scope with these and with those of the present document. Where no target of the service is in the regions, the request is refused at once as not run, 503 with Retry-After and reason no-target-in-regions; work under way ends with what is known of it. A call with an idempotency key passes the queue first and is refused as before, since it may have run under its key. The stand-in for links counts a text that passes. TestExcludedTargetGetsNothing fails without the check in rpcclient. Conclusion: no body leaves the regions on the way to an agent. An unrestricted document costs one comparison per choice and send.

--- a/internal/adapter/httpserver/problem.go
+++ b/internal/adapter/httpserver/problem.go
@@ -48,6 +48,7 @@
 // refusalDetails explains the refusals for which the caller can change the request or wait.
 var refusalDetails = map[string]string{
 	dispatcher.ReasonCrashesTargets: "targets crashed while they ran this request; it is refused until the time in Retry-After has passed",
+	dispatcher.ReasonNoRegion:       "no target of the service is in the regions that the configuration allows",
 	dispatcher.ReasonKeyReused:      "the Idempotency-Key was already used for a different request",
 }
 
@@ -55,7 +56,7 @@
 	switch reason {
 	case dispatcher.ReasonCrashesTargets, dispatcher.ReasonKeyReused:
 		return http.StatusUnprocessableEntity
-	case dispatcher.ReasonStopping, dispatcher.ReasonStoreUnavailable:
+	case dispatcher.ReasonStopping, dispatcher.ReasonStoreUnavailable, dispatcher.ReasonNoRegion:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusTooManyRequests
--- a/internal/adapter/rpcclient/agents.go
+++ b/internal/adapter/rpcclient/agents.go
@@ -37,8 +37,12 @@
 		Timeout:     s.Timeout,
 		Call:        s.Call,
 	}
-	reply, err := call[messenger.StartReply](ctx, a.client, t.Address, "Agent.Start", args, callTimeout)
-	return reply.Verdict, delivery(err)
+	reply := &messenger.StartReply{}
+	if err := a.client.callIf(ctx, t.Address, "Agent.Start", args, reply, callTimeout, s.Permitted); err != nil {
+		// net/rpc may still write to reply.
+		return 0, delivery(err)
+	}
+	return reply.Verdict, dispatcher.Delivered
 }
 
 func (a agents) Read(ctx context.Context, t router.Target, id identifier.Attempt, from int) (streamer.Chunk, bool, dispatcher.Delivery) {
--- a/internal/adapter/rpcclient/rpcclient.go
+++ b/internal/adapter/rpcclient/rpcclient.go
@@ -23,6 +23,9 @@
 	ErrLost = errors.New("reply lost")
 	// ErrMismatch means that a reply had the ID of another call. The connection was closed.
 	ErrMismatch = errors.New("reply has the ID of another call")
+
+	// errNotPermitted means that the call was permitted no longer when the connection was set up.
+	errNotPermitted = errors.New("no longer permitted")
 )
 
 const (
@@ -73,6 +76,13 @@
 // Call calls method at address and waits for the reply until ctx ends or timeout has passed. The error wraps
 // ErrUnsent, ErrLost or ErrMismatch, or is the error that the method returned.
 func (c *Client) Call(ctx context.Context, address, method string, args Identified, reply Identified, timeout time.Duration) error {
+	return c.callIf(ctx, address, method, args, reply, timeout, nil)
+}
+
+// callIf is Call, but sends nothing if permitted returns false once the connection is set up. A nil permitted is not asked.
+func (c *Client) callIf(
+	ctx context.Context, address, method string, args Identified, reply Identified, timeout time.Duration, permitted func() bool,
+) error {
 	e, _ := c.endpoints.PutAbsent(address, newEndpoint(c.inFlight))
 	release, ok := e.acquire(ctx)
 	if !ok {
@@ -83,6 +93,9 @@
 	if err != nil {
 		return fmt.Errorf("call %s: %w: %w", method, ErrUnsent, err)
 	}
+	if permitted != nil && !permitted() {
+		return fmt.Errorf("call %s: %w: %w", method, ErrUnsent, errNotPermitted)
+	}
 	return c.exchange(ctx, e, conn, method, args, reply, timeout)
 }
 
--- a/internal/adapter/rpcclient/rpcclient_test.go
+++ b/internal/adapter/rpcclient/rpcclient_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcserver"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
+	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -87,3 +90,30 @@
 	_, delivery := rpcclient.NewAgents(newClient(c)).Start(context.Background(), router.Target{Address: address}, dispatcher.Start{})
 	c.Assert(delivery, qt.Equals, dispatcher.Unsent)
 }
+
+// Guards against a body that is sent although a configuration that excludes its target was adopted while the connection was set up.
+func TestExcludedTargetGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	var received strings.Builder
+	agent, process := net.Pipe()
+	copied := make(chan struct{})
+	go func() {
+		defer close(copied)
+		_, _ = io.Copy(&received, agent)
+	}()
+	clock := timer.NewSystem()
+	defer clock.Close()
+	connected := false
+	client := rpcclient.NewClient(clock, rpcclient.WithDialer(func(context.Context, string) (net.Conn, error) {
+		connected = true
+		return process, nil
+	}))
+	start := dispatcher.Start{Call: executor.Call{Prompt: "excluded"}, Permitted: func() bool { return !connected }}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, delivery := rpcclient.NewAgents(client).Start(ctx, router.Target{Address: "agent"}, start)
+	client.Close()
+	<-copied
+	c.Assert(delivery, qt.Equals, dispatcher.Unsent)
+	c.Assert(received.String(), qt.Equals, "")
+}
--- a/internal/dispatcher/agents.go
+++ b/internal/dispatcher/agents.go
@@ -29,11 +29,13 @@
 	Issued  time.Time
 	Timeout time.Duration
 	Call    executor.Call
+	// Permitted reports whether the target may still get the call; nil means that it may. It is asked once the target can be reached.
+	Permitted func() bool
 }
 
 // Agents sends messages to the agents of targets.
 type Agents interface {
-	// Start offers an attempt to the agent of t.
+	// Start offers an attempt to the agent of t. It sends nothing if the attempt is no longer permitted once t can be reached.
 	Start(ctx context.Context, t router.Target, s Start) (gatekeeper.Verdict, Delivery)
 	// Read waits for the pieces of an attempt's answer from index from on. The second result is false when the agent
 	// does not know the attempt.
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -21,8 +21,10 @@
 
 // Reasons for refusals and failures that the dispatcher itself reports.
 const (
-	ReasonNoTarget      = "no-target"
-	ReasonTimeout       = "timeout"
+	ReasonNoTarget = "no-target"
+	ReasonTimeout  = "timeout"
+	// ReasonNoRegion means that no target of the service is in the regions that the configuration allows.
+	ReasonNoRegion      = "no-target-in-regions"
 	ReasonKeyWithdrawn  = "key-withdrawn"
 	ReasonCallerGone    = "caller-gone"
 	ReasonStopping      = "stopping"
--- a/internal/dispatcher/choice.go
+++ b/internal/dispatcher/choice.go
@@ -21,6 +21,7 @@
 		Version:     j.request.Call.Version,
 		PromptBytes: identifier.Bytes(len(j.request.Call.Prompt)),
 		Prefix:      j.prefix,
+		Regions:     d.scope(j.request).Regions,
 		Avoid:       j.failedTargets,
 	}
 	if j.resumable() && j.progress.tokens > 0 {
@@ -42,6 +43,8 @@
 	for {
 		reserved, released := d.isolator.ReservedTargets()
 		requirements.Avoid = append(slices.Clone(j.failedTargets), reserved...)
+		scope := d.scope(j.request)
+		requirements.Regions = scope.Regions
 		target, ok := d.router.Choose(requirements)
 		switch {
 		case ok && d.isolator.Reserve(target.ID):
@@ -51,7 +54,7 @@
 			// Another suspected request reserved the target after the call of Reserved. The next iteration avoids it.
 			d.router.Release(target.ID)
 			continue
-		case len(reserved) == 0:
+		case len(reserved) == 0, d.unserved(requirements.Service, scope):
 			return router.Target{}, false
 		}
 		select {
--- a/internal/dispatcher/choice_test.go
+++ b/internal/dispatcher/choice_test.go
@@ -19,7 +19,7 @@
 	for i := range targets {
 		targets[i].Service, targets[i].Zone = "s", "z"
 	}
-	d := &Dispatcher{router: router.NewRouter(), isolator: &isolator.Isolator{}}
+	d := &Dispatcher{router: router.NewRouter(), isolator: &isolator.Isolator{}, config: &configurator.Configurator{}}
 	d.router.Adopt(router.NewView(targets))
 	j := &job{release: "1", failedTargets: []identifier.Target{"a1"}}
 	j.request.Service.Name, j.request.Service.Kind = "s", configurator.Model
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/mimosalb/mimosalb/internal/authenticator"
 	"github.com/mimosalb/mimosalb/internal/claimer"
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -34,6 +35,9 @@
 	Call     executor.Call
 	// Key is the caller's idempotency key. It is used only for calls that may not be repeated.
 	Key string
+	// Regions are those in which the request may be served by the configuration at its acceptance. Submit adds those that the configuration
+	// of the submission allows.
+	Regions confiner.Regions
 	// Class orders the request in the queue; lower classes go first.
 	Class scheduler.Class
 	// Rollout marks work for a trainer.
@@ -167,6 +171,7 @@
 		// A rollout is owed whatever became of the targets that ran it.
 		r.Call = r.Call.WithoutFingerprint()
 	}
+	r.Regions = d.scope(r).Regions
 	if r.claimKey() != "" {
 		// A call that is held back may have run under this key before, so its claim is checked first.
 		return d.submitClaimed(ctx, r)
@@ -174,6 +179,9 @@
 	if wait, held := d.isolator.HeldBack(r.Call.Fingerprint, d.clock.Now()); held {
 		return nil, Refusal{Reason: ReasonCrashesTargets, RetryAfter: wait}
 	}
+	if refusal := d.refuseUnserved(r); refusal.Refused() {
+		return nil, refusal
+	}
 	j := &job{ctx: ctx, caller: ctx, request: r, answer: newAnswer()}
 	if refusal := d.enqueue(j); refusal.Refused() {
 		return nil, refusal
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -60,7 +60,9 @@
 	f := &follower{agents: d.agents, clock: d.clock, target: target, attempt: id, issued: issued, once: call.Once}
 	return preparedAttempt{
 		startedAttempt: startedAttempt{follower: f, ctx: ctx, cancel: cancel, discard: discard},
-		message:        Start{Attempt: id, Issued: issued, Timeout: max(j.deadline-d.clock.Monotonic(), 0), Call: call},
+		message: Start{
+			Attempt: id, Issued: issued, Timeout: max(j.deadline-d.clock.Monotonic(), 0), Call: call, Permitted: d.permit(j.request, target),
+		},
 	}
 }
 
@@ -87,7 +89,7 @@
 	case <-hedge:
 	}
 	requirements := router.Requirements{
-		Service: j.request.Service.Name, Zone: d.settings.Zone, Region: d.settings.Region,
+		Service: j.request.Service.Name, Zone: d.settings.Zone, Region: d.settings.Region, Regions: d.scope(j.request).Regions,
 		Avoid: append(slices.Clone(j.failedTargets), first.follower.target.ID),
 	}
 	target, ok := d.router.Choose(requirements)
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -4,10 +4,12 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,6 +24,8 @@
 	destination string
 	pairs       map[*pair]struct{}
 	faults      Faults
+	watched     string
+	carried     int
 }
 
 // Faults are the faults of a link. They apply to existing and to new connections. The zero value forwards all
@@ -44,6 +48,8 @@
 	silent    chan struct{}
 	ended     chan struct{}
 	once      sync.Once
+	// tail is the end of the data from near, in which a watched text may have begun.
+	tail []byte
 }
 
 // NewLink starts a link on a free loopback port that forwards to destination. Close ends it.
@@ -74,6 +80,32 @@
 	l.faults = f
 }
 
+// Watch counts from now on how often a text passes on the way to the destination.
+func (l *Link) Watch(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watched, l.carried = text, 0
+}
+
+// Carried returns how often the watched text has passed.
+func (l *Link) Carried() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.carried
+}
+
+// count counts the watched text in the next data from the near side of a pair.
+func (l *Link) count(p *pair, b []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.watched == "" {
+		return
+	}
+	data := slices.Concat(p.tail, b)
+	l.carried += bytes.Count(data, []byte(l.watched))
+	p.tail = data[max(0, len(data)-len(l.watched)+1):]
+}
+
 func (l *Link) currentFaults() Faults {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -213,6 +245,9 @@
 	case <-w.p.silent:
 		return len(b), nil
 	default:
+		if w.to == w.p.far {
+			w.p.link.count(w.p, b)
+		}
 		return w.to.Write(b)
 	}
 }
