collector: training runs keep to their regions

Cause: prompts of a training run are passed to the entry that owns it, which reads all submissions from the store; any entry that was asked about the run could become the owner. Change: the stored spec holds the scope of the run, the regions of the configuration at its opening and the region of the entry that opened it; the record of an owner names its region. An entry campaigns for a run, reads it, accepts submissions and goes on leading only where confiner.Scope allows it by both configurations, and not before it has one. A submission is passed on only to an owner whose region is allowed. Rollouts carry the regions of the run, so that the dispatcher confines them. A new submission for which no target is in the regions is refused at once as not run, 503 with Retry-After; a repeated one that was accepted is confirmed. TestBodiesStayInRegions counts the rollouts of a run at the agents: none outside. Conclusion: a run is confined by its record. Without regions its spec grows by the name of a region, its owner's record likewise.

--- a/internal/adapter/httpserver/trainer.go
+++ b/internal/adapter/httpserver/trainer.go
@@ -200,6 +200,8 @@
 		switch r.Reason {
 		case collector.ReasonFull:
 			status = http.StatusTooManyRequests
+		case collector.ReasonNoRegion:
+			return notRunProblem(http.StatusServiceUnavailable, r.Reason, refusalDetails[r.Reason])
 		case collector.ReasonNoRun, collector.ReasonTeam:
 			// A run of another team gets the same answer as a run that does not exist, so that nothing is disclosed.
 			return notRunProblem(http.StatusNotFound, collector.ReasonNoRun, "")
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/identifier"
@@ -49,6 +50,10 @@
 type Fleet interface {
 	// Request returns the dispatcher's request for a task of a run; false when the run's model service does not exist.
 	Request(s Spec, t Task) (dispatcher.Request, bool)
+	// Regions returns where the requests of a run may be served by the present configuration; false while there is none.
+	Regions(s Spec) (confiner.Regions, bool)
+	// Serves reports whether a target of a service is in one of the regions.
+	Serves(s identifier.Service, r confiner.Regions) bool
 	// Versions returns the oldest and the newest weight version among the serving engines of a service, and the
 	// version that the service is due to change to. A version that is not known is zero.
 	Versions(s identifier.Service) (oldest, newest, due identifier.Version)
@@ -58,6 +63,8 @@
 type Settings struct {
 	// Address is the address that other entries forward calls to.
 	Address string
+	// Region is the region of the entry.
+	Region identifier.Region
 	// Workers bounds the rollouts that run at the same time; zero means DefaultWorkers.
 	Workers int
 }
@@ -131,13 +138,15 @@
 	if s.Problem() != "" {
 		return Receipt{Outcome: Refused, Reason: ReasonField}
 	}
+	regions, _ := c.fleet.Regions(s)
+	s = s.WithScope(confiner.NewScope(c.settings.Region, regions))
 	stored, out := CreateSpec(ctx, c.store, c.codec, s)
 	switch {
 	case out != storer.Applied:
 		return Receipt{Outcome: OutcomeUnknown}
 	case stored.Team != s.Team:
 		return Receipt{Outcome: Refused, Reason: ReasonTeam}
-	case stored != s:
+	case stored.WithScope(s.Scope) != s:
 		return Receipt{Outcome: Refused, Reason: ReasonSpec}
 	}
 	if _, ok := c.addRun(stored); !ok {
@@ -156,7 +165,7 @@
 		return refusedReply(ReasonTeam)
 	}
 	if o := k.owner.Load(); o != nil && o.Valid() {
-		return serve(ctx, o, call)
+		return c.serve(ctx, o, call)
 	}
 	if call.Forwarded {
 		return movedReply()
@@ -165,6 +174,10 @@
 	if owner.Address == "" || owner.Address == c.settings.Address {
 		return movedReply()
 	}
+	if call.Kind == KindSubmit && !c.mayHold(k.spec, owner.Region) {
+		k.cached.Store(nil)
+		return movedReply()
+	}
 	reply, ok = c.peers.Forward(ctx, owner.Address, call.WithForwarded())
 	if !ok {
 		k.cached.Store(nil)
@@ -174,10 +187,16 @@
 }
 
 // serve answers a call to a run that this entry owns.
-func serve(ctx context.Context, o *Owner, call Call) Reply {
+func (c *Collector) serve(ctx context.Context, o *Owner, call Call) Reply {
 	var r Reply
 	switch call.Kind {
 	case KindSubmit:
+		if !c.mayHold(o.run.Spec(), c.settings.Region) {
+			return movedReply()
+		}
+		if refusal, refused := c.refuseUnserved(o, call.Submission); refused {
+			return refusal
+		}
 		r.Receipt = o.Submit(ctx, call.Submission)
 	case KindPull:
 		r.Delivery = o.Pull(ctx, call.Pull)
--- a/internal/collector/identity.go
+++ b/internal/collector/identity.go
@@ -11,8 +11,11 @@
 // RunID names a training run.
 type RunID string
 
+// dutyPrefix precedes the name of a run in that of its duty.
+const dutyPrefix = "run-"
+
 // Duty returns the duty whose holder owns the run.
-func (r RunID) Duty() identifier.Duty { return identifier.Duty("run-" + string(r)) }
+func (r RunID) Duty() identifier.Duty { return identifier.Duty(dutyPrefix + string(r)) }
 
 // Group identifies the samples of one prompt by the number of its submission and its index there.
 type Group struct {
--- a/internal/collector/owner.go
+++ b/internal/collector/owner.go
@@ -37,6 +37,8 @@
 	ReasonSpec     = "spec-differs"
 	ReasonField    = "bad-field"
 	ReasonTooLarge = "submission-too-large"
+	// ReasonNoRegion means that no target of the service is in the regions that the configuration allows.
+	ReasonNoRegion = "no-target-in-regions"
 )
 
 // Receipt is the answer to a submission or a statement.
--- a/internal/collector/spec.go
+++ b/internal/collector/spec.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
 
@@ -29,6 +30,9 @@
 	// Group is the number of samples in a group. Step is the number of samples in a step, a multiple of Group.
 	Group int
 	Step  int
+	// Scope is where the prompts and samples may be by the configuration at the opening of the run, with the region of the entry that opened
+	// it. It is no parameter of the trainer.
+	Scope confiner.Scope
 }
 
 // WithTeam returns a copy of s that belongs to the given team.
--- a/internal/collector/store.go
+++ b/internal/collector/store.go
@@ -38,31 +38,47 @@
 func cursorKey(r RunID, f, n uint64) string {
 	return fmt.Sprintf("%s%020d-%020d", cursorPrefix(r), f, n)
 }
-func ownerValue(r OwnerRecord, nonce string) []byte { return []byte(r.String() + " " + nonce) }
 
-// OwnerRecord is the stored record of a run's owner: the fencing number of its term and the address that calls are
-// forwarded to.
+// ownerValue returns the stored form of an owner record. The region is last, since builds that know none read the first fields only.
+func ownerValue(r OwnerRecord, nonce string) []byte {
+	value := r.String() + " " + nonce
+	if r.Region != "" {
+		value += " " + string(r.Region)
+	}
+	return []byte(value)
+}
+
+// OwnerRecord is the stored record of a run's owner: the fencing number of its term, the address that calls are forwarded to
+// and its region, which is empty if it is not known.
 type OwnerRecord struct {
 	Fence   identifier.Fence
 	Address string
+	Region  identifier.Region
 }
 
-// String returns the record as it is stored.
+// String returns the fencing number and the address, as they are stored.
 func (r OwnerRecord) String() string {
 	return strconv.FormatUint(uint64(r.Fence), 10) + " " + r.Address
 }
 
+// ownerFields is the number of fields of a stored owner record: fence, address, nonce and region. The last two may be missing.
+const ownerFields = 4
+
 // parseOwnerRecord decodes a stored record. It returns the zero record when there is none or it is malformed.
 func parseOwnerRecord(e storer.Entry) OwnerRecord {
-	fields := strings.Fields(string(e.Value))
-	if len(fields) < 2 {
+	fields := strings.SplitN(string(e.Value), " ", ownerFields)
+	if len(fields) < ownerFields-2 {
 		return OwnerRecord{}
 	}
 	fence, err := strconv.ParseUint(fields[0], 10, 64)
 	if err != nil {
 		return OwnerRecord{}
 	}
-	return OwnerRecord{Fence: identifier.Fence(fence), Address: fields[1]}
+	record := OwnerRecord{Fence: identifier.Fence(fence), Address: fields[1]}
+	if len(fields) == ownerFields {
+		record.Region = identifier.Region(fields[ownerFields-1])
+	}
+	return record
 }
 
 // FindOwner returns the record of the run's last owner.
--- a/internal/collector/workers.go
+++ b/internal/collector/workers.go
@@ -38,7 +38,7 @@
 	task *Task
 }
 
-// lead claims the run, and queues work items for its rollouts and hedges until the term ends.
+// lead claims the run, and queues work items for its rollouts and hedges until the term ends or a configuration excludes this entry.
 func (c *Collector) lead(ctx context.Context, k *knownRun, t leaser.Term) {
 	duty := k.spec.Run.Duty()
 	valid := func() bool {
@@ -50,7 +50,10 @@
 			cancel()
 		}
 	})
-	record := OwnerRecord{Fence: t.Fence, Address: c.settings.Address}
+	if !c.mayHold(k.spec, c.settings.Region) {
+		return
+	}
+	record := OwnerRecord{Fence: t.Fence, Address: c.settings.Address, Region: c.settings.Region}
 	o, out := ClaimRun(ctx, c.store, c.codec, c.clock, k.spec.Run, record, rand.Text(), valid, onCancel)
 	if out != storer.Applied {
 		c.sleep(ctx, claimRetryDelay)
@@ -68,6 +71,9 @@
 		select {
 		case <-changed:
 		case <-tick.C():
+			if !c.mayHold(k.spec, c.settings.Region) {
+				return
+			}
 			_, newest, due := c.fleet.Versions(k.spec.Service)
 			o.run.SetVersions(newest, due)
 			c.queueHedges(tm)
--- a/internal/demonstrator/residency_test.go
+++ b/internal/demonstrator/residency_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/standin/link"
 	"github.com/mimosalb/mimosalb/internal/standin/switcher"
+	"github.com/mimosalb/mimosalb/pkg/client"
 )
 
 // residencyBed is a testbed with targets of both services in two regions, and an entry in each.
@@ -87,13 +89,35 @@
 	}
 }
 
-// Guards against bodies, counted on the way to the agents, that leave the regions of their service and team: as first sends, hedged
-// requests, retries and continuations, from an entry that starts later, and while the key-value service is down.
+// train submits prompts to a training run that the first entry opens, through the second, and pulls their samples.
+func (b *residencyBed) train(text string) func() {
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		spec := client.Spec{Run: text, Service: "sortmind", Bound: 1, Group: 2, Step: 8}
+		addresses := []string{"http://" + b.Entries[0].Callers, "http://" + b.Entries[1].Callers}
+		_, err := client.Open(ctx, addresses[:1], b.keys["driver"], spec)
+		b.Assert(err, qt.IsNil)
+		trainer, err := client.Open(ctx, addresses[1:], b.keys["driver"], spec)
+		b.Assert(err, qt.IsNil)
+		_, err = trainer.Submit(ctx, slices.Repeat([]client.Prompt{{Text: text, MaxTokens: 5}}, 4))
+		b.Assert(err, qt.IsNil)
+		for taken := 0; taken < 4; {
+			batch, err := trainer.Pull(ctx, 4, 0)
+			b.Assert(err, qt.IsNil)
+			taken += len(batch.Groups)
+		}
+	}
+}
+
+// Guards against bodies, counted on the way to the agents, that leave the regions of their service and team: as first sends, rollouts,
+// hedged requests, retries and continuations, from an entry that starts later, and while the key-value service is down.
 func TestBodiesStayInRegions(t *testing.T) {
 	b := newResidencyBed(t)
 	b.Check(b.bodies("anywhere", b.send("anywhere")), qt.Equals, "lagos true, kano true", qt.Commentf("no restriction"))
 	b.restrict([]identifier.Region{"kano"}, nil)
 	b.Check(b.bodies("confined", b.send("confined")), qt.Equals, "lagos false, kano true")
+	b.Check(b.bodies("rollout", b.train("rollout")), qt.Equals, "lagos false, kano true")
 	b.Links["sortmind-3"].Set(link.Faults{Delay: 200 * time.Millisecond})
 	b.Check(b.bodies("hedged", b.send("hedged")), qt.Equals, "lagos false, kano true")
 	b.Check(b.Links["sortmind-4"].Carried() > 0, qt.IsTrue)
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -11,10 +11,12 @@
 	"github.com/mimosalb/mimosalb/internal/authenticator"
 	"github.com/mimosalb/mimosalb/internal/collector"
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
 	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/leaser"
+	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/scheduler"
 	"github.com/mimosalb/mimosalb/internal/storer"
 	"github.com/mimosalb/mimosalb/internal/timer"
@@ -44,10 +46,13 @@
 	// Rollouts use at most their share of the entry's workers, so that callers' requests find a free one.
 	workers = max(1, int(configurator.DefaultRolloutShare*float64(workers)))
 	store := b.store.WithPurpose(storer.PurposeRun)
-	duties := leaser.NewLeaser(identifier.Node(b.settings.Name), b.store.WithPurpose(storer.PurposeLease), e.clock)
-	f := &fleet{clock: e.clock, config: b.config, tracker: b.members.tracker}
+	var c *collector.Collector
+	duties := leaser.NewLeaser(identifier.Node(b.settings.Name), b.store.WithPurpose(storer.PurposeLease), e.clock,
+		leaser.WithEligible(func(d identifier.Duty) bool { return c.MayLead(d) }))
+	f := &fleet{clock: e.clock, config: b.config, tracker: b.members.tracker, router: b.router}
 	f.weights = updater.NewLeader(store, codec.Rollouts{}, f, rpcclient.NewWeights(e.peers), e.clock)
-	c := collector.NewCollector(collector.Settings{Address: e.Peers, Workers: workers},
+	settings := collector.Settings{Address: e.Peers, Region: identifier.Region(b.settings.Region), Workers: workers}
+	c = collector.NewCollector(settings,
 		store, codec.Rollouts{}, e.clock, duties, e.dispatcher, rpcclient.NewOwners(e.peers), f)
 	e.rollouts = &rollouts{collector: c, weights: f.weights}
 	if err := e.tree.server.Register("Runs", rpcserver.NewRuns(c)); err != nil {
@@ -68,6 +73,7 @@
 	clock   timer.Service
 	config  *configurator.Configurator
 	tracker *tracker.Tracker
+	router  *router.Router
 	weights *updater.Leader
 
 	mu             sync.Mutex
@@ -89,6 +95,7 @@
 		ID:       identifier.NewRequest(),
 		Identity: authenticator.Identity{Team: s.Team, Caller: identifier.Caller(s.Run.Duty())},
 		Service:  service,
+		Regions:  s.Scope.Regions,
 		Rollout:  true,
 		Call:     executor.Call{Service: s.Service, Team: s.Team, Adapter: s.Adapter, Prompt: t.Prompt.Text, Limit: t.Prompt.Limit},
 		Expected: t.Prompt.Limit,
@@ -99,6 +106,17 @@
 	return r, true
 }
 
+// Regions returns where the requests of a run may be served by the present configuration; false while there is none.
+func (f *fleet) Regions(s collector.Spec) (confiner.Regions, bool) {
+	doc := f.config.Current()
+	return doc.Regions(s.Service, s.Team), doc.Revision() > 0
+}
+
+// Serves reports whether a target of a service is in one of the regions.
+func (f *fleet) Serves(s identifier.Service, r confiner.Regions) bool {
+	return f.router.View().ServesIn(s, r)
+}
+
 // Versions returns the oldest and the newest weight version among the serving engines of a service, and as due the newest
 // version that is announced or served.
 func (f *fleet) Versions(s identifier.Service) (oldest, newest, due identifier.Version) {
