commander: regions of services and teams

Cause: mimosactl could neither set nor list the regions of services and teams. `team list` and `service list` show a column of regions if any row is restricted. Conclusion: listings of documents without regions are as before.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -122,6 +122,30 @@
 	tr.assert(t)
 }
 
+// Guards against regions that a command loses, and against a listing that does not show a restriction, or one that shows a column for
+// them where there is none.
+func TestRegions(t *testing.T) {
+	tr := newTranscript(t, newServer(qt.New(t)))
+	file := tr.file("config.yaml", document)
+	for _, line := range []string{
+		"apply -f " + file,
+		"team set routing --regions south",
+		"team set routing --weight 3",
+		"service set matcher --regions south,north",
+		"team list",
+		"service list",
+		"service list -o json",
+		"get",
+		"service set matcher --regions north",
+		"service set matcher --regions south,",
+		"service set matcher --regions=",
+		"service list",
+	} {
+		tr.run(strings.Fields(line)...)
+	}
+	tr.assert(t)
+}
+
 // Guards against an error in a configuration file that is reported without the file, the line, the field or the expected
 // value.
 func TestApplyNamesEveryFault(t *testing.T) {
--- a/internal/commander/service.go
+++ b/internal/commander/service.go
@@ -26,10 +26,11 @@
 	scoring string
 	timeout time.Duration
 	limits  *limitFlags
+	regions *regionsFlag
 }
 
 func newServiceFlags(clause *kingpin.CmdClause) *serviceFlags {
-	f := &serviceFlags{limits: newLimitFlags(clause)}
+	f := &serviceFlags{limits: newLimitFlags(clause), regions: newRegionsFlag(clause)}
 	clause.Flag("kind", "Kind of the service: model or plain.").EnumVar(&f.kind, string(configurator.Model), string(configurator.Plain))
 	clause.Flag("open", "Whether requests without a key are accepted.").Default("keep").EnumVar(&f.open, switchValues...)
 	clause.Flag("once", "Whether a call must not be executed more than once.").Default("keep").EnumVar(&f.once, switchValues...)
@@ -50,6 +51,7 @@
 		s.Timeout = f.timeout
 	}
 	s.Limits = f.limits.apply(s.Limits)
+	s.Regions = f.regions.apply(s.Regions)
 	return s
 }
 
@@ -92,14 +94,17 @@
 	if err != nil {
 		return Listing{}, err
 	}
-	return NewListing(codec.FromDocument(doc).Services,
-		Column[codec.Service]{columnName, func(s codec.Service) string { return string(s.Name) }},
-		Column[codec.Service]{"kind", func(s codec.Service) string { return string(s.Kind) }},
-		Column[codec.Service]{"open", func(s codec.Service) string { return strconv.FormatBool(s.Open) }},
-		Column[codec.Service]{"once", func(s codec.Service) string { return strconv.FormatBool(s.Once) }},
-		Column[codec.Service]{"scoring", func(s codec.Service) string { return strconv.FormatBool(s.Scoring) }},
-		Column[codec.Service]{"timeout", func(s codec.Service) string { return cmp.Or(s.Timeout, "-") }},
-	), nil
+	services := codec.FromDocument(doc).Services
+	columns := []Column[codec.Service]{
+		{columnName, func(s codec.Service) string { return string(s.Name) }},
+		{"kind", func(s codec.Service) string { return string(s.Kind) }},
+		{"open", func(s codec.Service) string { return strconv.FormatBool(s.Open) }},
+		{"once", func(s codec.Service) string { return strconv.FormatBool(s.Once) }},
+		{"scoring", func(s codec.Service) string { return strconv.FormatBool(s.Scoring) }},
+		{"timeout", func(s codec.Service) string { return cmp.Or(s.Timeout, "-") }},
+	}
+	columns = withRegionsColumn(columns, services, func(s codec.Service) []identifier.Region { return s.Regions })
+	return NewListing(services, columns...), nil
 }
 
 func removeService(d configurator.Document, name string) (configurator.Document, error) {
--- a/internal/commander/team.go
+++ b/internal/commander/team.go
@@ -52,6 +52,7 @@
 	setName := set.Arg("team", "Name of the team.").Required().String()
 	weight := set.Flag("weight", "Share relative to other teams.").Default(unchanged).Float64()
 	limits := newLimitFlags(set)
+	regions := newRegionsFlag(set)
 	remove := group.Command("remove", "Remove a team that has never had a key.")
 	removeName := remove.Arg("team", "Name of the team.").Required().String()
 	return []command{
@@ -64,6 +65,7 @@
 					team.Weight = *weight
 				}
 				team.Limits = limits.apply(team.Limits)
+				team.Regions = regions.apply(team.Regions)
 				return d.WithTeam(team), nil
 			})
 		}},
@@ -78,13 +80,16 @@
 	if err != nil {
 		return Listing{}, err
 	}
-	return NewListing(codec.FromDocument(doc).Teams,
-		Column[codec.Team]{columnName, func(t codec.Team) string { return string(t.Name) }},
-		Column[codec.Team]{"weight", func(t codec.Team) string { return fmt.Sprint(t.Weight) }},
-		Column[codec.Team]{"requests", func(t codec.Team) string { return fmt.Sprint(t.Limits.Requests) }},
-		Column[codec.Team]{"tokens", func(t codec.Team) string { return fmt.Sprint(t.Limits.Tokens) }},
-		Column[codec.Team]{"concurrency", func(t codec.Team) string { return fmt.Sprint(t.Limits.Concurrency) }},
-	), nil
+	teams := codec.FromDocument(doc).Teams
+	columns := []Column[codec.Team]{
+		{columnName, func(t codec.Team) string { return string(t.Name) }},
+		{"weight", func(t codec.Team) string { return fmt.Sprint(t.Weight) }},
+		{"requests", func(t codec.Team) string { return fmt.Sprint(t.Limits.Requests) }},
+		{"tokens", func(t codec.Team) string { return fmt.Sprint(t.Limits.Tokens) }},
+		{"concurrency", func(t codec.Team) string { return fmt.Sprint(t.Limits.Concurrency) }},
+	}
+	columns = withRegionsColumn(columns, teams, func(t codec.Team) []identifier.Region { return t.Regions })
+	return NewListing(teams, columns...), nil
 }
 
 // removeTeam returns d without the team. A team that has a key can't be removed, because keys are kept permanently, also
