runner, exporter: restrictions to regions without a target

Cause: on the product's own interface an operator is not told that the regions of a service or team have no target. Change: an entry logs E1109 when a restriction of the document in force is no longer satisfied by any listed target, and counts such restrictions in mimosalb_confiner_unserved_restrictions. Both are judged by the VM list, not by what answers now. The action of E1109 names no field any more, since two interfaces use it. The testbed of the demonstrator keeps the log. Conclusion: without restrictions each refresh reads one flag more.

--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -171,6 +171,10 @@
 		"mimosalb_evacuator_stranded_services", Gauge, "",
 		"Services all of whose targets are in evacuated zones; their requests are refused.",
 	}
+	unservedRestrictions = Definition{
+		"mimosalb_confiner_unserved_restrictions", Gauge, "",
+		"Regions of services, and of teams for a service, in which no target of the service is listed; the requests are refused.",
+	}
 	relayedCalls = Definition{
 		"mimosalb_relayer_calls_total", Counter, "role, outcome",
 		"Calls to the key-value service that another process was asked to make, or that this one executed for another.",
@@ -221,7 +225,7 @@
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs, lateJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, coldTargets,
-		unusableListings, invalidStatuses, evacuatedZones, unknownZones, strandedServices,
+		unusableListings, invalidStatuses, evacuatedZones, unknownZones, strandedServices, unservedRestrictions,
 		relayedCalls, relayingState, estimatorKinds, estimatorDeviation,
 		guardedConnections, guardedBytes, cutConnections, refusedClients,
 	}
--- a/internal/adapter/exporter/entry.go
+++ b/internal/adapter/exporter/entry.go
@@ -21,6 +21,8 @@
 	// Evacuated is the number of evacuated zones, Stranded that of services without a target outside of them.
 	Evacuated func() int
 	Stranded  func() int
+	// Unserved is the number of restrictions to regions without a listed target.
+	Unserved func() int
 	// Guarded returns what the process holds for clients.
 	Guarded func() guarder.State
 }
@@ -52,6 +54,7 @@
 	newGauge(e.registry, adoptedRevision, func() float64 { return float64(s.Revision()) })
 	newGauge(e.registry, evacuatedZones, func() float64 { return float64(s.Evacuated()) })
 	newGauge(e.registry, strandedServices, func() float64 { return float64(s.Stranded()) })
+	newGauge(e.registry, unservedRestrictions, func() float64 { return float64(s.Unserved()) })
 	newGauge(e.registry, clientConnections, func() float64 { return float64(s.Connections()) })
 	newGuardGauges(e.registry, s.Guarded)
 	e.registry.MustRegister(newZoneGauge(listedTargets, s.Listed), newZoneGauge(servingTargets, s.Serving))
--- a/internal/adapter/exporter/exporter_test.go
+++ b/internal/adapter/exporter/exporter_test.go
@@ -30,7 +30,7 @@
 	entry.Observe(exporter.EntryState{
 		Waiting: func() int { return 2 }, Revision: func() identifier.Revision { return 7 },
 		Listed: oneTarget, Serving: oneTarget, Connections: func() int { return 3 }, Guarded: guarded,
-		Evacuated: func() int { return 1 }, Stranded: func() int { return 2 },
+		Evacuated: func() int { return 1 }, Stranded: func() int { return 2 }, Unserved: func() int { return 3 },
 	})
 	agent.Observe(exporter.AgentState{Load: func() (int, bool) { return 4, true }, Connections: func() int { return 5 }, Guarded: guarded})
 	entry.Ended(dispatcher.EndedRequest{
--- a/internal/configurator/residency.go
+++ b/internal/configurator/residency.go
@@ -18,6 +18,37 @@
 	return service.Regions.Intersect(team.Regions)
 }
 
+// Confined reports whether the document restricts a team or service to regions.
+func (d Document) Confined() bool { return d.confined }
+
+// Unserved is a restriction that no target satisfies. Team is empty if the service's own regions have no target.
+type Unserved struct {
+	Team    identifier.Team
+	Service identifier.Service
+	Regions confiner.Regions
+}
+
+// Unserved returns the restrictions of services, and of teams for each service, that no target satisfies. serves reports whether a target
+// of a service is in one of the regions.
+func (d Document) Unserved(serves func(identifier.Service, confiner.Regions) bool) []Unserved {
+	if !d.confined {
+		return nil
+	}
+	var all []Unserved
+	for _, s := range d.services {
+		if s.Regions.Restricted() && !serves(s.Name, s.Regions) {
+			all = append(all, Unserved{Service: s.Name, Regions: s.Regions})
+			continue
+		}
+		for _, t := range d.teams {
+			if both := s.Regions.Intersect(t.Regions); t.Regions.Restricted() && !serves(s.Name, both) {
+				all = append(all, Unserved{Team: t.Name, Service: s.Name, Regions: both})
+			}
+		}
+	}
+	return all
+}
+
 // withConfined returns a copy of d that knows whether any of its teams and services is restricted, so that a document without restrictions
 // is not searched for each request.
 func (d Document) withConfined() Document {
--- a/internal/demonstrator/residency_test.go
+++ b/internal/demonstrator/residency_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,8 +147,8 @@
 	}), qt.Equals, "lagos false, kano true")
 }
 
-// Guards against callers who wait, or are told anything but that nothing ran, when the regions of service and team have no target, and
-// against work that goes on outside the regions of both its own configuration and a later one.
+// Guards against callers who wait, or are told anything but that nothing ran, when the regions of service and team have no target,
+// against operators who are not told, and against work that goes on outside the regions of both its own configuration and a later one.
 func TestWorkEndsWithTheRegionsOfBothConfigurations(t *testing.T) {
 	b := newResidencyBed(t)
 	b.restrict([]identifier.Region{"kano"}, []identifier.Region{"lagos"})
@@ -160,6 +161,10 @@
 			b.Check(time.Since(began) < time.Second, qt.IsTrue)
 		}
 	}), qt.Equals, "lagos false, kano false")
+	b.await(evacuationLimit, func() bool {
+		r := readReply(b.http.Get("http://" + b.Entries[0].Operators + "/metrics"))
+		return strings.Contains(r.body, "mimosalb_confiner_unserved_restrictions 1\n") && b.log.contains("E1109")
+	})
 	b.restrict([]identifier.Region{"kano"}, nil)
 	b.Check(b.bodies("moved", func() {
 		s := b.stream("driver", "moved", 3000, func(n int) {
--- a/internal/demonstrator/testbed_test.go
+++ b/internal/demonstrator/testbed_test.go
@@ -24,6 +24,7 @@
 
 	keys map[string]string
 	http *http.Client
+	log  *logBuffer
 }
 
 // linkedPlan returns a plan of two entries, four engines and three plain services, whose agents are behind links.
@@ -44,9 +45,10 @@
 // newTestbed starts and configures a deployment, and waits until every entry serves both services.
 func newTestbed(t *testing.T, p demonstrator.Plan) *testbed {
 	c := qt.New(t)
-	d, err := demonstrator.NewDeployment(p, io.Discard)
+	log := &logBuffer{}
+	d, err := demonstrator.NewDeployment(p, log)
 	c.Assert(err, qt.IsNil)
-	b := &testbed{C: c, Deployment: d, keys: map[string]string{}, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
+	b := &testbed{C: c, Deployment: d, keys: map[string]string{}, log: log, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 	c.Cleanup(func() {
 		b.http.CloseIdleConnections()
 		c.Check(d.Close(), qt.IsNil)
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -219,7 +219,7 @@
 	}
 	RegionsUnserved = Event{
 		Number: 1109, Level: hclog.Error, Text: "allowed regions without a target",
-		Action: "correct allowed-regions, or start targets of the service there; the requests are refused until then",
+		Action: "correct the allowed regions, or start targets of the service there; the requests are refused until then",
 	}
 	JobLedUnread          = Event{Number: 1527, Level: hclog.Info, Text: "batch job led before its record was read", Action: "none"}
 	StandingChanged       = Event{Number: 1526, Level: hclog.Info, Text: "time left to a batch job compared with its work changed", Action: "none"}
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -88,7 +88,7 @@
 	e.peers = rpcclient.NewClient(clock, peers.client...)
 	b.members = &membership{
 		clock: clock, log: log, peers: e.peers, zone: identifier.Zone(s.Zone), region: identifier.Region(s.Region),
-		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: b.router, period: period(s),
+		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: b.router, config: b.config, period: period(s),
 		probes: make(map[string]context.CancelFunc),
 	}
 	b.usage = newUsage(s, clock, log, b.store, e.peers, b.config)
@@ -150,7 +150,7 @@
 func (b *entryBuilder) buildServers() {
 	e := b.entry
 	b.metrics.Add(newRunMetrics(e.rollouts.collector.Statuses))
-	health := e.exportState(b.metrics, b.config, b.members.tracker)
+	health := e.exportState(b.metrics, b.config, b.members)
 	e.callers = httpserver.NewServer(b.metrics.Listener("callers"),
 		httpserver.NewHealth(e.accepts, nil), httpserver.NewCallerRoutes(e.dispatcher, b.auth, b.config),
 		httpserver.NewTrainerRoutes(e.rollouts.collector, e.rollouts.weights, b.auth, b.config)).WithGuard(e.guards.callers)
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -8,6 +8,7 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/platformclient"
 	"github.com/mimosalb/mimosalb/internal/adapter/rpcclient"
+	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
@@ -28,12 +29,15 @@
 	tracker   *tracker.Tracker
 	assembler *tracker.Assembler
 	router    *router.Router
+	config    *configurator.Configurator
 	period    time.Duration
 
 	// adopting is held from the making of a view to its adoption.
 	adopting sync.Mutex
 	// stranded are the services without a target outside the evacuated zones, as of the last refresh.
 	stranded evacuator.Stranded
+	// unserved are the restrictions to regions without a listed target, as of the last refresh.
+	unserved []configurator.Unserved
 	// listed holds the targets of the last VM list.
 	listed atomic.Pointer[[]tracker.Member]
 	probes map[string]context.CancelFunc
@@ -82,6 +86,7 @@
 	m.updateProbes(ctx, m.tracker.Probes(m.zone, m.region, m.seed, tracker.DefaultProbes, now, m.period))
 	m.adoptView()
 	m.logStranded()
+	m.logUnserved()
 }
 
 // updateProbes starts a probe for each member of list that has none and cancels the probes of members that are not in
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -5,17 +5,18 @@
 	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
 	"github.com/mimosalb/mimosalb/internal/configurator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
-	"github.com/mimosalb/mimosalb/internal/tracker"
 )
 
 // exportState exports the state of the entry as metrics and returns the health routes of the operators' listener.
-func (e *Entry) exportState(metrics *exporter.Entry, config *configurator.Configurator, tracker *tracker.Tracker) *httpserver.Health {
+func (e *Entry) exportState(metrics *exporter.Entry, config *configurator.Configurator, members *membership) *httpserver.Health {
+	tracker := members.tracker
 	metrics.Observe(exporter.EntryState{
 		Waiting:     e.dispatcher.Waiting,
 		Revision:    func() identifier.Revision { return config.Current().Revision() },
 		Connections: e.peers.Connections, Guarded: e.guards.state,
 		Evacuated: func() int { return tracker.Evacuated().Len() },
 		Stranded:  func() int { return len(tracker.Stranded(tracker.Evacuated())) },
+		Unserved:  func() int { return len(members.unservedBy(config.Current())) },
 		Listed: func() map[identifier.Zone]int {
 			zones := make(map[identifier.Zone]int)
 			for _, m := range tracker.Members() {
