collector: no store read for each submission that is not passed on

Cause: a submission that may not be passed to the owner dropped the cached record of the owner, so that each repeat read the store. Change: the record is kept for its second, as in other cases. The test covers entries without a configuration. Conclusion: the owner is read at most once a second per run and entry, as before.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -175,7 +175,6 @@
 		return movedReply()
 	}
 	if call.Kind == KindSubmit && !c.mayHold(k.spec, owner.Region) {
-		k.cached.Store(nil)
 		return movedReply()
 	}
 	reply, ok = c.peers.Forward(ctx, owner.Address, call.WithForwarded())
--- a/internal/collector/residency_test.go
+++ b/internal/collector/residency_test.go
@@ -27,6 +27,8 @@
 
 	regions  atomic.Pointer[confiner.Regions]
 	unserved bool
+	// starting is set while the entries have no configuration.
+	starting bool
 	entries  map[string]*collector.Collector
 	arrived  map[string]int
 	// elected passes a term to the campaigner of an entry.
@@ -40,7 +42,9 @@
 	ended chan struct{}
 }
 
-func (p *place) Regions(collector.Spec) (confiner.Regions, bool)  { return *p.regions.Load(), true }
+func (p *place) Regions(collector.Spec) (confiner.Regions, bool) {
+	return *p.regions.Load(), !p.starting
+}
 func (p *place) Serves(identifier.Service, confiner.Regions) bool { return !p.unserved }
 
 func (*place) Versions(identifier.Service) (oldest, newest, due identifier.Version) { return 0, 0, 0 }
@@ -99,7 +103,7 @@
 }
 
 // Guards against prompts that are passed to an entry outside the regions of a run and of the entry that opened it, against such an entry
-// that leads the run, also after a later configuration, and against the refusal of a submission that was accepted.
+// that leads the run, also after a later configuration or before it has one, and against the refusal of a submission that was accepted.
 func TestRunsKeepToTheirRegions(t *testing.T) {
 	c, ctx, clock, store := qt.New(t), context.Background(), &timer.Manual{}, &memory.Store{}
 	p := &place{entries: make(map[string]*collector.Collector), arrived: make(map[string]int), elected: make(map[string]chan term)}
@@ -137,7 +141,12 @@
 		return func() { cancel(); <-ended }, ended
 	}
 	submit("no owner", 1)
-	stop, _ := elect("lagos")
+	p.starting = true
+	stop, _ := elect("home")
+	submit("home elected without a configuration", 1)
+	stop()
+	p.starting = false
+	stop, _ = elect("lagos")
 	submit("lagos elected", 1)
 	stop()
 	stop, _ = elect("home")
