dispatcher: calls with an idempotency key are refused as not run where no region has a target

Cause: a call with an idempotency key that found no target in its regions ended as unknown (504), because an entry without the claim of the key can't rule out that the call ran through another entry. Change: in this case the entry stores a claim without a target, under which nothing is sent, and which any entry may replace. If a claim is stored already, the call has the outcome of the attempt that it names. Otherwise finish confirms the claim as before and the call is refused as not run, 503 with Retry-After. The number of unserved restrictions that the test expects rises from 1 to 4, since it now restricts two services and two teams. Conclusion: a refusal costs two writes to the store, and only for such calls. An entry of an earlier build reports such a key as unknown while the claim is kept, so regions are to be used once all entries know them.

--- a/internal/demonstrator/residency_test.go
+++ b/internal/demonstrator/residency_test.go
@@ -44,7 +44,7 @@
 	return b
 }
 
-// restrict sets the regions of the model service and of the callers' team, and waits until all entries have the document.
+// restrict sets the regions of both services and of the callers' teams, and waits until all entries have the document.
 func (b *residencyBed) restrict(service, team []identifier.Region) {
 	operate := func(method, path string, base any, body any) []byte {
 		r, err := b.client.SendAsOperator(context.Background(), method, path, map[string]string{"If-Match": fmt.Sprint(base)}, body)
@@ -54,7 +54,9 @@
 	}
 	var doc, stored codec.Document
 	b.Assert(json.Unmarshal(operate(http.MethodGet, "/v1/config", "", nil), &doc), qt.IsNil)
-	doc.Services[0].Regions, doc.Teams[0].Regions = service, team
+	for i := range 2 {
+		doc.Services[i].Regions, doc.Teams[i].Regions = service, team
+	}
 	b.Assert(json.Unmarshal(operate(http.MethodPut, "/v1/config", doc.Revision, doc), &stored), qt.IsNil)
 	for i := range b.Entries {
 		one := demonstrator.NewClient(&demonstrator.Deployment{Entries: b.Entries[i:], OperatorToken: b.OperatorToken})
@@ -148,6 +150,7 @@
 }
 
 // Guards against callers who wait, or are told anything but that nothing ran, when the regions of service and team have no target,
+// also with an idempotency key,
 // against operators who are not told, and against work that goes on outside the regions of both its own configuration and a later one.
 func TestWorkEndsWithTheRegionsOfBothConfigurations(t *testing.T) {
 	b := newResidencyBed(t)
@@ -159,13 +162,21 @@
 			kind, reason := r.problem()
 			b.Check(fmt.Sprint(r.status, kind, " ", reason, r.header["Retry-After"]), qt.Equals, "503not-run no-target-in-regions[1]")
 			b.Check(time.Since(began) < time.Second, qt.IsTrue)
+			r = b.callWithKey(i, "once", "nowhere")
+			kind, reason = r.problem()
+			b.Check(fmt.Sprint(r.status, kind, " ", reason, r.header["Retry-After"]), qt.Equals, "503not-run no-target-in-regions[1]")
 		}
 	}), qt.Equals, "lagos false, kano false")
 	b.await(evacuationLimit, func() bool {
 		r := readReply(b.http.Get("http://" + b.Entries[0].Operators + "/metrics"))
-		return strings.Contains(r.body, "mimosalb_confiner_unserved_restrictions 1\n") && b.log.contains("E1109")
+		return strings.Contains(r.body, "mimosalb_confiner_unserved_restrictions 4\n") && b.log.contains("E1109")
 	})
 	b.restrict([]identifier.Region{"kano"}, nil)
+	b.Check(b.callWithKey(0, "once", "nowhere").status, qt.Equals, http.StatusOK)
+	b.restrict([]identifier.Region{"kano"}, []identifier.Region{"lagos"})
+	b.Check(b.callWithKey(1, "once", "nowhere").status, qt.Equals, http.StatusOK, qt.Commentf("it ran before"))
+	b.Check(b.runsOfBody("nowhere"), qt.Equals, 1)
+	b.restrict([]identifier.Region{"kano"}, nil)
 	b.Check(b.bodies("moved", func() {
 		s := b.stream("driver", "moved", 3000, func(n int) {
 			if n == 20 {
--- a/internal/dispatcher/claim.go
+++ b/internal/dispatcher/claim.go
@@ -93,6 +93,10 @@
 // adoptOutcome waits for the attempt that a stored claim names and returns its outcome. The second result is false when
 // that attempt never runs, so that the claim may be replaced.
 func (d *Dispatcher) adoptOutcome(j *job, c claimer.Claim) (Result, bool) {
+	if c.Target == "" {
+		// Nothing is sent under a claim without a target.
+		return Result{}, false
+	}
 	f := &follower{
 		agents: d.agents, clock: d.clock, attempt: c.Attempt, issued: c.Issued, once: true,
 		target: router.Target{ID: c.Target, Incarnation: c.Incarnation, Address: c.Address},
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -109,7 +109,7 @@
 			if j.ctx.Err() != nil {
 				continue
 			}
-			return failure(j.runState(), d.noTargetReason(j)).withRetryAfter(noTargetRetryAfter)
+			return d.endWithoutTarget(j)
 		}
 		id := identifier.Attempt{Request: j.request.ID, Number: j.attempts}
 		if result, done := d.claimAttempt(j, target, id); done {
--- a/internal/dispatcher/residency.go
+++ b/internal/dispatcher/residency.go
@@ -30,10 +30,18 @@
 	return Refusal{Reason: ReasonNoRegion, RetryAfter: noTargetRetryAfter}
 }
 
-// noTargetReason returns the reason for a job that got no target.
-func (d *Dispatcher) noTargetReason(j *job) string {
+// endWithoutTarget returns the result of a job that got no target. If its regions are the cause, a call with an idempotency key that has
+// no claim yet stores one without a target: the job then has the outcome of an earlier submission, or finish can confirm that nothing ran.
+func (d *Dispatcher) endWithoutTarget(j *job) Result {
+	reason := ReasonNoTarget
 	if d.unserved(j.request.Service.Name, d.scope(j.request)) {
-		return ReasonNoRegion
+		reason = ReasonNoRegion
+		if j.claim.Key == "" {
+			unsent := identifier.Attempt{Request: j.request.ID, Number: j.attempts}
+			if result, done := d.claimAttempt(j, router.Target{}, unsent); done {
+				return result
+			}
+		}
 	}
-	return ReasonNoTarget
+	return failure(j.runState(), reason).withRetryAfter(noTargetRetryAfter)
 }
