--- a/internal/adapter/rpcclient/agents.go
+++ b/internal/adapter/rpcclient/agents.go
@@ -7,7 +7,6 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/messenger"
 	"github.com/mimosalb/mimosalb/internal/dispatcher"
-	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/gatekeeper"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -28,9 +27,10 @@
 }
 
 // StartGate reports whether a call may still be sent to a target. A document may have been adopted while it waited for its connection.
-type StartGate func(t router.Target, c executor.Call) bool
+type StartGate func(t router.Target) bool
 
-// NewAgents returns a dispatcher.Agents that calls the agents through c and asks gate before it sends a call to a target.
+// NewAgents returns a dispatcher.Agents that calls the agents through c and asks gate, and
+// Start.Permitted if it is set, on the open connection before it sends a call to a target.
 func NewAgents(c *Client, gate StartGate) dispatcher.Agents { return agents{client: c, gate: gate} }
 
 func (a agents) Start(ctx context.Context, t router.Target, s dispatcher.Start) (gatekeeper.Verdict, dispatcher.Delivery) {
@@ -43,7 +43,9 @@
 		Call:        s.Call,
 	}
 	var reply messenger.StartReply
-	err := a.client.callGated(ctx, t.Address, "Agent.Start", args, &reply, callTimeout, func() bool { return a.gate(t, s.Call) })
+	err := a.client.callGated(ctx, t.Address, "Agent.Start", args, &reply, callTimeout, func() bool {
+		return a.gate(t) && (s.Permitted == nil || s.Permitted())
+	})
 	if err != nil {
 		// net/rpc may still write to the reply.
 		return 0, delivery(err)
--- a/internal/adapter/rpcclient/rpcclient_test.go
+++ b/internal/adapter/rpcclient/rpcclient_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -56,7 +58,7 @@
 }
 
 // anyTarget is a rpcclient.StartGate that allows every call.
-func anyTarget(router.Target, executor.Call) bool { return true }
+func anyTarget(router.Target) bool { return true }
 
 // Guards against a data race: net/rpc writes a reply that arrives after the call was cancelled into the value that the
 // caller already reads.
@@ -116,19 +118,44 @@
 		return net.Dial("tcp", address)
 	}))
 	defer client.Close()
-	target := router.Target{ID: "t", Zone: "za", Address: serve(c, agent)}
-	agents := rpcclient.NewAgents(client, func(to router.Target, call executor.Call) bool {
-		return to.Zone != "za" || call.Service != "s" || !excluded
-	})
-	start := func(service identifier.Service) dispatcher.Delivery {
-		_, delivery := agents.Start(t.Context(), target, dispatcher.Start{Call: executor.Call{Service: service}})
+	address := serve(c, agent)
+	agents := rpcclient.NewAgents(client, func(to router.Target) bool { return to.Zone != "za" || !excluded })
+	start := func(zone identifier.Zone) dispatcher.Delivery {
+		_, delivery := agents.Start(t.Context(), router.Target{ID: "t", Zone: zone, Address: address}, dispatcher.Start{})
 		return delivery
 	}
-	c.Check(start("s"), qt.Equals, dispatcher.Unsent)
-	c.Check(start("s"), qt.Equals, dispatcher.Unsent)
+	c.Check(start("za"), qt.Equals, dispatcher.Unsent)
+	c.Check(start("za"), qt.Equals, dispatcher.Unsent)
 	c.Check(agent.started.Load(), qt.Equals, int64(0))
-	c.Check(start("other"), qt.Equals, dispatcher.Delivered)
+	c.Check(start("zb"), qt.Equals, dispatcher.Delivered)
 	excluded = false
-	c.Check(start("s"), qt.Equals, dispatcher.Delivered)
+	c.Check(start("za"), qt.Equals, dispatcher.Delivered)
 	c.Check(agent.started.Load(), qt.Equals, int64(2))
 }
+
+// Guards against a body that is sent although a configuration that excludes its target was adopted while the connection was set up.
+func TestExcludedTargetGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	var received strings.Builder
+	agent, process := net.Pipe()
+	copied := make(chan struct{})
+	go func() {
+		defer close(copied)
+		_, _ = io.Copy(&received, agent)
+	}()
+	clock := timer.NewSystem()
+	defer clock.Close()
+	connected := false
+	client := rpcclient.NewClient(clock, rpcclient.WithDialer(func(context.Context, string) (net.Conn, error) {
+		connected = true
+		return process, nil
+	}))
+	start := dispatcher.Start{Call: executor.Call{Prompt: "excluded"}, Permitted: func() bool { return !connected }}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, delivery := rpcclient.NewAgents(client, anyTarget).Start(ctx, router.Target{Address: "agent"}, start)
+	client.Close()
+	<-copied
+	c.Assert(delivery, qt.Equals, dispatcher.Unsent)
+	c.Assert(received.String(), qt.Equals, "")
+}
--- a/internal/demonstrator/testbed_test.go
+++ b/internal/demonstrator/testbed_test.go
@@ -24,6 +24,7 @@
 
 	keys map[string]string
 	http *http.Client
+	log  *logBuffer
 }
 
 // linkedPlan returns a plan of two entries, four engines and three plain services, whose agents are behind links.
@@ -43,15 +44,15 @@
 
 // newTestbed starts and configures a deployment, and waits until every entry serves both services.
 func newTestbed(t *testing.T, p demonstrator.Plan) *testbed {
-	return newLoggedTestbed(t, p, io.Discard)
+	return newLoggedTestbed(t, p, &logBuffer{})
 }
 
 // newLoggedTestbed is newTestbed with the log of the deployment.
-func newLoggedTestbed(t *testing.T, p demonstrator.Plan, log io.Writer) *testbed {
+func newLoggedTestbed(t *testing.T, p demonstrator.Plan, log *logBuffer) *testbed {
 	c := qt.New(t)
 	d, err := demonstrator.NewDeployment(p, log)
 	c.Assert(err, qt.IsNil)
-	b := &testbed{C: c, Deployment: d, keys: map[string]string{}, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
+	b := &testbed{C: c, Deployment: d, keys: map[string]string{}, log: log, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 	c.Cleanup(func() {
 		b.http.CloseIdleConnections()
 		c.Check(d.Close(), qt.IsNil)
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -5,7 +5,6 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/httpserver"
 	"github.com/mimosalb/mimosalb/internal/configurator"
-	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/router"
@@ -37,7 +36,7 @@
 }
 
 // maySend reports whether a call may still be sent to a target. An order to evacuate its zone may have been adopted since it was chosen.
-func (m *membership) maySend(t router.Target, _ executor.Call) bool {
+func (m *membership) maySend(t router.Target) bool {
 	return !m.tracker.Evacuated().Contains(t.Zone)
 }
 
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -6,7 +6,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/mimosalb/mimosalb/internal/evacuator"
-	"github.com/mimosalb/mimosalb/internal/executor"
 	"github.com/mimosalb/mimosalb/internal/router"
 	"github.com/mimosalb/mimosalb/internal/tracker"
 )
@@ -20,6 +19,6 @@
 			zones = zones.With("za")
 		}
 		m.tracker.AdoptEvacuated(zones)
-		qt.Assert(t, m.maySend(router.Target{Zone: "za"}, executor.Call{}), qt.Equals, !evacuated)
+		qt.Assert(t, m.maySend(router.Target{Zone: "za"}), qt.Equals, !evacuated)
 	}
 }
