configurator: warnings about regions of services and teams

Cause: the check told only of a set of regions without any zone. Change: it warns of single regions without a zone, of regions whose zones are all evacuated, and of a service and a team without a region in common; the error is of kind unknown.

--- a/internal/commander/check_test.go
+++ b/internal/commander/check_test.go
@@ -84,6 +84,21 @@
 presets: [{name: peak, training: true}]
 `
 
+// confined is a configuration file whose regions don't fit together.
+const confined = `zones:
+  - {name: macon, region: south}
+  - {name: beaufort, region: carolina}
+evacuated: [beaufort]
+teams:
+  - {name: a, regions: [south, atlantis]}
+  - {name: b, regions: [carolina]}
+  - {name: c, regions: [nowhere]}
+  - {name: d, regions: [carolina]}
+services:
+  - {name: ledger, kind: plain, regions: [south]}
+  - {name: pledge, kind: plain}
+`
+
 // Guards against errors, entries without effect or contradictions that are not reported, or are reported without their line or with the
 // wrong exit code, and against one error that hides others.
 func TestCheckFindings(t *testing.T) {
@@ -96,6 +111,7 @@
 		{"conflicting.yaml", conflicting, 1, 0},
 		{"models.yaml", onlyModels, 1, 0},
 		{"plain.yaml", "teams:\n  - name: a\n    limits: {tokens: 3}\nservices: [{name: m, kind: plain}]\n", 1, 0},
+		{"confined.yaml", confined, 1, 1},
 		{"faulty.yaml", faulty, 1, 1},
 		{"form.yaml", clean + "colour: blue\n", 1, 1},
 		{"syntax.yaml", "zones: [\n", 1, 1},
--- a/internal/configurator/finding.go
+++ b/internal/configurator/finding.go
@@ -17,6 +17,7 @@
 	all = append(all, d.warnTeams()...)
 	all = append(all, d.warnKeys()...)
 	all = append(all, d.warnServices()...)
+	all = append(all, d.warnRegions()...)
 	return append(all, d.warnRules()...)
 }
 
--- a/internal/configurator/residency.go
+++ b/internal/configurator/residency.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/mimosalb/mimosalb/internal/checker"
 	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 )
@@ -64,7 +65,7 @@
 	check := func(list string, i int, r confiner.Regions) {
 		known := func(z Zone) bool { return r.Allows(z.Region) }
 		if r.Empty() || r.Restricted() && len(d.zones) > 0 && !slices.ContainsFunc(d.zones, known) {
-			ps = append(ps, Problem{Field: fieldPath(list, i, "regions"), Want: "the region of at least one zone of this document"})
+			ps = append(ps, Problem{Field: fieldPath(list, i, "regions"), Want: "the region of at least one zone of this document", Kind: checker.Unknown})
 		}
 	}
 	for i, t := range d.teams {
