--- a/internal/adapter/exporter/definition.go
+++ b/internal/adapter/exporter/definition.go
@@ -133,7 +133,7 @@
 	}
 	invalidStatuses = Definition{
 		"mimosalb_inspector_invalid_statuses_total", Counter, "dependency",
-		"Answers of targets, the key-value service or the platform whose status the protocol does not allow.",
+		"Answers of targets, the key-value service, the platform or the weight store whose status the protocol does not allow.",
 	}
 	planRevision = Definition{
 		"mimosalb_navigator_plan_revision", Gauge, "",
@@ -171,6 +171,10 @@
 		"mimosalb_evacuator_stranded_services", Gauge, "",
 		"Services all of whose targets are in evacuated zones; their requests are refused.",
 	}
+	unservedRestrictions = Definition{
+		"mimosalb_confiner_unserved_restrictions", Gauge, "",
+		"Regions of services, and of teams for a service, in which no target of the service is listed; the requests are refused.",
+	}
 	relayedCalls = Definition{
 		"mimosalb_relayer_calls_total", Counter, "role, outcome",
 		"Calls to the key-value service that another process was asked to make, or that this one executed for another.",
@@ -221,7 +225,7 @@
 		targetAttempts, targetAttemptDuration, runningAttempts, drainingState, serverConnections,
 		forwardedRequests, forwardedDuration, itemAttempts, itemAttemptDuration, ledJobs, lateJobs,
 		dependencyCalls, dependencyCallDuration, planRevision, droppedLogLines, omittedLogLines, heldRequests, limitedTargets, coldTargets,
-		unusableListings, invalidStatuses, evacuatedZones, unknownZones, strandedServices,
+		unusableListings, invalidStatuses, evacuatedZones, unknownZones, strandedServices, unservedRestrictions,
 		relayedCalls, relayingState, estimatorKinds, estimatorDeviation,
 		guardedConnections, guardedBytes, cutConnections, refusedClients,
 	}
--- a/internal/configurator/configurator_test.go
+++ b/internal/configurator/configurator_test.go
@@ -9,6 +9,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/mimosalb/mimosalb/internal/configurator"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 )
 
 func base() configurator.Document {
@@ -50,6 +51,18 @@
 	c.Assert(next.Keys()[0].Withdrawn, qt.IsTrue)
 }
 
+// Guards against an edit that is stored although no node can adopt it: the withdrawn key that it lacks is kept, but belongs to a
+// team that the edit removes.
+func TestProposeChecksWhatIsStored(t *testing.T) {
+	c := qt.New(t)
+	current := base().WithKey(configurator.Key{Caller: "driver", Team: "routing", Withdrawn: true})
+	edited := configurator.Document{}.WithTeams(configurator.Team{Name: "billing"}).
+		WithKeys(configurator.Key{Caller: "clerk", Team: "billing"})
+	next, edit, problems := configurator.Propose(current, edited, 1)
+	c.Assert(edit, qt.Equals, configurator.InvalidEdit, qt.Commentf("%v", next.Check()))
+	c.Assert(problems, qt.HasLen, 1)
+}
+
 // Guards against documents that share memory: changing a copy must not change the document.
 func TestDocumentIsImmutable(t *testing.T) {
 	c := qt.New(t)
@@ -68,8 +81,17 @@
 		WithKeys(configurator.Key{Caller: "clerk", Team: "nobody"}).
 		WithServices(configurator.Service{Name: "ledger", Kind: "other", Timeout: -1}).
 		WithRules(configurator.Rule{Preset: "holiday", RolloutShare: 2})
+	// Guards against a set of regions that no target can satisfy and that is adopted; without zones a document does not tell.
+	confined := configurator.Document{}.
+		WithTeams(configurator.Team{Name: "routing", Regions: confiner.NewRegions("north")}).
+		WithServices(configurator.Service{Name: "ledger", Kind: configurator.Plain, Regions: confiner.NewRegions("")})
 	var out strings.Builder
-	for _, p := range d.Check() {
+	for _, p := range append(d.Check(), confined.Check()...) {
+		fmt.Fprintln(&out, p)
+	}
+	confined = confined.WithZones(configurator.Zone{Name: "macon", Region: "south"}).
+		WithServices(configurator.Service{Name: "ledger", Kind: configurator.Plain, Regions: confiner.NewRegions("east", "south")})
+	for _, p := range confined.Check() {
 		fmt.Fprintln(&out, p)
 	}
 	goldie.New(t).Assert(t, "faults", []byte(out.String()))
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -21,14 +21,18 @@
 
 // Reasons for refusals and failures that the dispatcher itself reports.
 const (
-	ReasonNoTarget      = "no-target"
-	ReasonTimeout       = "timeout"
+	ReasonNoTarget = "no-target"
+	ReasonTimeout  = "timeout"
+	// ReasonNoRegion means that no target of the service is in the regions that the configuration allows.
+	ReasonNoRegion      = "no-target-in-regions"
 	ReasonKeyWithdrawn  = "key-withdrawn"
 	ReasonCallerGone    = "caller-gone"
 	ReasonStopping      = "stopping"
 	ReasonTargetFailed  = "target-failed"
 	ReasonTargetCrashed = "target-crashed"
 	ReasonAnswerLost    = "answer-lost"
+	// ReasonAnswerInvalid means that the target answered with a status that the protocol does not allow.
+	ReasonAnswerInvalid = "answer-invalid"
 	ReasonTargetsBusy   = "targets-busy"
 	ReasonTargetStopped = "target-stopped"
 	// ReasonCrashesTargets means that the request is held back because targets crashed while they ran it.
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -109,7 +109,7 @@
 			if j.ctx.Err() != nil {
 				continue
 			}
-			return failure(j.runState(), ReasonNoTarget).withRetryAfter(noTargetRetryAfter)
+			return d.endWithoutTarget(j)
 		}
 		id := identifier.Attempt{Request: j.request.ID, Number: j.attempts}
 		if result, done := d.claimAttempt(j, target, id); done {
@@ -255,6 +255,8 @@
 		return ReasonCrashesTargets
 	case event == retrier.Crashed:
 		return ReasonTargetCrashed
+	case event == retrier.Invalid:
+		return ReasonAnswerInvalid
 	case event == retrier.Stopped, event == retrier.PlannedStop:
 		return ReasonTargetStopped
 	default:
--- a/internal/runner/entrybuilder.go
+++ b/internal/runner/entrybuilder.go
@@ -88,10 +88,10 @@
 	e.peers = rpcclient.NewClient(clock, peers.client...)
 	b.members = &membership{
 		clock: clock, log: log, peers: e.peers, zone: identifier.Zone(s.Zone), region: identifier.Region(s.Region),
-		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: b.router, period: period(s),
+		seed: seed(s.Name), tracker: &tracker.Tracker{}, router: b.router, config: b.config, period: period(s),
 		probes: make(map[string]context.CancelFunc),
 	}
-	b.usage = newUsage(s, clock, log, b.store, e.peers, b.config)
+	b.usage = newUsage(s, clock, log, b.store, e.platform, e.peers, b.config)
 	return b, nil
 }
 
@@ -122,7 +122,8 @@
 	e, s := b.entry, b.settings
 	settings := dispatcher.Settings{Zone: identifier.Zone(s.Zone), Region: identifier.Region(s.Region), Workers: s.Workers}
 	e.claims = claimer.NewClaimer(b.store.WithPurpose(storer.PurposeClaim), codec.Claims{}, e.clock)
-	e.dispatcher = dispatcher.NewDispatcher(settings, e.clock, b.usage.meteredAgents(rpcclient.NewAgents(e.peers)), b.config, b.router,
+	agents := b.usage.meteredAgents(rpcclient.NewAgents(e.peers, b.members.maySend))
+	e.dispatcher = dispatcher.NewDispatcher(settings, e.clock, agents, b.config, b.router,
 		dispatcher.WithClaims(e.claims), dispatcher.WithIsolator(e.isolator), dispatcher.WithEvidenceHandler(e.broadcastEvidence),
 		dispatcher.WithEndHandler(b.metrics.Ended), dispatcher.WithEndHandler(b.usage.countEnded), dispatcher.WithEndHandler(e.logHeld))
 	b.planner = newPlanner(s, b.usage, b.store.WithPurpose(storer.PurposeOrder), b.log, b.members, b.config, e.dispatcher.Waiting)
@@ -150,7 +151,7 @@
 func (b *entryBuilder) buildServers() {
 	e := b.entry
 	b.metrics.Add(newRunMetrics(e.rollouts.collector.Statuses))
-	health := e.exportState(b.metrics, b.config, b.members.tracker)
+	health := e.exportState(b.metrics, b.config, b.members)
 	e.callers = httpserver.NewServer(b.metrics.Listener("callers"),
 		httpserver.NewHealth(e.accepts, nil), httpserver.NewCallerRoutes(e.dispatcher, b.auth, b.config),
 		httpserver.NewTrainerRoutes(e.rollouts.collector, e.rollouts.weights, b.auth, b.config)).WithGuard(e.guards.callers)
