--- a/internal/relayer/cluster_test.go
+++ b/internal/relayer/cluster_test.go
@@ -24,18 +24,17 @@
 	dead, deaf atomic.Bool
 }
 
-// cluster is a service in stepped time and the processes p0, p1 and so on before it. It carries their questions.
+// cluster is a service in the time of a synctest bubble and the processes p0, p1 and so on before it. It carries their questions.
 type cluster struct {
-	clock     *timer.Manual
+	clock     timer.Virtual
 	kv        *keyvalue.Service
 	processes []*process
 	questions atomic.Int64
 }
 
 func newCluster(t *testing.T, n int) *cluster {
-	cl := &cluster{clock: &timer.Manual{}}
+	cl := &cluster{}
 	cl.kv = keyvalue.NewService(cl.clock)
-	cl.clock.Advance(time.Second)
 	for i := range n {
 		p := &process{link: keyvalue.NewLink(cl.kv)}
 		path := relayer.NewPath(cl.clock)
@@ -78,24 +77,5 @@
 	return a, relayer.Delivered
 }
 
-// during runs f while time passes in steps.
-func during(cl *cluster, f func()) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f()
-	}()
-	ticks := time.NewTicker(2 * time.Millisecond)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-done:
-			return
-		case <-ticks.C:
-			cl.clock.Advance(10 * time.Millisecond)
-		}
-	}
-}
-
-// pause waits in stepped time.
+// pause waits in the time of the bubble.
 func (cl *cluster) pause(d time.Duration) { timer.Wait(context.Background(), cl.clock, d) }
