--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -150,7 +150,7 @@
 }
 
 func newCluster(t *testing.T, seed uint64, faults float64) *cluster {
-	clock := timer.NewSystem()
+	clock := timer.Virtual{}
 	return &cluster{t: t, clock: clock, retention: 2 * time.Minute, kv: keyvalue.NewService(clock), engine: newEngine(seed, faults)}
 }
 
