platform: second copies of answers on kept connections

TestSecondCopyReachesNobody saw "stale" instead of "broken". Cause, shown by the log of the failing runs (7 of 400): the second copy arrives after the connection is idle again and after the next call has taken it, but before a byte of that call is written. net/http then closes the connection ("readLoopPeekFailLocked", "unsolicited response"). The call is stale: the target has not received it, so that sending it again is right. Ruled out: a repetition by net/http (bodies without GetBody are not sent again) and a write that is still going on (RoundTrip waits for the end of the write loop).

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -115,7 +115,7 @@
 	Broken
 	// Pending means that the attempt was still running when the request ended.
 	Pending
-	// Stale means that the target had closed the kept connection before a byte of the call was written to it.
+	// Stale means that the kept connection was closed before a byte of the call was written to it.
 	Stale
 )
 
@@ -135,7 +135,7 @@
 	Call(ctx context.Context, c Call) (Answer, Fault)
 }
 
-// Send makes the call that newCall returns. If it met a kept connection that the target had closed, the target has not
+// Send makes the call that newCall returns. If it met a kept connection that had been closed, the target has not
 // received it, and it is sent once more on a new connection; stale reports that. The fault is never Stale.
 func Send(ctx context.Context, client TargetClient, newCall func() Call) (a Answer, fault Fault, stale bool) {
 	a, fault = client.Call(ctx, newCall())
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -183,7 +183,7 @@
 		Number: 1405, Level: hclog.Warn, Text: "answer of a target not usable", Action: "check the target if this persists",
 	}
 	ConnectionStale = Event{
-		Number: 1407, Level: hclog.Info, Text: "call not sent, target had closed the connection", Action: "none; it is sent on a new connection",
+		Number: 1407, Level: hclog.Info, Text: "call not sent, its kept connection was closed", Action: "none; it is sent on a new connection",
 	}
 	StatusInvalid = Event{
 		Number: 1408, Level: hclog.Warn, Text: "answer with a status that the protocol does not allow",
