demonstrator: the large training run has a least duration

Cause: the test took a race of two durations for granted. The small run needs 1.2 to 1.5 s alone, of which about 1 s is the fixed delay of 200 ms before the client repeats each lost call. Shown by a trial without the race detector and with 96 groups (0.74 s alone): the check failed 4 of 4 times while the small run took 1.4 to 2.2 s, about as long as alone. So neither starvation nor a lost wake-up was seen: with 384 groups and the lock check, 101 and 133 of them were complete when the small run ended after 5.0 and 8.2 s. Pull, queue and scheduler were read; a pull takes the change channel before it asks for a batch.

Change: the engines' pace and the number of workers bound the large run from below, to 51 s on any machine.

A collector that always serves the large run first (mutation) fails the test.

--- a/internal/demonstrator/sharing_test.go
+++ b/internal/demonstrator/sharing_test.go
@@ -30,13 +30,23 @@
 	return nil, errors.New("response lost")
 }
 
+// The large training run takes at least 51 s on any machine: 384 groups of 4 samples with 40 tokens of 20 ms each, by 24 workers. Two steps
+// of the small one take 1.2 s alone, most of it the delay before lost calls are repeated.
+const (
+	backlog          = 384
+	sharingTokenTime = 20 * time.Millisecond
+	sharingWorkers   = 24
+)
+
 // Guards against groups that are lost or delivered twice when responses to the trainer and responses of the key-value
 // service are lost, and against a training run with a large backlog that starves another one.
 func TestTrainersShareEnginesWithLostAnswers(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
-	d, err := demonstrator.NewDeployment(demonstrator.DefaultPlan(), io.Discard)
+	plan := demonstrator.DefaultPlan()
+	plan.TokenTime, plan.Workers = sharingTokenTime, sharingWorkers
+	d, err := demonstrator.NewDeployment(plan, io.Discard)
 	c.Assert(err, qt.IsNil)
 	defer func() { c.Check(d.Close(), qt.IsNil) }()
 	s := &demonstrator.Session{Deployment: d, Client: demonstrator.NewClient(d), Keys: make(map[string]string)}
