hoster, limiter: targets of an evacuated zone stay cold

Plans take in the listings as they were read, the limiter keeps cold targets that are in no view, and the targets of a zone that is taken back are suspects: cold until they have answered for their start.

TestReturningTargetsAreCold fails without each of the three changes.

--- a/internal/hoster/cold_test.go
+++ b/internal/hoster/cold_test.go
@@ -136,3 +136,69 @@
 	fmt.Fprintf(&out, "draining: cold %d\n", l.ColdCount())
 	goldie.New(t).Assert(t, "cold", []byte(out.String()))
 }
+
+// zonedColdDecoder lists target "a" in the zone "za".
+type zonedColdDecoder struct{ zonedDecoder }
+
+func (zonedColdDecoder) Listing(e storer.Entry) (registrar.Listing, error) {
+	l, err := coldDecoder{}.Listing(e)
+	l.Zone = "za"
+	return l, err
+}
+
+// Guards against a cold target that gets requests without a permit when its zone is taken back, or when the orders are read for the first
+// time: because its cold time was forgotten, because the plan came while the zone was evacuated, or because it restarted meanwhile, so
+// that no call to it broke, and its new listing is not read yet; and against one that stays limited although it has not restarted.
+func TestReturningTargetsAreCold(t *testing.T) {
+	clock := &timer.Manual{}
+	clock.Advance(time.Second)
+	var out strings.Builder
+	log, zones, route := logger.NewLogger("test", "error", io.Discard), newEvacuator(Settings{Zone: "za", Evacuate: time.Second}), router.NewRouter()
+	l := limiter.NewLimiter(noPermits{}, clock, nil)
+	cold := newColdTargets(limiter.ColdBound{}, l, clock, log)
+	v := &targetView{
+		decoder: zonedColdDecoder{}, registrar: registrar.NewRegistrar(nil).WithEvacuator(zones), router: route, clock: clock, log: log, cold: cold,
+		onAdopt: l.Retain,
+	}
+	e := &Entry{base: base{log: log}, evacuator: zones, cold: cold, targets: v}
+	orders := e.zoneView(zonedColdDecoder{})
+	show := func(what string) {
+		chosen, free := l.Choose(route, router.Requirements{Service: "s"})
+		if free {
+			route.Release(chosen.ID)
+		}
+		fmt.Fprintf(&out, "%-44s used [%s] without a permit %-5v cold %d, asked %d\n", what, used(v), free, l.ColdCount(), len(cold.due()))
+	}
+	answer := func(by identifier.Incarnation) {
+		for _, suspected := range cold.due() {
+			cold.ask(t.Context(), startObserver{StartReader: laterStart{by: by}, cold: cold}, suspected)
+		}
+	}
+	order := func(revision int64, removed bool) {
+		orders.Apply(storer.Change{Entry: storer.Entry{Key: "op/evacuate/za", Changed: revision}, Removed: removed})
+	}
+	v.Apply(storer.Change{Entry: storer.Entry{Key: "a", Value: []byte("1 5 false")}})
+	v.replan(navigator.NewPlan(1).WithServices(navigator.Service{Name: "s", ColdFor: 20 * time.Second, ColdRate: 12}))
+	show("listed as cold for 5 s, orders not read")
+	orders.Reset(nil)
+	show("orders read")
+	order(1, false)
+	show("evacuated")
+	order(2, true)
+	answer(0)
+	show("taken back, it is still the listed start")
+	clock.Advance(5 * time.Second)
+	show("5 s later")
+	order(3, false)
+	order(4, true)
+	show("evacuated and taken back")
+	answer(0)
+	show("it is still the listed start")
+	order(5, false)
+	orders.Reset(nil)
+	show("taken back by a read of all orders")
+	answer(1)
+	clock.Advance(19 * time.Second)
+	show("it serves as a later start for 19 s")
+	goldie.New(t).Assert(t, "returning", []byte(out.String()))
+}
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -228,9 +228,8 @@
 		e.followShared(ctx, p.TargetPrefix, e.Drain/batchDelayDivisor, e.Drain, e.targets, regionReader{e}, e.changeBuffers[p.TargetPrefix])
 	})
 	if e.evacuator != nil {
-		orders := &zoneView{decoder: p.Decoder, evacuator: e.evacuator, log: e.log, onChange: func() { e.targets.update(nil) }}
 		e.running.Go(func() {
-			e.followShared(ctx, p.EvacuationPrefix, 0, e.evacuationDelay(), orders, regionReader{e}, e.changeBuffers[p.EvacuationPrefix])
+			e.followShared(ctx, p.EvacuationPrefix, 0, e.evacuationDelay(), e.zoneView(p.Decoder), regionReader{e}, e.changeBuffers[p.EvacuationPrefix])
 		})
 	}
 	e.running.Go(func() {
--- a/internal/hoster/evacuation.go
+++ b/internal/hoster/evacuation.go
@@ -43,14 +43,20 @@
 	log       *logger.Logger
 	// onChange is called after each read of all orders, and after each change of one.
 	onChange func()
+	// onReturn is called with a zone before it is taken back; it may be nil.
+	onReturn func(identifier.Zone)
 }
 
 // Reset replaces all orders.
 func (v *zoneView) Reset(entries []storer.Entry) {
 	orders := make([]evacuator.Order, 0, len(entries))
+	returning := v.evacuator.Zones()
 	for _, e := range entries {
-		orders = append(orders, evacuator.Order{Zone: v.decoder.EvacuatedZone(e.Key), Revision: e.Changed})
+		zone := v.decoder.EvacuatedZone(e.Key)
+		orders = append(orders, evacuator.Order{Zone: zone, Revision: e.Changed})
+		returning = returning.Without(zone)
 	}
+	v.returns(returning)
 	v.report(v.evacuator.Replace(orders))
 	v.onChange()
 }
@@ -58,12 +64,25 @@
 // Apply applies one order, or its removal.
 func (v *zoneView) Apply(c storer.Change) {
 	order := evacuator.Order{Zone: v.decoder.EvacuatedZone(c.Key), Removed: c.Removed, Revision: c.Changed}
+	if order.Removed {
+		v.returns(evacuator.NewZones(order.Zone))
+	}
 	if changes := v.evacuator.Apply(order); len(changes) > 0 {
 		v.report(changes)
 		v.onChange()
 	}
 }
 
+// returns calls onReturn with the given zones.
+func (v *zoneView) returns(zones evacuator.Zones) {
+	if v.onReturn == nil {
+		return
+	}
+	for _, z := range zones.Names() {
+		v.onReturn(z)
+	}
+}
+
 // Interrupted has no effect: the last known orders stay in force.
 func (v *zoneView) Interrupted() {}
 
@@ -166,6 +185,18 @@
 	return g.StartReader.Start(ctx, t)
 }
 
+// zoneView returns the view of the orders of this entry.
+func (e *Entry) zoneView(d Decoder) *zoneView {
+	return &zoneView{
+		decoder: d, evacuator: e.evacuator, log: e.log,
+		onReturn: func(z identifier.Zone) { e.cold.returning(e.targets.registrar.TargetsIn(z)) },
+		onChange: func() {
+			e.targets.update(nil)
+			e.cold.askSuspects()
+		},
+	}
+}
+
 // evacuationState returns the function that reads the gauges of evacuation, or nil if it is switched off.
 func (e *Entry) evacuationState() func() exporter.EvacuationState {
 	if e.evacuator == nil {
--- a/internal/hoster/suspects.go
+++ b/internal/hoster/suspects.go
@@ -36,12 +36,32 @@
 	if _, ok := c.service(t.Service); !ok {
 		return
 	}
+	c.suspect(t, fault != forwarder.Stale)
+	c.askSuspects()
+}
+
+// returning takes in that the zone of targets is about to be taken back. While nothing was sent to a target, no failed call could show
+// that it has restarted, so that it counts as cold until it answers. The caller calls askSuspects once the zone is taken back.
+func (c *coldTargets) returning(targets []router.Target) {
+	for _, t := range targets {
+		if _, ok := c.service(t.Service); ok {
+			c.suspect(t, true)
+		}
+	}
+}
+
+// suspect makes a target a suspect, which is limited from now on if it is said so.
+func (c *coldTargets) suspect(t router.Target, limited bool) {
 	c.lock.Lock()
 	s := c.suspects[t.ID]
-	s.target, s.end, s.limited = t, c.clock.Monotonic()+questionsEnd, s.limited || fault != forwarder.Stale
+	s.target, s.end, s.limited = t, c.clock.Monotonic()+questionsEnd, s.limited || limited
 	c.suspects[t.ID] = s
 	c.lock.Unlock()
 	c.assume(s)
+}
+
+// askSuspects makes run ask the suspects now, unless it does so already.
+func (c *coldTargets) askSuspects() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
--- a/internal/hoster/view.go
+++ b/internal/hoster/view.go
@@ -189,12 +189,13 @@
 	return ended
 }
 
-// replan takes in a plan before it is adopted: which targets are cold depends on it.
+// replan takes in a plan before it is adopted: which targets are cold depends on it. Those of evacuated zones, and all of them until the
+// orders have been read, are cold as well when they are used later.
 func (v *targetView) replan(p navigator.Plan) {
 	v.adopting.Lock()
 	defer v.adopting.Unlock()
 	if v.cold.planned(p) {
-		for _, l := range v.registrar.Listings() {
+		for _, l := range v.registrar.Listed() {
 			v.cold.listed(l, nil)
 		}
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -161,6 +161,7 @@
 }
 
 // Retain forgets the targets that are not in the view or are there as a later start, and those that have become warm and name no rate.
+// Cold targets that are not in the view stay cold: their zone may be evacuated, and be taken back before they are warm.
 func (l *Limiter) Retain(v router.View) {
 	if l == nil {
 		return
@@ -169,7 +170,7 @@
 	defer l.lock.Unlock()
 	now := l.clock.Monotonic()
 	for id, k := range l.targets {
-		if t, listed := v.Target(id); !listed || t.Incarnation > k.incarnation || !k.limits(now) {
+		if t, listed := v.Target(id); !listed && !k.cold.lasts(now) || listed && t.Incarnation > k.incarnation || !k.limits(now) {
 			l.remove(id)
 		}
 	}
--- a/internal/registrar/evacuation.go
+++ b/internal/registrar/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/mimosalb/mimosalb/internal/evacuator"
 	"github.com/mimosalb/mimosalb/internal/identifier"
+	"github.com/mimosalb/mimosalb/internal/router"
 )
 
 // WithEvacuator makes r leave the targets of zones that e evacuates out of its views, and returns r.
@@ -36,6 +37,19 @@
 	return evacuated.Stranded(zonesOf)
 }
 
+// TargetsIn returns the targets in a zone that would take requests, whether the zone is evacuated or not.
+func (r *Registrar) TargetsIn(z identifier.Zone) []router.Target {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	var targets []router.Target
+	for _, rec := range r.records {
+		if rec.listing.Zone == z && r.accepts(rec) {
+			targets = append(targets, r.target(rec.listing))
+		}
+	}
+	return targets
+}
+
 // accepts reports whether a target takes requests by what it says itself. The caller holds the lock.
 func (r *Registrar) accepts(rec record) bool {
 	l := rec.listing
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -251,11 +251,20 @@
 // Listings returns the listings of all targets, including draining ones, in order of their IDs. Those in evacuated zones are listed as
 // draining.
 func (r *Registrar) Listings() []Listing {
+	all := r.Listed()
+	for i, l := range all {
+		all[i] = r.markEvacuated(l)
+	}
+	return all
+}
+
+// Listed returns the listings of all targets as they were read, in order of their IDs.
+func (r *Registrar) Listed() []Listing {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	all := make([]Listing, 0, len(r.records))
 	for _, id := range slices.Sorted(maps.Keys(r.records)) {
-		all = append(all, r.markEvacuated(r.records[id].listing))
+		all = append(all, r.records[id].listing)
 	}
 	return all
 }
@@ -271,15 +280,20 @@
 	targets := make([]router.Target, 0, len(r.records))
 	for _, rec := range r.records {
 		if l := rec.listing; r.accepts(rec) && !r.evacuator.Evacuated(l.Zone) {
-			targets = append(targets, router.Target{
-				ID: l.ID, Service: l.Service, Zone: l.Zone, Region: r.regions[l.Zone], Incarnation: l.Incarnation,
-				Address: l.Address, Slots: l.Slots, Release: l.Release,
-			})
+			targets = append(targets, r.target(l))
 		}
 	}
 	return router.NewView(targets), r.changed
 }
 
+// target returns the target of a listing.
+func (r *Registrar) target(l Listing) router.Target {
+	return router.Target{
+		ID: l.ID, Service: l.Service, Zone: l.Zone, Region: r.regions[l.Zone], Incarnation: l.Incarnation,
+		Address: l.Address, Slots: l.Slots, Release: l.Release,
+	}
+}
+
 // put adds or replaces a listing. A new incarnation starts without the failures of the previous one, whose listing is
 // returned.
 func (r *Registrar) put(l Listing) []Listing {
