relayer, conductor: bodies of confined jobs go only through entries that may hold them

The conductor marks calls that carry or read bodies, texts or results with the scope of the job (confiner.WithScope); the relayer asks only entries in that scope, with a Choice for each scope. Without such an entry the call fails: submissions are refused as not run, led jobs wait.

TestConfinedCallsStayInRegions fails without the filter (process 1 makes 2 calls).

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -97,7 +97,8 @@
 	if !c.readFirst(ctx, l) {
 		return false
 	}
-	durable, out, err := c.Recorder.Append(ctx, c.currentRecord(l), from, results)
+	record := c.currentRecord(l)
+	durable, out, err := c.Recorder.Append(c.withScope(ctx, record), record, from, results)
 	switch {
 	case out == applied && err == nil:
 		c.lock.Lock()
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -219,9 +219,9 @@
 	var resultsErr error
 	var texts []batcher.PartialText
 	textsRead := true
-	reads.Go(func() { results, resultsOut, resultsErr = c.Recorder.Results(ctx, r.ID) })
+	reads.Go(func() { results, resultsOut, resultsErr = c.Recorder.Results(c.withScope(ctx, r), r.ID) })
 	reads.Go(func() { texts, textsRead = c.storedTexts(ctx, r) })
-	spec, out, err := c.Recorder.Spec(ctx, r)
+	spec, out, err := c.Recorder.Spec(c.withScope(ctx, r), r)
 	reads.Wait()
 	if out == applied && err == nil {
 		out, err = resultsOut, resultsErr
@@ -267,7 +267,7 @@
 
 // storedTexts returns the partial texts that previous owners have saved. It is false if they could not be read.
 func (c *Conductor) storedTexts(ctx context.Context, r recorder.Record) ([]batcher.PartialText, bool) {
-	texts, out, err := c.Recorder.PartialTexts(ctx, r.ID)
+	texts, out, err := c.Recorder.PartialTexts(c.withScope(ctx, r), r.ID)
 	if out != applied || err != nil {
 		c.Log.Emit(logger.JobUnreadable, "job", r.ID, "outcome", out.String(), "error", err)
 		return nil, false
@@ -288,7 +288,7 @@
 		c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes))
 	}
 	texts := l.job.PartialTexts()
-	out, err := c.Recorder.HandOver(ctx, record, record.WithOwner(successor.Owner), c.nextSave(l), texts)
+	out, err := c.Recorder.HandOver(c.withScope(ctx, record), record, record.WithOwner(successor.Owner), c.nextSave(l), texts)
 	c.Log.Emit(logger.JobHandedOver, "job", record.ID, "to", successor.Owner.Node, "texts", len(texts), "outcome", out.String(), "error", err)
 	if out == applied {
 		c.notify(ctx, successor, l.id)
--- a/internal/conductor/maintain.go
+++ b/internal/conductor/maintain.go
@@ -170,7 +170,7 @@
 		age := wall.Sub(r.Submitted)
 		switch {
 		case age > c.Retention+retentionMargin && (r.Ended || !registered), age > unfinishedRetentions*c.Retention+retentionMargin:
-			out := c.Recorder.Erase(ctx, r)
+			out := c.Recorder.Erase(c.withScope(ctx, r), r)
 			c.Log.Emit(logger.JobErased, "job", r.ID, "outcome", out.String())
 		case r.Ended:
 		case !registered:
--- a/internal/conductor/read.go
+++ b/internal/conductor/read.go
@@ -42,7 +42,7 @@
 			return Page{Total: r.Total, Results: results}, Found
 		}
 	}
-	all, out, err := c.Recorder.Results(ctx, id)
+	all, out, err := c.Recorder.Results(c.withScope(ctx, r), id)
 	if out != applied || err != nil {
 		c.Log.Emit(logger.JobUnreadable, "job", id, "outcome", out.String(), "error", err)
 		return Page{}, ReadFailed
@@ -113,7 +113,7 @@
 	if !whole {
 		var out storeOutcome
 		var err error
-		if spec, out, err = c.Recorder.Spec(ctx, r); out != applied || err != nil {
+		if spec, out, err = c.Recorder.Spec(c.withScope(ctx, r), r); out != applied || err != nil {
 			c.Log.Emit(logger.JobUnreadable, "job", id, "outcome", out.String(), "error", err)
 			return nil, ReadFailed
 		}
--- a/internal/conductor/residency.go
+++ b/internal/conductor/residency.go
@@ -35,6 +35,11 @@
 	return s.Scope.With(c.Navigator.Current().Regions(s.Host, s.Path, s.Team))
 }
 
+// withScope returns a copy of ctx for a call to the store that carries or reads bodies, texts or results of a job.
+func (c *Conductor) withScope(ctx context.Context, r recorder.Record) context.Context {
+	return confiner.WithScope(ctx, c.recordScope(r))
+}
+
 // mayLead reports whether this process may hold the bodies and texts of a job.
 func (c *Conductor) mayLead(r recorder.Record) bool { return c.recordScope(r).AllowsEntry(c.Region) }
 
@@ -103,7 +108,7 @@
 		c.storeResults(ctx, l, from, batcher.FirstPage(pending, maxCommitBytes))
 	}
 	if texts := l.job.PartialTexts(); len(texts) > 0 {
-		if out, err := c.Recorder.SaveTexts(ctx, record, c.nextSave(l), texts); out != applied || err != nil {
+		if out, err := c.Recorder.SaveTexts(c.withScope(ctx, record), record, c.nextSave(l), texts); out != applied || err != nil {
 			c.Log.Emit(logger.TextsUnsaved, "job", l.id, "texts", len(texts), "outcome", out.String(), "error", err)
 		}
 	}
--- a/internal/conductor/save.go
+++ b/internal/conductor/save.go
@@ -32,7 +32,8 @@
 		if len(texts) == 0 {
 			continue
 		}
-		switch out, err := c.Recorder.SaveTexts(ctx, c.currentRecord(l), c.nextSave(l), texts); {
+		record := c.currentRecord(l)
+		switch out, err := c.Recorder.SaveTexts(c.withScope(ctx, record), record, c.nextSave(l), texts); {
 		case out == applied && err == nil:
 			l.job.MarkSaved(texts)
 		case out == conflict:
--- a/internal/conductor/submit.go
+++ b/internal/conductor/submit.go
@@ -86,7 +86,7 @@
 		return Declined
 	}
 	// The process that passed the job on waits for a shorter time than the store may be away.
-	return c.accept(ctx, s, c.Recorder.Create)
+	return c.accept(confiner.WithScope(ctx, c.specScope(s)), s, c.Recorder.Create)
 }
 
 // Accept stores a job with this process as its owner, or with another process as its owner if this one is closing.
@@ -153,7 +153,7 @@
 // back is then accepted, and the trainer does not have to submit it again.
 func (c *Conductor) create(ctx context.Context, s batcher.Spec, owner recorder.Owner) (storeOutcome, error) {
 	for {
-		out, err := c.Recorder.Create(ctx, s, owner)
+		out, err := c.Recorder.Create(confiner.WithScope(ctx, c.specScope(s)), s, owner)
 		if out != unavailable || err != nil || ctx.Err() != nil {
 			return out, err
 		}
--- a/internal/hoster/relay.go
+++ b/internal/hoster/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/mimosalb/mimosalb/internal/adapter/jobpeer"
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/relayer"
 	"github.com/mimosalb/mimosalb/internal/storer"
@@ -31,9 +32,11 @@
 	})
 	e.relay.relayer = relayer.NewRelayer(relayer.Dependencies{
 		Service: service, Path: path, Messenger: jobpeer.NewRelayClient(e.platform.Dial, e.clock, e.log), Clock: e.clock, Log: e.log,
-		Candidates: func() []string { return relayer.Candidates(e.Node, e.Region, e.conductor.OtherMembers()) },
-		ProbeKey:   recorder.NodeKey(e.Node),
-		Observe:    func(outcome string) { e.observers.Metrics.Relayed("asked", outcome) },
+		Candidates: func(s confiner.Scope) []string {
+			return relayer.Candidates(e.Node, e.Region, e.conductor.OtherMembers(), s)
+		},
+		ProbeKey: recorder.NodeKey(e.Node),
+		Observe:  func(outcome string) { e.observers.Metrics.Relayed("asked", outcome) },
 	})
 	e.platform.KeyValue = storer.Observe(e.relay.relayer, e.availability)
 	e.store = e.store.Through(e.platform.KeyValue)
--- a/internal/relayer/choice.go
+++ b/internal/relayer/choice.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/container"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/recorder"
@@ -46,6 +47,30 @@
 	return &Choice{clock: clock, avoided: make(map[string]time.Duration)}
 }
 
+// maxChoices bounds the scopes whose choices are kept. Configurations name few sets of regions.
+const maxChoices = 64
+
+// choices holds a Choice for each scope: the process that helps with calls without bodies may not be allowed to hold those of a confined
+// job. Lock rank: container.RankStorer; it is not held while a Choice is used.
+type choices struct {
+	lock    container.Lock[container.Storer]
+	clock   timer.Service
+	byScope map[confiner.Scope]*Choice
+}
+
+// of returns the Choice for calls with bodies of a scope.
+func (c *choices) of(s confiner.Scope) *Choice {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.byScope[s] == nil {
+		if c.byScope == nil || len(c.byScope) >= maxChoices {
+			c.byScope = make(map[confiner.Scope]*Choice)
+		}
+		c.byScope[s] = NewChoice(c.clock)
+	}
+	return c.byScope[s]
+}
+
 // next returns the address of the process to ask. The caller must call settle once with the same address. If another call searches
 // for a process, it waits for the end of that search. The second result is false if no process may be asked now.
 func (c *Choice) next(ctx context.Context, candidates func() []string) (string, bool) {
@@ -136,9 +161,10 @@
 	return searched
 }
 
-// Candidates returns the addresses of the processes that a process asks, in that order: those of its region first. Each process has
+// Candidates returns the addresses of the processes that a process asks to make a call with bodies of a scope, in that order: those of its
+// region first, and none that may not hold the bodies. Each process has
 // an order of its own, so that those of one zone, when they are cut off together, ask different ones.
-func Candidates(self identifier.Node, region identifier.Region, members []recorder.Registration) []string {
+func Candidates(self identifier.Node, region identifier.Region, members []recorder.Registration, s confiner.Scope) []string {
 	type candidate struct {
 		address string
 		distant bool
@@ -146,7 +172,7 @@
 	}
 	all := make([]candidate, 0, len(members))
 	for _, m := range members {
-		if !m.Leaving && m.Owner.Node != self {
+		if !m.Leaving && m.Owner.Node != self && s.AllowsEntry(m.Region) {
 			h := fnv.New64a()
 			_, _ = h.Write([]byte(string(self) + "/" + string(m.Owner.Node))) // writing to a hash never fails
 			all = append(all, candidate{address: m.Address, distant: m.Region != region, rank: h.Sum64() * 0x9e3779b97f4a7c15})
--- a/internal/relayer/cluster_test.go
+++ b/internal/relayer/cluster_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/relayer"
 	"github.com/mimosalb/mimosalb/internal/standin/keyvalue"
@@ -42,8 +44,10 @@
 		store := storer.NewStorer(p.link, cl.clock, storer.WithMaxPause(500*time.Millisecond), storer.WithCallTimeout(700*time.Millisecond))
 		p.executor = relayer.NewExecutor(p.link, path, store.Through(p.link), cl.clock, nil)
 		p.relayer = relayer.NewRelayer(relayer.Dependencies{
-			Service: p.link, Path: path, Messenger: cl, Clock: cl.clock, ProbeKey: "probe", Candidates: func() []string {
-				return strings.Split(("0123456789" + "0123456789")[i+1:i+n], "")
+			Service: p.link, Path: path, Messenger: cl, Clock: cl.clock, ProbeKey: "probe", Candidates: func(s confiner.Scope) []string {
+				return slices.DeleteFunc(strings.Split(("0123456789" + "0123456789")[i+1:i+n], ""), func(address string) bool {
+					return !s.AllowsEntry(identifier.Region("r" + address))
+				})
 			},
 		})
 		p.Storer = store.Through(p.relayer).WithPurpose(storer.PurposeRun)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mimosalb/mimosalb/internal/confiner"
 	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/logger"
 	"github.com/mimosalb/mimosalb/internal/storer"
@@ -49,8 +50,9 @@
 	Service   storer.Service
 	Path      *Path
 	Messenger Messenger
-	// Candidates returns the addresses of the processes that may be asked, the first one first.
-	Candidates func() []string
+	// Candidates returns the addresses of the processes that may be asked to make a call with bodies of the given scope, the first one
+	// first.
+	Candidates func(s confiner.Scope) []string
 	Clock      timer.Service
 	Log        *logger.Logger
 	// ProbeKey is the key that probes read.
@@ -63,7 +65,7 @@
 // taken effect is sent a second time only if that does no harm.
 type Relayer struct {
 	Dependencies
-	choice *Choice
+	choices choices
 	// probes holds the probes of the service back.
 	probes  storer.Backoff
 	probing atomic.Bool
@@ -75,7 +77,7 @@
 // NewRelayer returns a Relayer.
 func NewRelayer(d Dependencies) *Relayer {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Relayer{Dependencies: d, choice: NewChoice(d.Clock), ctx: ctx, cancel: cancel}
+	return &Relayer{Dependencies: d, choices: choices{clock: d.Clock}, ctx: ctx, cancel: cancel}
 }
 
 // Close ends the probes. No call may be made afterwards.
@@ -197,16 +199,19 @@
 	if q.Size() > MaxCallBytes {
 		return Answer{}, false
 	}
+	scope := confiner.ScopeOf(ctx)
+	choice := r.choices.of(scope)
+	candidates := func() []string { return r.Candidates(scope) }
 	for range maxAsked {
 		if ctx.Err() != nil {
 			return Answer{}, false
 		}
-		address, ok := r.choice.next(ctx, r.Candidates)
+		address, ok := choice.next(ctx, candidates)
 		if !ok {
 			return Answer{}, false
 		}
 		a, delivery := r.exchange(ctx, address, q)
-		r.choice.settle(address, a.answered(), cancelled(ctx))
+		choice.settle(address, a.answered(), cancelled(ctx))
 		r.observe(a, delivery)
 		switch {
 		case a.answered():
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/confiner"
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/relayer"
 	"github.com/mimosalb/mimosalb/internal/standin/keyvalue"
@@ -220,3 +222,42 @@
 	c.Assert(out, qt.Equals, storer.Unavailable)
 	c.Assert(cl.questions.Load(), qt.Equals, int64(0))
 }
+
+// Guards against a confined job whose bodies, texts or results pass through a process outside its regions while the one that leads it is cut
+// off, although another process there helps with its other calls, and against a confined call that is made nowhere although a process may.
+func TestConfinedCallsStayInRegions(t *testing.T) {
+	for _, k := range []struct {
+		regions []identifier.Region
+		helper  int
+		want    storer.Outcome
+	}{
+		{nil, 1, storer.Applied},
+		{[]identifier.Region{"r2"}, 2, storer.Applied},
+		{[]identifier.Region{"r7"}, 0, storer.Unavailable},
+	} {
+		c := qt.New(t)
+		cl := newCluster(t, 3)
+		p := cl.processes[0]
+		during(cl, func() {
+			p.link.Set(keyvalue.Refused)
+			_, out := p.Get(t.Context(), "other")
+			c.Assert(out, qt.Equals, storer.Applied)
+			calls := func() (n [3]int64) {
+				for i, other := range cl.processes {
+					n[i] = other.link.Calls()
+				}
+				return n
+			}
+			before := calls()
+			ctx := confiner.WithScope(t.Context(), confiner.NewScope("r0", confiner.NewRegions(k.regions...)))
+			c.Check(p.Commit(ctx, storer.Transaction{}.WithGuard("a", 0).WithPut("a", []byte("body"), 0)), qt.Equals, k.want)
+			if k.helper > 0 {
+				_, out = p.Get(ctx, "a")
+				c.Check(out, qt.Equals, storer.Applied)
+			}
+			for i, n := range calls() {
+				c.Check(i == 0 || i == k.helper == (n > before[i]), qt.IsTrue, qt.Commentf("%v: process %d made %d calls", k.regions, i, n-before[i]))
+			}
+		})
+	}
+}
