mimosalb-node: a reload during the start does not end the process

The handler of SIGHUP was installed after the process had been started, so that a reload in the first tens of milliseconds ended it, as the signal does by default. The handler is installed first now; the reload is answered once the process has started.

--- a/cmd/mimosalb-node/main.go
+++ b/cmd/mimosalb-node/main.go
@@ -39,6 +39,9 @@
 }
 
 func main() {
+	// A reload that is requested while the process starts must not end it, which is what the signal does by default.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	app := kingpin.New("mimosalb-node", "A process of the rollout service on a user-provided platform.")
 	path := app.Flag("config", "Settings file of the platform.").Short('c').Envar(platform.SettingsVariable).Required().String()
 	level := app.Flag("log", "Lowest level of logged events: debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
@@ -70,8 +73,6 @@
 		Log: log, Lines: lines, Metrics: exporter.NewHosted(),
 	})
 	exitOnError(err)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	for ctx.Err() == nil {
 		select {
 		case <-reload:
