conductor: three cases of the unread job at a time

TestUnreadJobIsReadAgain waits at most 5 s for the next result; it saw 5.2 and 5.8 s beside load.

Found: the twelve cases run at once and are a load themselves. With race detector and lock check on one core, three copies at a time, 32 of 36 cases failed in all ways and faults alike (0.4 to 18 s); with one to three cases at a time on one core, 0 of 12 (1.0 to 4.1 s). In 72 cases without race detector on all cores the new owner calls targets again after 0.01 to 2.2 s and the next result is read after 0.2 to 3.7 s: the rest is the item's own two calls of 300 ms, the write and the read. No step with a fixed delay near 5 s was seen.

Change: three cases at a time. Cases, faults and the bound are the same.

--- a/internal/conductor/unread_test.go
+++ b/internal/conductor/unread_test.go
@@ -92,11 +92,15 @@
 			l.slow.Store(int64(map[bool]time.Duration{true: 700 * time.Millisecond}[on]))
 		},
 	}
+	// The cases are a load themselves: on one core, most need more than maxResumption with all twelve at once, and few with three at once.
+	atOnce := make(chan struct{}, 3)
 	for fault, set := range faults {
 		for _, way := range []string{"handed over", "owner lost", "two owners in a row"} {
 			t.Run(way+", "+fault, func(t *testing.T) {
 				t.Parallel()
 				c := qt.New(t)
+				atOnce <- struct{}{}
+				c.Cleanup(func() { <-atOnce })
 				cl := newCluster(t, 21, 0)
 				cl.engine.callTime = callTime
 				a, last, next, job := cl.startThree()
