--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/mimosalb/mimosalb/internal/adapter/codec"
 	"github.com/mimosalb/mimosalb/internal/batcher"
+	"github.com/mimosalb/mimosalb/internal/confiner"
+	"github.com/mimosalb/mimosalb/internal/identifier"
 	"github.com/mimosalb/mimosalb/internal/recorder"
 	"github.com/mimosalb/mimosalb/internal/relayer"
 	"github.com/mimosalb/mimosalb/internal/standin/keyvalue"
@@ -31,40 +33,41 @@
 // entries while only it is cut off from the service.
 func TestCutOffEntryGoesOn(t *testing.T) {
 	for name, w := range ways {
-		synctest.Test(t, func(t *testing.T) {
-			c := qt.New(t)
-			c.Logf("%s", name)
-			cl := newCluster(t, 3)
-			p, ctx := cl.processes[0], context.Background()
-			jobs := recorder.NewRecorder(p, codec.Jobs{})
-			lease, out := p.Grant(ctx, 2*time.Second)
-			c.Assert(out, qt.Equals, storer.Applied)
-			p.link.Set(w)
-			for range 12 { // 8 s
-				cl.pause(667 * time.Millisecond)
-				c.Assert(p.KeepAlive(ctx, lease), qt.Equals, storer.Applied)
-			}
-			s := batcher.Spec{ID: "job", Team: "team", Items: []batcher.Item{{ID: "i", Body: make([]byte, 200<<10)}}}
-			began := cl.clock.Monotonic()
-			out, err := jobs.Create(ctx, s, recorder.Owner{Node: "p0"})
-			c.Assert(err, qt.IsNil)
-			c.Assert(out, qt.Equals, storer.Applied)
-			c.Assert(cl.clock.Monotonic()-began < submitTime, qt.IsTrue)
-			r, out, err := jobs.Record(ctx, "job")
-			c.Assert(err, qt.IsNil)
-			c.Assert(out, qt.Equals, storer.Applied)
-			_, out, err = jobs.Append(ctx, r, 0, []batcher.Result{{Item: "i"}})
-			c.Assert(err, qt.IsNil)
-			c.Assert(out, qt.Equals, storer.Applied)
-			_, revision, out := p.relayer.Snapshot(ctx, "nodes/")
-			c.Assert(out, qt.Equals, storer.Applied)
-			cl.kv.Write("nodes/new", []byte("n"))
-			changes, _, out := p.relayer.Changes(ctx, "nodes/", revision, 10*time.Second)
-			c.Assert(out, qt.Equals, storer.Applied)
-			c.Assert(changes, qt.HasLen, 1)
-			stored, _, err := recorder.NewRecorder(cl.processes[1], codec.Jobs{}).Results(ctx, "job")
-			c.Assert(err, qt.IsNil)
-			c.Assert(stored, qt.HasLen, 1)
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				cl := newCluster(t, 3)
+				p, ctx := cl.processes[0], context.Background()
+				jobs := recorder.NewRecorder(p, codec.Jobs{})
+				lease, out := p.Grant(ctx, 2*time.Second)
+				c.Assert(out, qt.Equals, storer.Applied)
+				p.link.Set(w)
+				for range 12 { // 8 s
+					cl.pause(667 * time.Millisecond)
+					c.Assert(p.KeepAlive(ctx, lease), qt.Equals, storer.Applied)
+				}
+				s := batcher.Spec{ID: "job", Team: "team", Items: []batcher.Item{{ID: "i", Body: make([]byte, 200<<10)}}}
+				began := cl.clock.Monotonic()
+				out, err := jobs.Create(ctx, s, recorder.Owner{Node: "p0"})
+				c.Assert(err, qt.IsNil)
+				c.Assert(out, qt.Equals, storer.Applied)
+				c.Assert(cl.clock.Monotonic()-began < submitTime, qt.IsTrue)
+				r, out, err := jobs.Record(ctx, "job")
+				c.Assert(err, qt.IsNil)
+				c.Assert(out, qt.Equals, storer.Applied)
+				_, out, err = jobs.Append(ctx, r, 0, []batcher.Result{{Item: "i"}})
+				c.Assert(err, qt.IsNil)
+				c.Assert(out, qt.Equals, storer.Applied)
+				_, revision, out := p.relayer.Snapshot(ctx, "nodes/")
+				c.Assert(out, qt.Equals, storer.Applied)
+				cl.kv.Write("nodes/new", []byte("n"))
+				changes, _, out := p.relayer.Changes(ctx, "nodes/", revision, 10*time.Second)
+				c.Assert(out, qt.Equals, storer.Applied)
+				c.Assert(changes, qt.HasLen, 1)
+				stored, _, err := recorder.NewRecorder(cl.processes[1], codec.Jobs{}).Results(ctx, "job")
+				c.Assert(err, qt.IsNil)
+				c.Assert(stored, qt.HasLen, 1)
+			})
 		})
 	}
 }
@@ -218,3 +221,42 @@
 		c.Assert(cl.questions.Load(), qt.Equals, int64(0))
 	})
 }
+
+// Guards against a confined job whose bodies, texts or results pass through a process outside its regions while the one that leads it is cut
+// off, although another process there helps with its other calls, and against a confined call that is made nowhere although a process may.
+func TestConfinedCallsStayInRegions(t *testing.T) {
+	for _, k := range []struct {
+		regions []identifier.Region
+		helper  int
+		want    storer.Outcome
+	}{
+		{nil, 1, storer.Applied},
+		{[]identifier.Region{"r2"}, 2, storer.Applied},
+		{[]identifier.Region{"r7"}, 0, storer.Unavailable},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			cl := newCluster(t, 3)
+			p := cl.processes[0]
+			p.link.Set(keyvalue.Refused)
+			_, out := p.Get(t.Context(), "other")
+			c.Assert(out, qt.Equals, storer.Applied)
+			calls := func() (n [3]int64) {
+				for i, other := range cl.processes {
+					n[i] = other.link.Calls()
+				}
+				return n
+			}
+			before := calls()
+			ctx := confiner.WithScope(t.Context(), confiner.NewScope("r0", confiner.NewRegions(k.regions...)))
+			c.Check(p.Commit(ctx, storer.Transaction{}.WithGuard("a", 0).WithPut("a", []byte("body"), 0)), qt.Equals, k.want)
+			if k.helper > 0 {
+				_, out = p.Get(ctx, "a")
+				c.Check(out, qt.Equals, storer.Applied)
+			}
+			for i, n := range calls() {
+				c.Check(i == 0 || i == k.helper == (n > before[i]), qt.IsTrue, qt.Commentf("%v: process %d made %d calls", k.regions, i, n-before[i]))
+			}
+		})
+	}
+}
