--- a/internal/conductor/takeover_test.go
+++ b/internal/conductor/takeover_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -88,31 +89,33 @@
 // Guards against a job that is led without its stored results because it is submitted again to a restarted process
 // while that process reclaims it.
 func TestResubmissionDuringReclaim(t *testing.T) {
-	c := qt.New(t)
-	cl := newCluster(t, 10, 0)
-	cl.engine.callTime = 100 * time.Millisecond
-	first := cl.start("n")
-	s := newSpec("job", 1000)
-	c.Assert(first.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
-	r := &reader{cluster: cl, spec: s}
-	for len(r.seen) < 100 {
-		r.readPage(c, first)
-	}
-	cl.isolate(first)
-	const takes = 300 * time.Millisecond
-	cl.kv.Set(keyvalue.Faults{WriteTime: takes})
-	second := cl.restart("n", 2)
-	<-cl.clock.After(takes / 2).C()
-	c.Assert(second.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
-	cl.kv.Set(keyvalue.Faults{})
-	for len(r.seen) < len(s.Items) {
-		page, found := second.Results(t.Context(), "team", "job", 0, readWait)
-		if found == conductor.Found {
-			c.Assert(len(page.Results) > 0, qt.IsTrue, qt.Commentf("results that were read before are missing"))
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(t, 10, 0)
+		cl.engine.callTime = 100 * time.Millisecond
+		first := cl.start("n")
+		s := newSpec("job", 1000)
+		c.Assert(first.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+		r := &reader{cluster: cl, spec: s}
+		for len(r.seen) < 100 {
+			r.readPage(c, first)
 		}
-		r.readPage(c, second)
-	}
-	r.checkComplete(c)
+		cl.isolate(first)
+		const takes = 300 * time.Millisecond
+		cl.kv.Set(keyvalue.Faults{WriteTime: takes})
+		second := cl.restart("n", 2)
+		<-cl.clock.After(takes / 2).C()
+		c.Assert(second.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
+		cl.kv.Set(keyvalue.Faults{})
+		for len(r.seen) < len(s.Items) {
+			page, found := second.Results(t.Context(), "team", "job", 0, readWait)
+			if found == conductor.Found {
+				c.Assert(len(page.Results) > 0, qt.IsTrue, qt.Commentf("results that were read before are missing"))
+			}
+			r.readPage(c, second)
+		}
+		r.checkComplete(c)
+	})
 }
 
 // Guards against a job that makes no progress because an earlier write of its results takes effect late, with fewer
