conductor: a test in a bubble waits between its reads

A read of positions that were read before returns at once, and with a multiple of 7 results each read is one of these: the test's loop then never waits, and time in its bubble stands still. Change: 1 ms between two reads. The checks are the same.

--- a/internal/conductor/takeover_test.go
+++ b/internal/conductor/takeover_test.go
@@ -97,7 +97,9 @@
 		s := newSpec("job", 1000)
 		c.Assert(first.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
 		r := &reader{cluster: cl, spec: s}
-		for len(r.seen) < 100 {
+		// Time passes in a bubble only while all wait, and a read of earlier positions does not.
+		pause := func() { <-cl.clock.After(time.Millisecond).C() }
+		for ; len(r.seen) < 100; pause() {
 			r.readPage(c, first)
 		}
 		cl.isolate(first)
@@ -107,7 +109,7 @@
 		<-cl.clock.After(takes / 2).C()
 		c.Assert(second.Submit(t.Context(), s), qt.Equals, conductor.Accepted)
 		cl.kv.Set(keyvalue.Faults{})
-		for len(r.seen) < len(s.Items) {
+		for ; len(r.seen) < len(s.Items); pause() {
 			page, found := second.Results(t.Context(), "team", "job", 0, readWait)
 			if found == conductor.Found {
 				c.Assert(len(page.Results) > 0, qt.IsTrue, qt.Commentf("results that were read before are missing"))
