guarder, guardedconn: tests wait on a ticker; bencher: profiles without names of users

Change: tickers in place of the sleeps, with the same conditions and bounds; the profiles are uneven-services and even-services; comments.

--- a/internal/adapter/guardedconn/guardedconn.go
+++ b/internal/adapter/guardedconn/guardedconn.go
@@ -128,7 +128,7 @@
 	return sent, err //nolint:wrapcheck // net/http inspects the error
 }
 
-// Close closes the connection and its account. The server calls it when it no longer serves the connection.
+// Close closes the connection and its account. The server calls it after the last request of the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.Account.Close()
--- a/internal/adapter/guardedconn/guardedconn_test.go
+++ b/internal/adapter/guardedconn/guardedconn_test.go
@@ -60,8 +60,10 @@
 		c.Assert(resp.Body.Close(), qt.IsNil)
 	}
 	transport.CloseIdleConnections()
+	poll := time.NewTicker(time.Millisecond)
+	defer poll.Stop()
 	for deadline := time.Now().Add(10 * time.Second); g.State() != (guarder.State{}) && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
+		<-poll.C
 	}
 	c.Assert(g.State(), qt.Equals, guarder.State{})
 }
--- a/internal/adapter/jobpeer/connection.go
+++ b/internal/adapter/jobpeer/connection.go
@@ -49,5 +49,5 @@
 // the store instead.
 func (c *Client) drop(address string, conn *rpc.Client) {
 	c.conns.Update(address, func(old *rpc.Client, ok bool) (*rpc.Client, bool) { return old, ok && old != conn })
-	_ = conn.Close() // the connection is no longer used
+	_ = conn.Close() // nothing more is sent on it
 }
--- a/internal/batcher/slack.go
+++ b/internal/batcher/slack.go
@@ -65,7 +65,7 @@
 
 // Outlook chooses the groups that complete the step, and returns what they need. They are those
 // that need the least work: the trainer waits for Spec.Desired groups, whichever they are, and for those that it carried over. The items of
-// other groups are surplus from now on and start last. A group that has begun needs less work, and so remains chosen.
+// other groups are surplus and start last. A group that has begun needs less work, and so stays chosen.
 func (j *Job) Outlook(p pacer.Pace, slots int) Outlook {
 	j.lock.Lock()
 	defer j.lock.Unlock()
--- a/internal/bencher/placement.go
+++ b/internal/bencher/placement.go
@@ -232,8 +232,8 @@
 		name     string
 		services []serviceProfile
 	}{
-		{"lumentra", []serviceProfile{{name: "sortmind", peakTargets: 9, hasTraining: true}, {name: "haulbook", peakTargets: 3}}},
-		{"magnolia", []serviceProfile{{name: "matcher", peakTargets: 8, hasTraining: true}, {name: "ledger", peakTargets: 6}}},
+		{"uneven-services", []serviceProfile{{name: "sortmind", peakTargets: 9, hasTraining: true}, {name: "haulbook", peakTargets: 3}}},
+		{"even-services", []serviceProfile{{name: "matcher", peakTargets: 8, hasTraining: true}, {name: "ledger", peakTargets: 6}}},
 	}
 	figures := make([]Figure, 0, 4*len(deployments))
 	for d, deployment := range deployments {
--- a/internal/collector/residency_test.go
+++ b/internal/collector/residency_test.go
@@ -36,7 +36,7 @@
 	fence   atomic.Uint64
 }
 
-// term is a term of an entry. ended is closed when the entry leads no longer.
+// term is a term of an entry. ended is closed at its end.
 type term struct {
 	ctx   context.Context //nolint:containedctx // ends the term
 	ended chan struct{}
@@ -81,7 +81,7 @@
 	return leaser.Term{Fence: identifier.Fence(m.fence.Load())}, true
 }
 
-// elect makes an entry lead until the returned function is called. The channel is closed when it leads no longer.
+// elect makes an entry lead until the returned function is called. The channel is closed at the end of its term.
 func (p *place) elect(c *qt.C, name string) (stop context.CancelFunc, ended chan struct{}) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended = make(chan struct{})
--- a/internal/guarder/guarder_test.go
+++ b/internal/guarder/guarder_test.go
@@ -100,8 +100,10 @@
 	a.Enter(guarder.Working)
 	granted := make(chan bool)
 	go func() { granted <- b.Reserve(600) }()
+	poll := time.NewTicker(time.Millisecond)
+	defer poll.Stop()
 	for f.clock.Subscribers() < 2 { // Run has noticed that b waits
-		time.Sleep(time.Millisecond)
+		<-poll.C
 	}
 	a.Release(5000)
 	c.Assert(<-granted, qt.IsTrue)
@@ -113,9 +115,8 @@
 		select {
 		case ok = <-granted:
 			done = true
-		default:
+		case <-poll.C:
 			f.advance(100 * time.Millisecond)
-			time.Sleep(time.Millisecond)
 		}
 	}
 	c.Assert(ok, qt.IsFalse)
