--- a/review/stage/sampler.go
+++ b/review/stage/sampler.go
@@ -51,6 +51,8 @@
 	Events    int
 	EventTime time.Duration
 	LoadTime  time.Duration
+	// Crashes reports whether a request crashes the sampler when it begins to run. It may be nil.
+	Crashes func(q Request) bool
 	// Endless reports whether a request of a model gets events without end, until the caller closes. It may be nil.
 	Endless func(model string) bool
 
@@ -125,6 +127,29 @@
 	p.stage.Log("sampler=%s has left", p.ID)
 }
 
+// downTime is the time after which a sampler that crashed is back.
+const downTime = 3 * time.Second
+
+// crash ends all connections. The sampler starts again some seconds later, with the same identity and address.
+func (p *Sampler) crash() {
+	p.stage.Log("sampler=%s crashes", p.ID)
+	address, stop := p.address, p.stop
+	go func() {
+		stop()
+		p.stage.Wait(downTime)
+		_, next, err := p.stage.serveAt(address, p)
+		if err != nil {
+			p.stage.Log("sampler=%s is not back: %v", p.ID, err)
+			return
+		}
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.stop, p.born, p.seq = next, p.stage.Clock.Now().UnixMilli(), 0
+		p.list()
+		p.stage.Log("sampler=%s is back", p.ID)
+	}()
+}
+
 // Requests returns the requests that the sampler began to run.
 func (p *Sampler) Requests() []Request {
 	p.mutex.Lock()
@@ -226,6 +251,10 @@
 	p.mutex.Unlock()
 	p.stage.Log("run sampler=%s id=%q method=%s path=%s tenant=%q bytes=%d after=%s", p.ID, id, r.Method, r.URL.Path,
 		strings.Join(r.Header.Values("Tenant"), ","), len(body), r.Header.Get("Last-Event-Id"))
+	if p.Crashes != nil && p.Crashes(q) {
+		p.crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Stamp", "stamp-"+p.ID+"-"+id)
 	if len(p.models) == 0 {
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -90,7 +90,12 @@
 
 // serve is like Serve, and returns a function that ends the server before.
 func (s *Stage) serve(ip string, h http.Handler) (address string, stop func(), err error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(ip, "0"))
+	return s.serveAt(net.JoinHostPort(ip, "0"), h)
+}
+
+// serveAt is like serve at a given address.
+func (s *Stage) serveAt(at string, h http.Handler) (address string, stop func(), err error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", at)
 	if err != nil {
 		return "", nil, err
 	}
