--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -98,7 +98,7 @@
 
 // Read reads results of a batch job at an entry.
 func (s *Stage) Read(n *Node, key, job string, after int) (Page, int) {
-	a := s.Do(n.Callers(), http.MethodGet, fmt.Sprintf("/-/lots/%s?after=%d", job, after), map[string]string{
+	a := s.Do(n.Callers(), http.MethodGet, fmt.Sprintf("%s%s?after=%d", Wire.Jobs, job, after), map[string]string{
 		"X-Api-Key": key, "Wait-Ms": "1000",
 	}, nil, 4*time.Second) //nolint:mnd // the patience of the client
 	var p Page
--- a/review/stage/sampler.go
+++ b/review/stage/sampler.go
@@ -166,20 +166,20 @@
 
 // ServeHTTP answers a request.
 func (p *Sampler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != p.ID {
+	if expected := r.Header.Get(Wire.Expected); expected != "" && expected != p.ID {
 		w.Header().Set("Instance-Id", p.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch r.URL.Path {
-	case "/-/report":
+	case Wire.Report:
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
 		writeJSON(w, map[string]any{
 			"phase": "dual", "models": p.modelList(), "busy": p.busy, "seq": p.seq, "queued-count": 0, "running-count": 0, "kv-used": 0,
 			"kv-total": 50000, "handles": 0, "born": p.born,
 		})
-	case "/-/order":
+	case Wire.Order:
 		p.order(w, r)
 	default:
 		p.run(w, r)
@@ -256,7 +256,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Request-Id", id)
-	w.Header().Set("Response-Stamp", "stamp-"+p.ID+"-"+id)
+	w.Header().Set(Wire.Stamp, "stamp-"+p.ID+"-"+id)
 	if len(p.models) == 0 {
 		_, _ = fmt.Fprintf(w, "ran %s", body)
 		return
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -68,7 +68,7 @@
 	}
 	s.cleanups = append(s.cleanups, func() { _ = os.RemoveAll(folder) }, func() { _ = record.Close() })
 	s.cloud, err = s.Serve("127.0.0.1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.Log("cloud call=%s holder=%s fence=%s", r.URL.Path, r.Header.Get("Duty-Holder"), r.Header.Get("Fence-Token"))
+		s.Log("cloud call=%s holder=%s fence=%s", r.URL.Path, r.Header.Get(Wire.Holder), r.Header.Get(Wire.Fence))
 		w.WriteHeader(http.StatusOK)
 	}))
 	return s, err
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -133,7 +133,7 @@
 	}
 	c := Call{Node: d.node, Method: r.Method, Path: r.URL.Path, Query: r.URL.Query(), Puts: map[string][]byte{}}
 	var t transaction
-	if r.URL.Path == "/-/kv-txn" && json.Unmarshal(body, &t) == nil {
+	if r.URL.Path == Wire.Transaction && json.Unmarshal(body, &t) == nil {
 		for _, p := range t.Puts {
 			c.Puts[p.Key] = p.Value
 		}
@@ -142,7 +142,7 @@
 	if h := d.hook.Load(); h != nil {
 		fate = (*h)(c)
 	}
-	if r.URL.Path != "/-/kv-watch" && !timer.Wait(r.Context(), d.clock, storeTime) {
+	if r.URL.Path != Wire.Watch && !timer.Wait(r.Context(), d.clock, storeTime) {
 		panic(http.ErrAbortHandler)
 	}
 	if fate == Late {
@@ -166,19 +166,19 @@
 func (d door) execute(r *http.Request, body []byte, t transaction) (int, any) {
 	ctx, q, nothing := r.Context(), r.URL.Query(), struct{}{}
 	switch path := r.URL.Path; {
-	case path == "/-/kv-key":
+	case path == Wire.ReadKey:
 		e, _ := d.Service.Get(ctx, q.Get("key"))
 		if e.Changed == 0 {
 			return http.StatusNotFound, nothing
 		}
 		return http.StatusOK, d.item(e)
-	case path == "/-/kv-range":
+	case path == Wire.ReadRange:
 		return d.readRange(r)
-	case path == "/-/kv-watch":
+	case path == Wire.Watch:
 		return d.watch(r)
-	case path == "/-/kv-txn":
+	case path == Wire.Transaction:
 		return d.commit(r, t)
-	case path == "/-/kv-lease":
+	case path == Wire.Grant:
 		var m struct {
 			TTL int64 `json:"ttl-ms"`
 		}
@@ -187,12 +187,12 @@
 		}
 		l, _ := d.Service.Grant(ctx, time.Duration(m.TTL)*time.Millisecond)
 		return http.StatusOK, map[string]int64{"lease": int64(l), "ttl-ms": m.TTL}
-	case strings.HasPrefix(path, "/-/kv-keep/"):
+	case strings.HasPrefix(path, Wire.Renew):
 		if d.Service.KeepAlive(ctx, leaseOf(path)) == storer.Conflict {
 			return http.StatusNotFound, nothing
 		}
 		return http.StatusOK, nothing
-	case strings.HasPrefix(path, "/-/kv-lease-end/"):
+	case strings.HasPrefix(path, Wire.Revoke):
 		d.Service.Revoke(ctx, leaseOf(path))
 		return http.StatusOK, nothing
 	}
