--- a/internal/adapter/inspector/inspector.go
+++ b/internal/adapter/inspector/inspector.go
@@ -1,13 +1,16 @@
-// Package inspector rejects HTTP responses whose status the protocol does not allow. net/http passes on any status of three digits.
+// Package inspector rejects HTTP responses that are broken and that net/http passes on: those with a status that the protocol does
+// not allow, and those that end with a connection that broke.
 package inspector
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 )
 
 // StatusError is the error of a response whose status the protocol does not allow. Its request may have been executed.
@@ -64,17 +67,47 @@
 // Report is called for each response whose status the protocol does not allow.
 type Report func(r *http.Request, status int)
 
-// Transport is an http.RoundTripper that returns a StatusError for a response with such a status and closes its connection.
+// Transport is an http.RoundTripper that returns an error for a response that is not sound and closes its connection.
 type Transport struct {
 	base    http.RoundTripper
 	reports []Report
 }
 
-// NewTransport returns a Transport over base, with what is called for each such response.
+// NewTransport returns a Transport over base, with what is called for each response with a status that is not allowed. If base is an
+// http.Transport, it uses a copy whose connections are each a Conn; the copies of http.DefaultTransport share theirs.
 func NewTransport(base http.RoundTripper, reports ...Report) *Transport {
+	if t, ok := base.(*http.Transport); ok && base == http.DefaultTransport {
+		base = defaultTransport()
+	} else if ok {
+		base = withConn(t)
+	}
 	return &Transport{base: base, reports: reports}
 }
 
+// defaultTransport is the copy of http.DefaultTransport, which was checked to be an http.Transport.
+var defaultTransport = sync.OnceValue(func() *http.Transport { return withConn(http.DefaultTransport.(*http.Transport)) })
+
+// withConn returns a copy of t whose connections are each a Conn.
+func withConn(t *http.Transport) *http.Transport {
+	t = t.Clone()
+	dial := t.DialContext
+	if old := t.Dial; dial == nil && old != nil { //nolint:staticcheck // a user's transport may still have it
+		dial = func(_ context.Context, network, address string) (net.Conn, error) { return old(network, address) }
+	}
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = checked(dial)
+	return t
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() {
+	if base, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
+
 // RoundTrip sends a request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
--- a/internal/adapter/jobpeer/relays_test.go
+++ b/internal/adapter/jobpeer/relays_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -52,3 +53,37 @@
 	_, delivery = client.Execute(t.Context(), older, write)
 	c.Assert(delivery, qt.Equals, relayer.Undelivered)
 }
+
+// Guards against a call that counts as answered, or as not executed, although the process reset the connection while the question was
+// still being written, with nothing or a part of an answer before.
+func TestResetDuringRelayedCall(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewSystem()
+	defer clock.Close()
+	question := relayer.Question{
+		Kind: relayer.Commit, Transaction: storer.Transaction{}.WithPut("k", make([]byte, 4<<20), 0), Patience: time.Second,
+	}
+	for _, part := range []string{"", "\x40", "\x40answer"} {
+		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadFull(conn, make([]byte, 64<<10))
+				_, _ = io.WriteString(conn, part)
+				timer.Wait(t.Context(), clock, 2*time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			}
+		}()
+		client := jobpeer.NewRelayClient(dial, clock, nil)
+		for range 5 {
+			_, delivery := client.Execute(t.Context(), l.Addr().String(), question)
+			c.Check(delivery, qt.Equals, relayer.Lost)
+		}
+		c.Assert(l.Close(), qt.IsNil)
+	}
+}
--- a/internal/adapter/platformclient/usage.go
+++ b/internal/adapter/platformclient/usage.go
@@ -61,7 +61,8 @@
 			return guarded, err
 		},
 	}
-	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: inspector.NewTransport(transport, c.reports...)}
+	defer client.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.address+path, bytes.NewReader(body))
 	if err != nil {
 		return postResult{}
@@ -70,7 +71,7 @@
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(FenceHeader, strconv.FormatUint(uint64(fence), 10))
-	resp, err := (&http.Client{Transport: inspector.NewTransport(transport, c.reports...)}).Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return postResult{sent: guarded != nil && guarded.hasWritten.Load()}
 	}
--- a/pkg/client/trainer.go
+++ b/pkg/client/trainer.go
@@ -50,11 +50,11 @@
 // WithState restores the state of an earlier Trainer of the run.
 func WithState(s State) Option { return func(t *Trainer) { t.state = s } }
 
-// WithHTTP sets the HTTP client. The trainer uses a copy that also rejects answers whose status the protocol does not allow.
+// WithHTTP sets the HTTP client. The trainer uses a copy that also rejects answers that are broken, with a copy of the client's transport if
+// that is an http.Transport. Another transport has to tell a connection that broke from one that was closed by itself.
 func WithHTTP(c *http.Client) Option { return func(t *Trainer) { t.http = inspected(*c) } }
 
-// inspected returns a copy of c that returns an error for an answer whose status the protocol does not allow. Such an answer could
-// else pass for a success.
+// inspected returns a copy of c that returns an error for a broken answer, which could else pass for a success.
 func inspected(c http.Client) *http.Client {
 	base := c.Transport
 	if base == nil {
