inspector: reject an answer in whose head the name of a field holds a blank

What callers saw: an answer with "B C: 1" in its head, with that line passed on; with "Content-Length : 2" or "Transfer-Encoding : chunked", a body that was not the sampler's, since the line sets no length; with a line that begins with a blank, that line within the value of the field before it.

Cause: net/http accepts blanks in the names of response fields and passes such a line on under its name; it joins a line that begins with a blank to the one before. Names with a control byte, a tab or a byte above 127 were rejected already.

Evidence, the tests on: TestFieldNamesAtTheFront got 200, or 503 for the refusal, on each of three routes, for 5 of 7 heads; the two with a control byte held. TestFieldNames: 12 of 27 heads passed that must not.

Change: Response checks the status and the names of a final head, Interims those of interim ones; Conn finds lines that begin with a blank before net/http joins them, in each head of a response, and nowhere in a body. The answer is broken: the request may have run. On the product's own interface the reason is answer-invalid, as for a status that is not allowed; net/http's own findings in a head, which counted as a crash of the target, have it too. A folded line is rejected, as RFC 9112, 5.2 allows a gateway: joined, it can hide a field.

Why it works: all clients read through Transport or through Samplers.Call, which call the same two functions, and all their connections are Conns.

--- a/internal/adapter/engineclient/engineclient.go
+++ b/internal/adapter/engineclient/engineclient.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/textproto"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -61,9 +62,12 @@
 	var opErr *net.OpError
 	var netErr net.Error
 	var invalid *inspector.StatusError
+	var malformed textproto.ProtocolError
 	switch {
 	case errors.As(err, &invalid):
 		return streamer.Final{}.WithEnd(streamer.Invalid, fmt.Sprintf("status-%03d", invalid.Status))
+	case errors.Is(err, inspector.ErrFieldName), errors.As(err, &malformed):
+		return streamer.Final{}.WithEnd(streamer.Invalid, "header")
 	case errors.As(err, &opErr) && opErr.Op == "dial":
 		return streamer.Final{}.WithEnd(streamer.Unreached, "connection-refused")
 	case ctx.Err() != nil:
--- a/internal/adapter/inspector/conn.go
+++ b/internal/adapter/inspector/conn.go
@@ -12,7 +12,8 @@
 	"time"
 )
 
-// Conn is a connection of an HTTP client. A read returns io.EOF only if the peer has ended the connection in order.
+// Conn is a connection of an HTTP client. A read returns io.EOF only if the peer has ended the connection in order, and no line of a
+// response head that begins with a blank is passed on.
 //
 // The kernel reports a broken connection to one system call only. If that is the write of a request, the next read returns io.EOF, and a
 // response that lasts until the end of the connection would pass for complete.
@@ -23,11 +24,15 @@
 	writes sync.RWMutex
 	// broken is the error of a write that found the connection broken.
 	broken atomic.Pointer[error]
+	head   head
 }
 
 // NewConn returns a Conn over raw.
 func NewConn(raw net.Conn) *Conn { return &Conn{Conn: raw} }
 
+// BeginResponse makes the connection check the head of the next response. Without it, as below TLS, heads are not checked.
+func (c *Conn) BeginResponse() { c.head.begin() }
+
 // Write writes p.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writes.RLock()
@@ -52,7 +57,10 @@
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
-	return n, err //nolint:wrapcheck // net/http inspects the error
+	if invalid := c.head.check(p[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
 }
 
 // pastTime is a deadline that has passed.
--- a/internal/adapter/inspector/inspector.go
+++ b/internal/adapter/inspector/inspector.go
@@ -1,5 +1,5 @@
-// Package inspector rejects HTTP responses that are broken and that net/http passes on: those with a status that the protocol does
-// not allow, and those that end with a connection that broke.
+// Package inspector rejects HTTP responses that are broken and that net/http passes on: those with a status or a field name that the
+// protocol does not allow, and those that end with a connection that broke.
 package inspector
 
 import (
@@ -32,6 +32,14 @@
 	return nil
 }
 
+// Response returns an error if the head of a final response is not sound: StatusError or ErrFieldName.
+func Response(r *http.Response) error {
+	if err := Final(r.StatusCode); err != nil {
+		return err
+	}
+	return checkNames(r.Header)
+}
+
 // maxInterimBytes bounds the interim responses of a request. net/http bounds only each of them if they are traced.
 const maxInterimBytes = 64 << 10
 
@@ -43,7 +51,8 @@
 	bytes int
 }
 
-// Check returns an error if a status is not that of a known interim response, or if the interim responses are too long. Without the
+// Check returns an error if a status is not that of a known interim response, if a field name is not allowed, or if the interim responses
+// are too long. Without the
 // former a final response with such a status would be waited for until the time of the request is up.
 func (i *Interims) Check(status int, header textproto.MIMEHeader) error {
 	const lineBytes = len("HTTP/1.1 100 \r\n\r\n")
@@ -52,6 +61,9 @@
 	default:
 		return &StatusError{Status: status}
 	}
+	if err := checkNames(header); err != nil {
+		return err
+	}
 	i.bytes += lineBytes
 	for name, values := range header {
 		for _, value := range values {
@@ -108,17 +120,27 @@
 	}
 }
 
+// BeginResponse makes a connection check the head of the response to the request that has got it, if it is a Conn.
+func BeginResponse(c net.Conn) {
+	if conn, ok := c.(interface{ BeginResponse() }); ok {
+		conn.BeginResponse()
+	}
+}
+
 // RoundTrip sends a request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	var interims Interims
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn
+			BeginResponse(conn)
+		},
 		Got1xxResponse: interims.Check,
 	})
 	resp, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err == nil {
-		if err = Final(resp.StatusCode); err == nil {
+		if err = Response(resp); err == nil {
 			return resp, nil
 		}
 		_ = resp.Body.Close() // the response is not used
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -31,7 +31,7 @@
 	ReasonTargetFailed  = "target-failed"
 	ReasonTargetCrashed = "target-crashed"
 	ReasonAnswerLost    = "answer-lost"
-	// ReasonAnswerInvalid means that the target answered with a status that the protocol does not allow.
+	// ReasonAnswerInvalid means that the target answered with a status or a header that the protocol does not allow.
 	ReasonAnswerInvalid = "answer-invalid"
 	ReasonTargetsBusy   = "targets-busy"
 	ReasonTargetStopped = "target-stopped"
--- a/internal/retrier/event.go
+++ b/internal/retrier/event.go
@@ -24,8 +24,8 @@
 	Crashed
 	// Failed means that the target ran the attempt and failed.
 	Failed
-	// Invalid means that the target answered with a status that the protocol does not allow, which does not show whether it ran the
-	// attempt.
+	// Invalid means that the target answered with a status or a header that the protocol does not allow, which does not show
+	// whether it ran the attempt.
 	Invalid
 	// Stopped means that the agent or the target ended the attempt early on its own, other than for a planned stop.
 	Stopped
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -43,7 +43,8 @@
 	NoAnswer
 	// PlannedStop means that the agent cancelled the answer because of a planned stop. It is resumed on another target.
 	PlannedStop
-	// Invalid means that the target answered with a status that the protocol does not allow; it may have run the request.
+	// Invalid means that the target answered with a status or a header that the protocol does not allow; it may have run the
+	// request.
 	Invalid
 )
 
