engineclient, platformclient: an answer counts once it is whole

What callers saw: an order to a model engine was told as accepted although the connection broke after the object of its answer, and as rejected if it broke within it, where it may have taken effect; a list of VMs from an answer that broke off was used. mimosactl told of a read whose answer broke off that the server can't be reached.

Cause: both decoded the body without reading to its end. mimosactl told a broken answer from an unreachable server by the status alone.

Change: the body is read to its end; an order whose answer breaks off is lost. mimosactl says that the server gave no valid answer once a connection was open.

--- a/internal/adapter/engineclient/order.go
+++ b/internal/adapter/engineclient/order.go
@@ -54,19 +54,19 @@
 	return engineOutcome(resp)
 }
 
-// engineOutcome maps the engine's response to the outcome of an order. After a server error it is unknown whether the
-// order took effect.
+// engineOutcome maps the engine's response to the outcome of an order. After a server error, or a response that broke off, it is unknown
+// whether the order took effect.
 func engineOutcome(resp *http.Response) orderer.Outcome {
 	var answer struct {
 		Success bool `json:"success"`
 	}
-	err := json.NewDecoder(io.LimitReader(resp.Body, maxLineBytes)).Decode(&answer)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLineBytes))
 	switch {
+	case err != nil, resp.StatusCode >= http.StatusInternalServerError:
+		return orderer.Lost
 	case resp.StatusCode == http.StatusConflict:
 		return orderer.Stale
-	case resp.StatusCode >= http.StatusInternalServerError:
-		return orderer.Lost
-	case resp.StatusCode == http.StatusOK && err == nil && answer.Success:
+	case resp.StatusCode == http.StatusOK && json.Unmarshal(body, &answer) == nil && answer.Success:
 		return orderer.Accepted
 	default:
 		return orderer.Rejected
--- a/internal/adapter/platformclient/platformclient.go
+++ b/internal/adapter/platformclient/platformclient.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -70,22 +69,15 @@
 
 // VMs returns the VM list.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	ctx, cancel := timer.WithTimeout(ctx, c.clock, callTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.address+"/v1/vms", nil)
+	answer, status, err := c.get(ctx, "/v1/vms")
 	if err != nil {
-		return nil, fmt.Errorf("list VMs: %w", err)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("list VMs: %w", err)
+		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("list VMs: response status %d, want 200", resp.StatusCode)
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("list VMs: response status %d, want 200", status)
 	}
 	var vms []VM
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&vms); err != nil {
+	if err := json.Unmarshal(answer, &vms); err != nil {
 		return nil, fmt.Errorf("list VMs: %w", err)
 	}
 	return vms, nil
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -101,8 +101,7 @@
 	if method != http.MethodGet && maybeSent {
 		return &Failure{Code: Unknown, Text: fmt.Sprintf("the change may or may not have taken effect: %v", err)}
 	}
-	var invalid *inspector.StatusError
-	if errors.As(err, &invalid) {
+	if maybeSent {
 		return &Failure{Code: Unavailable, Text: fmt.Sprintf("the server gave no valid answer: %v", err)}
 	}
 	return &Failure{Code: Unavailable, Text: fmt.Sprintf("the server can't be reached: %v", err)}
